--- /dev/null
+++ b/crates/briarbank/src/main.rs
@@ -0,0 +1,2 @@
+//! Command line of briarbank.
+fn main() {}
--- /dev/null
+++ b/crates/core/src/catalog.rs
@@ -0,0 +1,154 @@
+//! What operators publish: profiles, workspaces, targets and servers.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ProfileName, Revision, ServerName, TargetName, WorkspaceName, ZoneName};
+
+/// Number of service tiers; tier 0 is the highest.
+pub const TIER_COUNT: u8 = 6;
+
+/// A class of requests with common targets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Profile {
+    /// Unique name, sent by callers in a header.
+    pub name: ProfileName,
+    /// Service tier, 0 (highest) to 5.
+    pub tier: u8,
+    /// Whether a request may be run more than once.
+    pub idempotent: bool,
+    /// Target for the first token, or for the whole answer of a plain service.
+    pub first_token_ms: u64,
+    /// Target for the time between tokens.
+    pub between_tokens_ms: u64,
+    /// Target for the whole answer; later answers count as missed.
+    pub whole_ms: u64,
+    /// Part of the capacity that the class keeps under any burst, 0 to 1.
+    pub share_ratio: f64,
+    /// Bound of the queue, in requests.
+    pub queue_limit: usize,
+}
+
+/// A customer's space, with its weight against others of the same class.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// Unique name, sent by callers in a header.
+    pub name: WorkspaceName,
+    /// Weight in the fair queue, above 0.
+    pub weight: f64,
+    /// Bound of requests in flight over all nodes.
+    pub in_flight_limit: usize,
+}
+
+/// What runs behind a name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TargetKind {
+    /// Model engine with streamed answers.
+    Model,
+    /// Plain service.
+    Service,
+}
+
+/// A model or a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Unique name.
+    pub name: TargetName,
+    /// Model or plain service.
+    pub kind: TargetKind,
+}
+
+/// One revision of the operators' configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Catalog {
+    /// Revision given by the platform; not part of the document.
+    #[serde(default)]
+    pub revision: Revision,
+    /// Profiles, by unique name.
+    pub profiles: Vec<Profile>,
+    /// Workspaces, by unique name.
+    pub workspaces: Vec<Workspace>,
+    /// Models and plain services, by unique name.
+    pub targets: Vec<Target>,
+    /// Host list revision below which no host runs any more.
+    ///
+    /// Raised by operators who know that all hosts of older lists are stopped.
+    #[serde(default)]
+    pub retired_hosts_revision: Revision,
+}
+
+impl Catalog {
+    /// The profile of that name.
+    #[must_use]
+    pub fn profile(&self, name: &ProfileName) -> Option<&Profile> {
+        self.profiles.iter().find(|p| p.name == *name)
+    }
+
+    /// The workspace of that name.
+    #[must_use]
+    pub fn workspace(&self, name: &WorkspaceName) -> Option<&Workspace> {
+        self.workspaces.iter().find(|w| w.name == *name)
+    }
+
+    /// The model or plain service of that name.
+    #[must_use]
+    pub fn target(&self, name: &TargetName) -> Option<&Target> {
+        self.targets.iter().find(|t| t.name == *name)
+    }
+}
+
+/// Whether a server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ServerState {
+    /// Takes new work.
+    Live,
+    /// Finishes what it has and takes nothing new.
+    Leaving,
+}
+
+/// One backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Unique name.
+    pub name: ServerName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Address of its HTTP port.
+    pub address: SocketAddr,
+    /// Models that it has loaded, or the plain service that it is.
+    pub targets: Vec<TargetName>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it refuses orders with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// Published state.
+    pub state: ServerState,
+}
+
+/// One revision of the server list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Revision given by the platform; not part of the document.
+    #[serde(default)]
+    pub revision: Revision,
+    /// Servers, by unique name.
+    pub servers: Vec<Server>,
+}
+
+impl Fleet {
+    /// The server of that name.
+    #[must_use]
+    pub fn server(&self, name: &ServerName) -> Option<&Server> {
+        self.servers.iter().find(|s| s.name == *name)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decisions of a router for language-model traffic, without input or output.
+//!
+//! Every part is a state machine or a plain data structure: time, events and
+//! random seeds are passed in, and actions come out. Nothing here opens a
+//! socket, reads a clock or starts a task, so that each part can be embedded
+//! and tested on its own.
+
+pub mod call;
+pub mod catalog;
+pub mod conf;
+pub mod hosts;
+pub mod ids;
+pub mod member;
+pub mod node;
+pub mod owner;
+pub mod peer;
+pub mod rendezvous;
+pub mod router;
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,11 @@
+//! All decisions of one node, composed.
+//!
+//! [`Node`] joins the router, the ownership of request ids, membership and
+//! the published values. The daemon feeds it events and carries out its
+//! actions in their order; it adds no decision of its own.
+
+mod event;
+mod state;
+
+pub use event::{Action, Event, Origin};
+pub use state::{Identity, Node, Options};
--- /dev/null
+++ b/crates/core/src/rendezvous.rs
@@ -0,0 +1,52 @@
+//! Rendezvous (highest random weight) hashing.
+//!
+//! Every process that knows the same names computes the same order, and a
+//! name that joins or goes moves only the keys that it gains or loses.
+//! Source: Thaler and Ravishankar, "Using name-based mappings to increase
+//! hit rates", 1998.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Weight of `name` for `key`; the highest weight wins.
+#[must_use]
+pub fn weight(key: u64, name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), key)
+}
+
+/// Hash of arbitrary bytes for use as a key.
+#[must_use]
+pub fn key(bytes: &[u8]) -> u64 {
+    xxh3_64_with_seed(bytes, 0)
+}
+
+/// The winner for `key` among `items`, or `None` without items.
+///
+/// # Examples
+///
+/// ```
+/// use briarbank_core::rendezvous;
+///
+/// let names = ["a", "b", "c"];
+/// let all = rendezvous::first(7, names.iter(), |n| n).unwrap();
+/// let rest = names.iter().filter(|n| *n != all);
+/// assert_ne!(rendezvous::first(7, rest, |n| n), Some(all));
+/// ```
+pub fn first<T>(key: u64, items: impl Iterator<Item = T>, name: impl Fn(&T) -> &str) -> Option<T> {
+    items.max_by_key(|item| weight(key, name(item)))
+}
+
+/// The `count` best of `items` for `key`, best first.
+pub fn top<T>(
+    key: u64,
+    items: impl Iterator<Item = T>,
+    name: impl Fn(&T) -> &str,
+    count: usize,
+) -> Vec<T> {
+    let mut weighted: Vec<(u64, T)> = items.map(|item| (weight(key, name(&item)), item)).collect();
+    weighted.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    weighted
+        .into_iter()
+        .take(count)
+        .map(|(_, item)| item)
+        .collect()
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
