Give each request id one owner under majority leases

Cause: a caller may repeat an id through any entry host, and nothing shared can be written. Ruled out: an owner confirmed by the platform alone, since a stale replica would confirm two; claims by a majority for each id, near to a replicated store; asking all hosts, which one dead host blocks. Change: 256 slots with owners and committees by rendezvous over the host list; a committee's majority confirms an owner for a lease and tells how long it is bound to an earlier one; records begin with the tenure or with a handover; ids that may be older are refused as unknown.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -32,6 +32,20 @@
     pub first_try: bool,
 }
 
+impl Call {
+    /// Outcome to state where nothing is recorded of the request id.
+    ///
+    /// Only the caller can know that there was no earlier try.
+    #[must_use]
+    pub fn unproven(&self) -> Outcome {
+        if self.first_try {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        }
+    }
+}
+
 /// What is known of a request's execution.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -5,7 +5,8 @@
 //! actions in their order; it adds no decision of its own.
 
 mod event;
+mod owned;
 mod state;
 
 pub use event::{Action, Event, Origin};
-pub use state::{Identity, Node, Options};
+pub use state::{Dump, Identity, Node, Options};
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -1,14 +1,17 @@
 //! The composed state machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::call::{Call, Outcome, Reason, Refusal};
 use crate::conf::{Adopted, Documents, Key, Log};
 use crate::hosts::HostView;
-use crate::ids::{AttemptId, CallId, HostName, Incarnation, RequestId, Revision, ZoneName};
+use crate::ids::{AttemptId, CallId, HostName, Incarnation, Revision, ZoneName};
 use crate::node::event::{Action, Event, Origin};
+use crate::node::owned::OwnedCalls;
 use crate::owner::{self, Begin, Owner, Place};
 use crate::router::{self, AttemptEvent, Router};
 
@@ -44,11 +47,33 @@
     }
 }
 
-/// One call that may not be repeated and runs here as its owner.
+/// State of a node, for operators.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Dump {
+    /// Name in the host list.
+    pub host: HostName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Number of this run of the process.
+    pub incarnation: Incarnation,
+    /// Whether the node can serve callers.
+    pub ready: bool,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+    /// Adopted revisions of the host list, the server list and the configuration.
+    pub revisions: [Revision; 3],
+    /// Calls that wait or run here.
+    pub calls: usize,
+    /// Calls forwarded to other nodes.
+    pub forwarded: usize,
+    /// Ownership of request ids.
+    pub owner: owner::Dump,
+}
+
+/// A call that another node answers.
 #[derive(Debug)]
-struct Owned {
-    request: RequestId,
-    sent: Option<AttemptId>,
+struct Forwarded {
+    first_try: bool,
 }
 
 /// State machine of one node; see the module's page.
@@ -58,8 +83,10 @@
     log: Log,
     router: Router,
     owner: Owner,
-    owned: BTreeMap<CallId, Owned>,
-    forwarded: BTreeMap<CallId, RequestId>,
+    owned: OwnedCalls,
+    /// Calls in the router whose ids may have been used before.
+    repeats: BTreeSet<CallId>,
+    forwarded: BTreeMap<CallId, Forwarded>,
     catalog: Option<Arc<crate::catalog::Catalog>>,
     stopping: bool,
     stopped: bool,
@@ -100,7 +127,8 @@
             log: Log::default(),
             router,
             owner,
-            owned: BTreeMap::new(),
+            owned: OwnedCalls::default(),
+            repeats: BTreeSet::new(),
             forwarded: BTreeMap::new(),
             catalog: None,
             stopping: false,
@@ -136,16 +164,32 @@
     ///
     /// For a call that may not be repeated it is true at most once.
     pub fn may_send(&mut self, now: Instant, call: CallId, attempt: AttemptId) -> bool {
-        let Some(owned) = self.owned.get_mut(&call) else {
+        let Some(owned) = self.owned.get(call) else {
             return true;
         };
         if !self.owner.may_send(now, &owned.request) {
             return false;
         }
-        owned.sent = Some(attempt);
+        self.owned.send(call, attempt);
         true
     }
 
+    /// State for operators.
+    #[must_use]
+    pub fn dump(&self, now: Instant) -> Dump {
+        Dump {
+            host: self.identity.host.clone(),
+            zone: self.identity.zone.clone(),
+            incarnation: self.identity.incarnation,
+            ready: self.ready(),
+            stopping: self.stopping,
+            revisions: Key::ALL.map(|key| self.log.revision(key)),
+            calls: self.router.calls(),
+            forwarded: self.forwarded.len(),
+            owner: self.owner.dump(now),
+        }
+    }
+
     /// Takes one event and returns the actions that follow from it.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -157,18 +201,16 @@
             } => {
                 self.call(now, call, &origin, content_key, &mut actions);
             }
-            Event::CallerGone(call) => {
-                self.forwarded.remove(&call);
-                self.route(now, router::Event::CallerGone(call), &mut actions);
-            }
+            Event::CallerGone(call) => self.caller_gone(now, call, &mut actions),
             Event::ForwardFailed { call, sent } => self.forward_failed(call, sent, &mut actions),
             Event::ForwardDone(call) => {
                 self.forwarded.remove(&call);
             }
             Event::Attempt { attempt, event } => {
+                self.take_proof(attempt, event);
                 self.route(now, router::Event::Attempt { attempt, event }, &mut actions);
             }
-            Event::Answered { attempt, answer } => self.answered(now, attempt, answer),
+            Event::Answered { attempt, answer } => self.owned.answer(attempt, answer),
             Event::Load { server, load } => {
                 self.route(now, router::Event::Load { server, load }, &mut actions);
             }
@@ -186,10 +228,13 @@
                     self.adopt(now, adopted, &mut actions);
                 }
             }
-            Event::Stop => self.stopping = true,
+            Event::Stop => {
+                self.stopping = true;
+                self.owner.stop(now);
+            }
             Event::Tick => self.tick(now, &mut actions),
         }
-        self.check_stopped(&mut actions);
+        self.check_stopped(now, &mut actions);
         actions
     }
 
@@ -210,7 +255,7 @@
 
     fn adopt(&mut self, now: Instant, adopted: Adopted, actions: &mut Vec<Action>) {
         match adopted {
-            Adopted::Hosts(view) => self.owner.adopt(now, view),
+            Adopted::Hosts(view) => self.owner.adopt(now, view, actions),
             Adopted::Servers(fleet) => self.route(now, router::Event::Fleet(fleet), actions),
             Adopted::Config(catalog) => {
                 self.catalog = Some(Arc::clone(&catalog));
@@ -230,17 +275,22 @@
     ) {
         let profile = self.catalog.as_ref().and_then(|c| c.profile(&call.profile));
         if profile.is_none_or(|p| p.idempotent) {
-            self.route(now, router::Event::Arrive(call), actions);
+            self.arrive(now, call, actions);
             return;
         }
         match (self.owner.place(&call.request), origin) {
             (Place::Here, _) => self.own(now, call, content_key, actions),
             (Place::At(to), Origin::Caller) => {
-                self.forwarded.insert(call.id, call.request);
+                self.forwarded.insert(
+                    call.id,
+                    Forwarded {
+                        first_try: call.first_try,
+                    },
+                );
                 actions.push(Action::Forward { call: call.id, to });
             }
             (Place::At(_) | Place::Nowhere, _) => {
-                let outcome = unproven(&call);
+                let outcome = call.unproven();
                 self.refuse(call.id, Reason::NoOwner, outcome, actions);
             }
         }
@@ -249,11 +299,7 @@
     fn own(&mut self, now: Instant, call: Call, content_key: u64, actions: &mut Vec<Action>) {
         match self.owner.begin(now, &call, content_key) {
             Begin::Run => {
-                let owned = Owned {
-                    request: call.request.clone(),
-                    sent: None,
-                };
-                self.owned.insert(call.id, owned);
+                self.owned.begin(call.id, call.request.clone());
                 self.route(now, router::Event::Arrive(call), actions);
             }
             Begin::Replay(answer) => actions.push(Action::Replay {
@@ -264,58 +310,102 @@
         }
     }
 
+    /// Passes a call that may be repeated to the router.
+    fn arrive(&mut self, now: Instant, call: Call, actions: &mut Vec<Action>) {
+        if !call.first_try {
+            self.repeats.insert(call.id);
+        }
+        self.route(now, router::Event::Arrive(call), actions);
+    }
+
     fn forward_failed(&mut self, call: CallId, sent: bool, actions: &mut Vec<Action>) {
-        if self.forwarded.remove(&call).is_none() {
+        let Some(forwarded) = self.forwarded.remove(&call) else {
+            return;
+        };
+        let is_first = forwarded.first_try && !sent;
+        let outcome = if is_first {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        };
+        self.refuse(call, Reason::NoOwner, outcome, actions);
+    }
+
+    /// A sent call that may not be repeated goes on without its caller.
+    fn caller_gone(&mut self, now: Instant, call: CallId, actions: &mut Vec<Action>) {
+        self.forwarded.remove(&call);
+        if self
+            .owned
+            .get(call)
+            .is_some_and(|owned| owned.sent.is_some())
+        {
             return;
         }
-        let _ = sent;
-        self.refuse(call, Reason::NoOwner, Outcome::Unknown, actions);
+        self.route(now, router::Event::CallerGone(call), actions);
     }
 
-    fn answered(&mut self, now: Instant, attempt: AttemptId, answer: crate::call::StoredAnswer) {
-        let owned = self.owned.values().find(|o| o.sent == Some(attempt));
-        if let Some(owned) = owned {
-            self.owner.finish(now, &owned.request, Some(answer));
+    /// Takes note of a proof that a sent attempt did not run.
+    fn take_proof(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        let AttemptEvent::Failed(failure) = event else {
+            return;
+        };
+        if !failure.proves_not_run() {
+            return;
+        }
+        if let Some(request) = self.owned.unsend(attempt) {
+            self.owner.unsend(&request);
         }
     }
 
-    /// Passes an event to the router and takes note of how owned calls end.
+    /// Passes an event to the router and takes note of how calls end.
     fn route(&mut self, now: Instant, event: router::Event, actions: &mut Vec<Action>) {
         let mut routed = Vec::new();
         self.router.handle(now, event, &mut routed);
         for action in routed {
-            actions.push(self.routed(now, action));
+            let action = self.routed(now, action, actions);
+            actions.push(action);
         }
     }
 
-    fn routed(&mut self, now: Instant, action: router::Action) -> Action {
+    fn routed(
+        &mut self,
+        now: Instant,
+        action: router::Action,
+        actions: &mut Vec<Action>,
+    ) -> Action {
         match action {
             router::Action::Dispatch(dispatch) => Action::Dispatch(dispatch),
             router::Action::Cancel { attempt, server } => Action::Cancel { attempt, server },
             router::Action::Refuse { call, refusal } => {
-                let outcome = self.ended(now, call, refusal.outcome);
+                let outcome = self.ended(now, call, refusal.outcome, actions);
                 Action::Refuse {
                     call,
                     refusal: Refusal { outcome, ..refusal },
                 }
             }
             router::Action::End { call, outcome } => {
-                let outcome = self.ended(now, call, outcome);
+                let outcome = self.ended(now, call, outcome, actions);
                 Action::End { call, outcome }
             }
         }
     }
 
-    /// Records the end of an owned call and returns what may be said of it.
-    fn ended(&mut self, now: Instant, call: CallId, outcome: Outcome) -> Outcome {
-        let Some(owned) = self.owned.remove(&call) else {
+    /// Records the end of a call and returns what may be said of it.
+    fn ended(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        outcome: Outcome,
+        actions: &mut Vec<Action>,
+    ) -> Outcome {
+        if self.repeats.remove(&call) && outcome == Outcome::NotRun {
+            return Outcome::Unknown;
+        }
+        let ended = self.owned.end(call, outcome == Outcome::Completed);
+        let Some((request, state, outcome)) = ended else {
             return outcome;
         };
-        match outcome {
-            Outcome::Completed => self.owner.finish(now, &owned.request, None),
-            Outcome::NotRun => self.owner.release(&owned.request),
-            Outcome::Unknown => self.owner.lose(now, &owned.request),
-        }
+        self.owner.settle(now, &request, state, actions);
         outcome
     }
 
@@ -331,8 +421,9 @@
         });
     }
 
-    fn check_stopped(&mut self, actions: &mut Vec<Action>) {
+    fn check_stopped(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let idle = self.router.calls() == 0 && self.forwarded.is_empty();
+        let idle = idle && self.owner.may_stop(now);
         if self.stopping && !self.stopped && idle {
             self.stopped = true;
             actions.push(Action::Stopped);
@@ -340,15 +431,6 @@
     }
 }
 
-/// Outcome to state when this node has no record of the request id.
-fn unproven(call: &Call) -> Outcome {
-    if call.first_try {
-        Outcome::NotRun
-    } else {
-        Outcome::Unknown
-    }
-}
-
 impl AttemptEvent {
     /// Whether nothing follows for the attempt.
     #[must_use]
--- /dev/null
+++ b/crates/core/src/owner/handover.rs
@@ -0,0 +1,115 @@
+//! Handing records over to a slot's new owner.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{HostName, Revision};
+use crate::owner::message::Record;
+use crate::owner::promise::Holder;
+use crate::owner::slots::Slot;
+
+/// Most records in one part of a handover.
+pub(crate) const PART_RECORDS: usize = 64;
+
+/// Most parts of a handover that a receiver takes.
+const PARTS_LIMIT: u16 = 8192;
+
+/// One part of the records of a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Which slot.
+    pub slot: Slot,
+    /// Host list under which the slot moved.
+    pub view: Revision,
+    /// The holder that will not act again.
+    pub holder: Holder,
+    /// Start of the records, in milliseconds since 1970.
+    pub floor_wall_ms: u64,
+    /// Age of the start of the records.
+    pub floor_age_ms: u64,
+    /// Number of this part, from 0.
+    pub part: u16,
+    /// Number of parts.
+    pub parts: u16,
+    /// The records of this part.
+    pub records: Vec<Record>,
+}
+
+/// A handover that its receiver has not confirmed.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) to: HostName,
+    pub(crate) parts: Vec<Handover>,
+    pub(crate) made: Instant,
+    pub(crate) next_send: Instant,
+}
+
+impl Outgoing {
+    /// The parts with their ages brought up to date.
+    pub(crate) fn parts_at(&self, now: Instant) -> impl Iterator<Item = Handover> + '_ {
+        let elapsed = now.saturating_duration_since(self.made);
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        self.parts.iter().cloned().map(move |mut part| {
+            part.floor_age_ms = part.floor_age_ms.saturating_add(elapsed_ms);
+            for record in &mut part.records {
+                record.age_ms = record.age_ms.saturating_add(elapsed_ms);
+            }
+            part
+        })
+    }
+}
+
+/// Parts of a handover received so far.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    pub(crate) holder: Holder,
+    pub(crate) view: Revision,
+    pub(crate) floor_wall_ms: u64,
+    pub(crate) floor_at: Instant,
+    parts: u16,
+    seen: BTreeMap<u16, (Instant, Vec<Record>)>,
+}
+
+impl Incoming {
+    /// Starts with the first part that came; `None` when its numbers are wrong.
+    pub(crate) fn start(now: Instant, part: &Handover) -> Option<Self> {
+        if part.part >= part.parts || part.parts > PARTS_LIMIT {
+            return None;
+        }
+        let floor_at = now
+            .checked_sub(Duration::from_millis(part.floor_age_ms))
+            .unwrap_or(now);
+        Some(Self {
+            holder: part.holder.clone(),
+            view: part.view,
+            floor_wall_ms: part.floor_wall_ms,
+            floor_at,
+            parts: part.parts,
+            seen: BTreeMap::new(),
+        })
+    }
+
+    /// Whether the part belongs to this handover.
+    pub(crate) fn matches(&self, part: &Handover) -> bool {
+        self.holder == part.holder && self.parts == part.parts && part.part < self.parts
+    }
+
+    /// Takes a part and tells whether all have come.
+    pub(crate) fn take(&mut self, now: Instant, part: Handover) -> bool {
+        self.seen.entry(part.part).or_insert((now, part.records));
+        self.is_complete()
+    }
+
+    /// Whether all parts have come.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.seen.len() == usize::from(self.parts)
+    }
+
+    /// Ends with all records and when they came.
+    pub(crate) fn into_records(self) -> impl Iterator<Item = (Instant, Record)> {
+        let parts = self.seen.into_values();
+        parts.flat_map(|(received, records)| records.into_iter().map(move |r| (received, r)))
+    }
+}
--- /dev/null
+++ b/crates/core/src/owner/slots.rs
@@ -0,0 +1,104 @@
+//! Slots of request ids, their owners and committees.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::hosts::HostView;
+use crate::ids::{HostName, RequestId, Revision};
+use crate::rendezvous;
+
+/// Number of slots.
+pub const SLOT_COUNT: u16 = 256;
+
+/// Most hosts of a committee.
+const COMMITTEE_SIZE: usize = 7;
+
+/// One part of the request ids.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Slot(pub u16);
+
+/// The slot of a request id.
+#[must_use]
+pub fn slot_of(request: &RequestId) -> Slot {
+    let hash = rendezvous::key(request.as_str().as_bytes());
+    Slot((hash % u64::from(SLOT_COUNT)) as u16)
+}
+
+/// Owner and committee of one slot.
+#[derive(Clone, Debug)]
+struct Seat {
+    owner: Option<HostName>,
+    committee: Arc<[HostName]>,
+}
+
+/// Owners and committees of all slots by one host list.
+///
+/// # Examples
+///
+/// ```
+/// use briarbank_core::hosts::HostView;
+/// use briarbank_core::owner::{Slot, SlotMap};
+/// use std::sync::Arc;
+///
+/// let map = SlotMap::new(Arc::new(HostView::default()));
+/// assert!(map.owner(Slot(0)).is_none());
+/// ```
+#[derive(Clone, Debug)]
+pub struct SlotMap {
+    view: Arc<HostView>,
+    seats: Vec<Seat>,
+}
+
+impl SlotMap {
+    /// Computes the map of a host list.
+    #[must_use]
+    pub fn new(view: Arc<HostView>) -> Self {
+        let seats = (0..SLOT_COUNT).map(|slot| seat(&view, slot)).collect();
+        Self { view, seats }
+    }
+
+    /// The host list.
+    #[must_use]
+    pub fn view(&self) -> &Arc<HostView> {
+        &self.view
+    }
+
+    /// Revision of the host list.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.view.revision
+    }
+
+    /// Owner of the slot, `None` when no host is live.
+    #[must_use]
+    pub fn owner(&self, slot: Slot) -> Option<&HostName> {
+        self.seats.get(usize::from(slot.0))?.owner.as_ref()
+    }
+
+    /// Hosts whose majority confirms the slot's owner.
+    #[must_use]
+    pub fn committee(&self, slot: Slot) -> &[HostName] {
+        self.seats
+            .get(usize::from(slot.0))
+            .map_or(&[], |seat| &seat.committee)
+    }
+
+    /// Slots that the host owns.
+    pub fn owned_by<'a>(&'a self, host: &'a HostName) -> impl Iterator<Item = Slot> + 'a {
+        (0..SLOT_COUNT)
+            .map(Slot)
+            .filter(move |slot| self.owner(*slot) == Some(host))
+    }
+}
+
+fn seat(view: &HostView, slot: u16) -> Seat {
+    let key = rendezvous::key(&slot.to_le_bytes());
+    let owner = rendezvous::first(key, view.live(), |h| h.name.as_str());
+    let committee = rendezvous::top(key, view.hosts.iter(), |h| h.name.as_str(), COMMITTEE_SIZE);
+    Seat {
+        owner: owner.map(|h| h.name.clone()),
+        committee: committee.into_iter().map(|h| h.name.clone()).collect(),
+    }
+}
--- a/crates/core/src/owner/state.rs
+++ b/crates/core/src/owner/state.rs
@@ -1,30 +1,28 @@
 //! The ownership state machine.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::call::{Call, Outcome, Reason, StoredAnswer};
 use crate::hosts::HostView;
 use crate::ids::{HostName, Incarnation, RequestId, Revision};
 use crate::node::Action;
-use crate::owner::message::Message;
-use crate::rendezvous;
-
-/// Fixed choices of ownership.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// When callers refused for want of an owner are asked to come back.
-    pub retry_after: Duration,
-}
+use crate::owner::clock::{WallClock, birth_ms};
+use crate::owner::handover::{Incoming, Outgoing};
+use crate::owner::join::Join;
+use crate::owner::lease::{Evaluation, Lease};
+use crate::owner::message::{Message, RecordState};
+use crate::owner::options::Options;
+use crate::owner::promise::{Holder, Promises};
+use crate::owner::records::{Lookup, Records};
+use crate::owner::slots::{SLOT_COUNT, Slot, SlotMap, slot_of};
+use crate::peer;
 
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            retry_after: Duration::from_secs(2),
-        }
-    }
-}
+/// Most older host lists that are kept.
+const OLDER_LIMIT: usize = 64;
 
 /// Where a request id is owned.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,7 +38,7 @@
 /// What the owner decides for a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Begin {
-    /// Run it; this is the only call with this id that may run.
+    /// Run it; no other call with this id may run.
     Run,
     /// Give the kept answer.
     Replay(StoredAnswer),
@@ -48,37 +46,102 @@
     Refuse(Reason, Outcome),
 }
 
+/// State of ownership, for operators.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Dump {
+    /// Host list revision in force.
+    pub view: Revision,
+    /// Whether this process may confirm owners.
+    pub joined: bool,
+    /// Slots that the host list gives to this host.
+    pub owned_slots: usize,
+    /// Slots that are held now.
+    pub held_slots: usize,
+    /// Request ids recorded.
+    pub records: usize,
+    /// Slots whose records wait for their new owner's confirmation.
+    pub handovers: usize,
+}
+
+/// A request for confirmation that was sent.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    pub(crate) to: HostName,
+    pub(crate) at: Instant,
+    pub(crate) slots: Vec<Slot>,
+}
+
 /// State machine of ownership; see the module's page.
 #[derive(Debug)]
 pub struct Owner {
-    host: HostName,
-    options: Options,
-    view: Arc<HostView>,
-    table: HashMap<RequestId, Option<StoredAnswer>>,
+    pub(crate) host: HostName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) options: Options,
+    pub(crate) clock: WallClock,
+    pub(crate) map: SlotMap,
+    pub(crate) older: BTreeMap<Revision, SlotMap>,
+    pub(crate) join: Join,
+    pub(crate) promises: Promises,
+    pub(crate) leases: BTreeMap<Slot, Lease>,
+    pub(crate) settled: Vec<Revision>,
+    pub(crate) stints: Vec<u32>,
+    pub(crate) records: Records,
+    pub(crate) outgoing: BTreeMap<Slot, Outgoing>,
+    pub(crate) incoming: BTreeMap<Slot, Incoming>,
+    pub(crate) asked: BTreeMap<u64, Asked>,
+    pub(crate) next_number: u64,
+    pub(crate) next_ask: Instant,
+    pub(crate) next_wanted_ask: Instant,
+    pub(crate) retired: Revision,
+    stopping: Option<Instant>,
 }
 
 impl Owner {
     /// An owner that knows no host list yet.
+    ///
+    /// `wall_ms` is the wall clock at `now`, in milliseconds since 1970.
     #[must_use]
     pub fn new(
         host: HostName,
-        _incarnation: Incarnation,
+        incarnation: Incarnation,
         options: Options,
-        _now: Instant,
-        _wall_ms: u64,
+        now: Instant,
+        wall_ms: u64,
     ) -> Self {
+        let records = Records::new(
+            options.retry_window,
+            options.records_limit,
+            options.answers_limit_bytes,
+            incarnation.0,
+        );
         Self {
             host,
+            incarnation,
+            clock: WallClock::new(now, wall_ms),
+            map: SlotMap::new(Arc::default()),
+            older: BTreeMap::new(),
+            join: Join::default(),
+            promises: Promises::new(now, options.promise()),
+            leases: BTreeMap::new(),
+            settled: vec![Revision(0); usize::from(SLOT_COUNT)],
+            stints: vec![0; usize::from(SLOT_COUNT)],
+            records,
+            outgoing: BTreeMap::new(),
+            incoming: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            next_number: incarnation.0,
+            next_ask: now,
+            next_wanted_ask: now,
+            retired: Revision(0),
+            stopping: None,
             options,
-            view: Arc::default(),
-            table: HashMap::new(),
         }
     }
 
     /// The host list in force.
     #[must_use]
     pub fn view(&self) -> &HostView {
-        &self.view
+        self.map.view()
     }
 
     /// When refused callers are asked to come back.
@@ -87,68 +150,262 @@
         self.options.retry_after
     }
 
-    /// Adopts a newer host list.
-    pub fn adopt(&mut self, _now: Instant, view: Arc<HostView>) {
-        self.view = view;
+    /// State for operators.
+    #[must_use]
+    pub fn dump(&self, now: Instant) -> Dump {
+        Dump {
+            view: self.map.revision(),
+            joined: self.join.is_joined(),
+            owned_slots: self.leases.len(),
+            held_slots: self.leases.values().filter(|l| l.is_held(now)).count(),
+            records: self.records.len(),
+            handovers: self.outgoing.len(),
+        }
+    }
+
+    /// Adopts a newer host list; an older one changes nothing.
+    pub fn adopt(&mut self, now: Instant, view: Arc<HostView>, actions: &mut Vec<Action>) {
+        if view.revision <= self.map.revision() {
+            return;
+        }
+        let old = std::mem::replace(&mut self.map, SlotMap::new(view));
+        if !old.view().hosts.is_empty() {
+            self.remember(old);
+        }
+        self.give_up_moved_slots(now);
+        let owned: Vec<Slot> = self.map.owned_by(&self.host).collect();
+        for slot in owned {
+            self.leases.entry(slot).or_default().change_view();
+        }
+        self.asked.clear();
+        self.redirect_handovers(now);
+        self.apply_incoming(now, actions);
+        self.next_ask = now;
+        self.tick(now, actions);
+    }
+
+    /// Keeps an older host list, whose owners may still be confirmed.
+    pub(crate) fn remember(&mut self, map: SlotMap) {
+        if map.revision() < self.retired {
+            return;
+        }
+        self.older.insert(map.revision(), map);
+        while self.older.len() > OLDER_LIMIT {
+            self.older.pop_first();
+        }
     }
 
     /// Takes note that no host of a list older than `revision` runs any more.
-    pub fn retire(&mut self, _revision: Revision) {}
+    pub fn retire(&mut self, revision: Revision) {
+        self.retired = self.retired.max(revision);
+        self.older = self.older.split_off(&self.retired);
+    }
 
     /// Where a request id is owned, by the host list in force.
     #[must_use]
     pub fn place(&self, request: &RequestId) -> Place {
-        let key = rendezvous::key(request.as_str().as_bytes());
-        match rendezvous::first(key, self.view.live(), |h| h.name.as_str()) {
+        match self.map.owner(slot_of(request)) {
             None => Place::Nowhere,
-            Some(host) if host.name == self.host => Place::Here,
-            Some(host) => Place::At(host.name.clone()),
+            Some(host) if *host == self.host => Place::Here,
+            Some(host) => Place::At(host.clone()),
         }
     }
 
     /// Decides on a call whose id is owned here.
-    pub fn begin(&mut self, _now: Instant, call: &Call, _content_key: u64) -> Begin {
-        match self.table.get(&call.request) {
-            Some(Some(answer)) => Begin::Replay(answer.clone()),
-            Some(None) => Begin::Refuse(Reason::Running, Outcome::Unknown),
-            None => {
-                self.table.insert(call.request.clone(), None);
-                Begin::Run
+    pub fn begin(&mut self, now: Instant, call: &Call, content_key: u64) -> Begin {
+        match self.records.look_up(&call.request, content_key) {
+            Lookup::Absent => {}
+            Lookup::Reused => return Begin::Refuse(Reason::IdReused, Outcome::Unknown),
+            Lookup::Running => return Begin::Refuse(Reason::Running, Outcome::Unknown),
+            Lookup::Lost => return Begin::Refuse(Reason::ServerFailed, Outcome::Unknown),
+            Lookup::Done(Some(answer)) => return Begin::Replay(answer),
+            Lookup::Done(None) => return Begin::Refuse(Reason::Done, Outcome::Completed),
+        }
+        if let Err((reason, outcome)) = self.check_first(now, call) {
+            return Begin::Refuse(reason, outcome);
+        }
+        self.records.begin(now, &call.request, content_key);
+        Begin::Run
+    }
+
+    /// Whether an id that is not recorded was surely never used.
+    fn check_first(&self, now: Instant, call: &Call) -> Result<(), (Reason, Outcome)> {
+        let unproven = call.unproven();
+        let lease = self.leases.get(&slot_of(&call.request));
+        let tenure = lease
+            .filter(|l| l.is_held(now))
+            .and_then(|l| l.tenure.as_ref());
+        let Some(tenure) = tenure else {
+            return Err((Reason::NoOwner, unproven));
+        };
+        let window = self.options.retry_window;
+        let is_window_over = now.saturating_duration_since(tenure.floor.at) >= window;
+        if let Some(birth_ms) = birth_ms(&call.request) {
+            let wall_ms = self.clock.wall_ms(now);
+            let ahead_ms = self.options.caller_clock_error.as_millis() as u64;
+            if birth_ms > wall_ms + ahead_ms {
+                return Err((Reason::IdFromFuture, unproven));
+            }
+            if birth_ms + window.as_millis() as u64 <= wall_ms {
+                return Err((Reason::IdTooOld, Outcome::Unknown));
             }
+            let first_ms = tenure.floor.wall_ms + self.options.birth_margin_ms();
+            if birth_ms <= first_ms && !is_window_over {
+                return Err((Reason::IdTooOld, unproven));
+            }
+        } else if !is_window_over {
+            return Err((Reason::IdTooOld, unproven));
+        }
+        if self.records.is_full() {
+            return Err((Reason::TableFull, Outcome::NotRun));
         }
+        Ok(())
     }
 
-    /// Last check before the call is sent to its server.
-    pub fn may_send(&mut self, _now: Instant, request: &RequestId) -> bool {
-        self.table.contains_key(request)
+    /// Last check before a begun call is sent to its server; true at most once.
+    pub fn may_send(&mut self, now: Instant, request: &RequestId) -> bool {
+        self.records.send(now, request)
     }
 
-    /// The call completed; its answer may be kept for repeats.
-    pub fn finish(&mut self, _now: Instant, request: &RequestId, answer: Option<StoredAnswer>) {
-        if answer.is_some() {
-            self.table.insert(request.clone(), answer);
-        }
+    /// The last send surely did not run the call; it may be sent again.
+    pub fn unsend(&mut self, request: &RequestId) {
+        self.records.unsend(request);
     }
 
-    /// The call surely did not run.
-    pub fn release(&mut self, request: &RequestId) {
-        self.table.remove(request);
+    /// Records how a begun call ended.
+    pub fn settle(
+        &mut self,
+        now: Instant,
+        request: &RequestId,
+        state: RecordState,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(record) = self.records.settle(now, request, state) else {
+            return;
+        };
+        let slot = slot_of(request);
+        let Some(owner) = self.map.owner(slot).filter(|o| **o != self.host) else {
+            return;
+        };
+        actions.push(send(owner, Message::Update { slot, record }));
     }
 
-    /// The call may have run.
-    pub fn lose(&mut self, _now: Instant, _request: &RequestId) {}
+    /// The node is stopping as planned.
+    pub fn stop(&mut self, now: Instant) {
+        self.stopping.get_or_insert(now);
+    }
+
+    /// Whether nothing of ownership would be lost by stopping now.
+    #[must_use]
+    pub fn may_stop(&self, now: Instant) -> bool {
+        let Some(since) = self.stopping else {
+            return false;
+        };
+        let is_moved = self.leases.is_empty() && self.outgoing.is_empty();
+        is_moved
+            || self.records.is_empty()
+            || now.saturating_duration_since(since) >= self.options.stop_wait
+    }
 
     /// Takes a message from another node.
     pub fn message(
         &mut self,
-        _now: Instant,
-        _from: &HostName,
-        _incarnation: Incarnation,
-        _message: Message,
-        _actions: &mut Vec<Action>,
+        now: Instant,
+        from: &HostName,
+        incarnation: Incarnation,
+        message: Message,
+        actions: &mut Vec<Action>,
     ) {
+        match message {
+            Message::Ask {
+                view,
+                number,
+                held,
+                wanted,
+            } => {
+                let holder = Holder {
+                    host: from.clone(),
+                    incarnation,
+                    stint: 0,
+                };
+                self.asked_by(now, &holder, (view, number), &held, &wanted, actions);
+            }
+            Message::Ack {
+                number,
+                wall_ms,
+                views,
+                slots,
+            } => {
+                self.confirmed_by(now, from, (number, wall_ms), &views, slots, actions);
+            }
+            Message::Nack { view } => self.refused_by(now, from, view),
+            Message::ViewAsk(revision) => self.view_asked(from, revision, actions),
+            Message::View(view) => self.view_told(view),
+            Message::Hello { view, process } => self.greeted(from, view, process, actions),
+            Message::Here {
+                view,
+                joined,
+                process,
+            } => {
+                self.heard(now, from, (view, joined), process, actions);
+            }
+            Message::Handover(part) => self.handed_over(now, from, part, actions),
+            Message::HandoverAck { slot, view } => self.handover_confirmed(from, slot, view),
+            Message::Update { slot, record } => {
+                if slot_of(&record.request) == slot {
+                    self.records.take(now, record);
+                }
+            }
+        }
     }
 
     /// Does what is due.
-    pub fn tick(&mut self, _now: Instant, _actions: &mut Vec<Action>) {}
+    pub fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.records.expire(now);
+        self.join.evaluate(self.map.view(), &self.host);
+        if !self.join.is_joined() {
+            self.greet(now, actions);
+            return;
+        }
+        self.ask(now, actions);
+        self.resend_handovers(now, actions);
+    }
+
+    /// Draws the conclusions for one slot.
+    pub(crate) fn evaluate(&mut self, now: Instant, slot: Slot) {
+        let index = usize::from(slot.0);
+        let settled = self
+            .settled
+            .get(index)
+            .copied()
+            .unwrap_or_default()
+            .max(self.retired);
+        let older = self
+            .older
+            .range(settled..)
+            .map(|(_, map)| map.committee(slot));
+        let mut electorates: Vec<&[HostName]> = Vec::new();
+        if settled < self.map.revision() {
+            electorates.extend(older);
+        }
+        electorates.push(self.map.committee(slot));
+        let Some(lease) = self.leases.get_mut(&slot) else {
+            return;
+        };
+        let wall_ms = self.clock.wall_ms(now);
+        let evaluation = lease.evaluate(now, wall_ms, self.options.lease, &electorates);
+        if evaluation != Evaluation::Open
+            && let Some(settled) = self.settled.get_mut(index)
+        {
+            *settled = self.map.revision();
+        }
+    }
+}
+
+/// An order to send a message of ownership.
+pub(crate) fn send(to: &HostName, message: Message) -> Action {
+    Action::Send {
+        to: to.clone(),
+        message: peer::Message::Owner(message),
+    }
 }
--- /dev/null
+++ b/crates/core/src/owner/transfer.rs
@@ -0,0 +1,219 @@
+//! Moving records between owners when the host list changes.
+
+use std::time::{Duration, Instant};
+
+use crate::ids::{HostName, Revision};
+use crate::node::Action;
+use crate::owner::handover::{Handover, Incoming, Outgoing, PART_RECORDS};
+use crate::owner::lease::{Floor, Lease};
+use crate::owner::message::{Message, Record};
+use crate::owner::promise::Holder;
+use crate::owner::slots::Slot;
+use crate::owner::state::{Owner, send};
+
+/// Time between two sends of a handover that is not confirmed.
+const RESEND: Duration = Duration::from_millis(300);
+
+impl Owner {
+    /// Ends the hold on slots that the new host list gives to others.
+    pub(crate) fn give_up_moved_slots(&mut self, now: Instant) {
+        let moved: Vec<Slot> = self
+            .leases
+            .keys()
+            .copied()
+            .filter(|slot| self.map.owner(*slot) != Some(&self.host))
+            .collect();
+        if moved.is_empty() {
+            return;
+        }
+        for (slot, records) in self.records.of_slots(now, &moved) {
+            let Some(lease) = self.leases.remove(&slot) else {
+                continue;
+            };
+            self.give_up(now, slot, &lease, &records);
+        }
+    }
+
+    /// Makes the handover of one slot, when it was held up to now.
+    fn give_up(&mut self, now: Instant, slot: Slot, lease: &Lease, records: &[Record]) {
+        let index = usize::from(slot.0);
+        let Some(stint) = self.stints.get_mut(index) else {
+            return;
+        };
+        let holder = Holder {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            stint: *stint,
+        };
+        *stint += 1;
+        let Some(tenure) = lease.tenure.as_ref().filter(|t| now < t.valid_until) else {
+            return;
+        };
+        let Some(to) = self.map.owner(slot).cloned() else {
+            return;
+        };
+        let parts = parts(
+            now,
+            slot,
+            self.map.revision(),
+            &holder,
+            tenure.floor,
+            records,
+        );
+        let outgoing = Outgoing {
+            to,
+            parts,
+            made: now,
+            next_send: now,
+        };
+        self.outgoing.insert(slot, outgoing);
+    }
+
+    /// Points unconfirmed handovers to the owners of the new host list.
+    pub(crate) fn redirect_handovers(&mut self, now: Instant) {
+        let view = self.map.revision();
+        for (slot, outgoing) in &mut self.outgoing {
+            let Some(owner) = self.map.owner(*slot) else {
+                continue;
+            };
+            outgoing.to = owner.clone();
+            outgoing.next_send = now;
+            for part in &mut outgoing.parts {
+                part.view = view;
+            }
+        }
+        let host = &self.host;
+        self.outgoing.retain(|_, outgoing| outgoing.to != *host);
+    }
+
+    /// Sends handovers that are not confirmed.
+    pub(crate) fn resend_handovers(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let window = self.options.retry_window;
+        self.outgoing
+            .retain(|_, o| now.saturating_duration_since(o.made) < window);
+        for outgoing in self.outgoing.values_mut() {
+            if now < outgoing.next_send {
+                continue;
+            }
+            outgoing.next_send = now + RESEND;
+            let parts = outgoing.parts_at(now);
+            actions.extend(parts.map(|p| send(&outgoing.to, Message::Handover(p))));
+        }
+    }
+
+    /// The new owner has all parts.
+    pub(crate) fn handover_confirmed(&mut self, from: &HostName, slot: Slot, view: Revision) {
+        let is_same =
+            |o: &Outgoing| o.to == *from && o.parts.first().is_some_and(|part| part.view == view);
+        if self.outgoing.get(&slot).is_some_and(is_same) {
+            self.outgoing.remove(&slot);
+        }
+    }
+
+    /// Takes a part of a handover.
+    pub(crate) fn handed_over(
+        &mut self,
+        now: Instant,
+        from: &HostName,
+        part: Handover,
+        actions: &mut Vec<Action>,
+    ) {
+        let (slot, view) = (part.slot, part.view);
+        if part.holder.host != *from || view < self.map.revision() {
+            return;
+        }
+        let is_known = self.incoming.get(&slot).is_some_and(|i| i.matches(&part));
+        if !is_known {
+            let Some(incoming) = Incoming::start(now, &part) else {
+                return;
+            };
+            self.incoming.insert(slot, incoming);
+        }
+        let Some(incoming) = self.incoming.get_mut(&slot) else {
+            return;
+        };
+        incoming.view = incoming.view.max(view);
+        if incoming.take(now, part) {
+            self.apply(now, slot, actions);
+        }
+    }
+
+    /// Applies handovers that came before the host list that they belong to.
+    pub(crate) fn apply_incoming(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let view = self.map.revision();
+        self.incoming.retain(|_, incoming| incoming.view >= view);
+        let complete: Vec<Slot> = self
+            .incoming
+            .iter()
+            .filter(|(_, i)| i.is_complete())
+            .map(|(slot, _)| *slot)
+            .collect();
+        for slot in complete {
+            self.apply(now, slot, actions);
+        }
+    }
+
+    /// Takes over the records of a slot when the host list in force says so.
+    fn apply(&mut self, now: Instant, slot: Slot, actions: &mut Vec<Action>) {
+        if !self.leases.contains_key(&slot) {
+            return;
+        }
+        let Some(incoming) = self.incoming.remove(&slot) else {
+            return;
+        };
+        if incoming.view != self.map.revision() {
+            self.incoming.insert(slot, incoming);
+            return;
+        }
+        let holder = incoming.holder.clone();
+        let floor = Floor {
+            at: incoming.floor_at,
+            wall_ms: incoming.floor_wall_ms,
+        };
+        let ack = Message::HandoverAck {
+            slot,
+            view: incoming.view,
+        };
+        actions.push(send(&holder.host, ack));
+        for (received, record) in incoming.into_records() {
+            self.records.take(received, record);
+        }
+        if let Some(lease) = self.leases.get_mut(&slot) {
+            lease.hand_over(holder, floor);
+        }
+        self.evaluate(now, slot);
+        self.next_wanted_ask = now;
+    }
+}
+
+/// Splits records into parts; a slot without records makes one empty part.
+fn parts(
+    now: Instant,
+    slot: Slot,
+    view: Revision,
+    holder: &Holder,
+    floor: Floor,
+    records: &[Record],
+) -> Vec<Handover> {
+    let age = now.saturating_duration_since(floor.at);
+    let floor_age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    let chunks: Vec<&[Record]> = if records.is_empty() {
+        vec![&[]]
+    } else {
+        records.chunks(PART_RECORDS).collect()
+    };
+    let count = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
+    let numbered = (0..count).zip(chunks);
+    numbered
+        .map(|(part, chunk)| Handover {
+            slot,
+            view,
+            holder: holder.clone(),
+            floor_wall_ms: floor.wall_ms,
+            floor_age_ms,
+            part,
+            parts: count,
+            records: chunk.to_vec(),
+        })
+        .collect()
+}
