Play fault histories against ownership

Cause: the leases were not tried under faults. Change: several nodes over one message queue with loss, doubling, delay, splits, one-way cuts, pauses, restarts with empty memory, stale and unreachable platform, differing host lists, wrong clocks; checks at most one run, truth of not-run, whole answers, service after all faults.

--- a/crates/core/src/owner/confirm.rs
+++ b/crates/core/src/owner/confirm.rs
@@ -238,11 +238,13 @@
         }
     }
 
-    /// Whether another node's clock shows about the same time as this one's.
+    /// Whether another node's clock surely differs by no more than is allowed.
+    ///
+    /// The reading was taken between the request and its answer.
     fn is_clock_near(&self, now: Instant, asked: Instant, wall_ms: u64) -> bool {
         let error_ms = self.options.node_clock_error.as_millis() as u64;
-        let earliest_ms = self.clock.wall_ms(asked).saturating_sub(error_ms);
-        let latest_ms = self.clock.wall_ms(now) + error_ms;
+        let earliest_ms = self.clock.wall_ms(now).saturating_sub(error_ms);
+        let latest_ms = self.clock.wall_ms(asked) + error_ms;
         (earliest_ms..=latest_ms).contains(&wall_ms)
     }
 
--- a/crates/core/src/owner/options.rs
+++ b/crates/core/src/owner/options.rs
@@ -50,7 +50,7 @@
             ask_again: Duration::from_millis(200),
             retry_window: Duration::from_mins(10),
             caller_clock_error: Duration::from_secs(2),
-            node_clock_error: Duration::from_millis(500),
+            node_clock_error: Duration::from_secs(1),
             records_limit: 200_000,
             answers_limit_bytes: 64 << 20,
             retry_after: Duration::from_secs(2),
--- /dev/null
+++ b/crates/core/tests/fleet/mod.rs
@@ -0,0 +1,681 @@
+//! Several nodes over one message queue, with faults; a fake for tests.
+
+mod check;
+mod documents;
+mod op;
+mod queue;
+
+pub(crate) use check::Tally;
+pub(crate) use op::{Op, ops};
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use briarbank_core::call::{Call, Dispatch, Failure, Outcome, StoredAnswer};
+use briarbank_core::conf::Key;
+use briarbank_core::hosts::{Host, HostState, HostView};
+use briarbank_core::ids::{AttemptId, CallId, HostName, Incarnation, RequestId, Revision};
+use briarbank_core::node::{Action, Event, Identity, Node, Options, Origin};
+use briarbank_core::owner;
+use briarbank_core::peer::Envelope;
+use briarbank_core::router::AttemptEvent;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use check::Checker;
+use documents::Documents;
+use queue::{Due, Queue};
+
+/// Wall clock at the start of each history, in milliseconds since 1970.
+const WALL_START_MS: u64 = 1_800_000_000_000;
+
+/// Time between two ticks of a node.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time between two reads of the platform.
+const READ: Duration = Duration::from_millis(250);
+
+/// How long a node waits for a forwarded call.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// How long after its first use callers repeat an id.
+pub(crate) const REPEAT_FOR: Duration = Duration::from_secs(8);
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+struct Request {
+    id: RequestId,
+    first_used: Option<Instant>,
+    tells_first: bool,
+}
+
+/// What a node knows of a call's origin.
+#[derive(Clone, Debug)]
+struct Arrived {
+    request: usize,
+    /// Call of the caller; repeats of an id are calls of their own.
+    caller_call: u64,
+    /// The node that forwarded it, and its call there.
+    from: Option<(usize, CallId)>,
+}
+
+/// One host.
+struct Place {
+    name: HostName,
+    node: Node,
+    incarnation: Incarnation,
+    calls: BTreeMap<CallId, Arrived>,
+    next_call: u64,
+    paused_until: Instant,
+    clock_error_ms: i64,
+    reads_stale: bool,
+    reads_nothing: bool,
+}
+
+/// Several nodes, the platform, one service and callers.
+pub(crate) struct Fleet {
+    start: Instant,
+    now: Instant,
+    rng: SmallRng,
+    queue: Queue,
+    places: Vec<Place>,
+    published: Vec<HostView>,
+    cuts: BTreeSet<(usize, usize)>,
+    loss_percent: u32,
+    double_percent: u32,
+    delay_ms: u64,
+    requests: Vec<Request>,
+    next_caller_call: u64,
+    service_faults: bool,
+    checker: Checker,
+}
+
+impl Fleet {
+    /// `size` hosts that have just started.
+    pub(crate) fn new(size: usize, seed: u64) -> Self {
+        let start = Instant::now();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let hosts = (0..size).map(host).collect();
+        let published = vec![HostView::new(Revision(1), hosts)];
+        let mut fleet = Self {
+            start,
+            now: start,
+            queue: Queue::default(),
+            places: Vec::new(),
+            published,
+            cuts: BTreeSet::new(),
+            loss_percent: 0,
+            double_percent: 0,
+            delay_ms: 5,
+            requests: Vec::new(),
+            next_caller_call: 0,
+            service_faults: true,
+            checker: Checker::default(),
+            rng: SmallRng::seed_from_u64(rng.random()),
+        };
+        for index in 0..size {
+            let place = fleet.start_place(index, 0);
+            fleet.places.push(place);
+            fleet.queue.push(start, Due::Tick(index));
+            fleet.queue.push(start, Due::Read(index));
+        }
+        fleet
+    }
+
+    fn start_place(&mut self, index: usize, clock_error_ms: i64) -> Place {
+        let incarnation = Incarnation(self.rng.random());
+        let identity = Identity {
+            host: host_name(index),
+            zone: "zone".into(),
+            incarnation,
+        };
+        let wall_ms = self.wall_ms().saturating_add_signed(clock_error_ms);
+        let seed = self.rng.random();
+        let documents = Box::new(Documents::default());
+        Place {
+            name: host_name(index),
+            node: Node::new(identity, options(), documents, self.now, wall_ms, seed),
+            incarnation,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            paused_until: self.now,
+            clock_error_ms,
+            reads_stale: false,
+            reads_nothing: false,
+        }
+    }
+
+    /// Wall clock of the callers.
+    fn wall_ms(&self) -> u64 {
+        WALL_START_MS + (self.now - self.start).as_millis() as u64
+    }
+
+    /// Does one operation of a history.
+    pub(crate) fn apply(&mut self, op: &Op) {
+        match *op {
+            Op::Wait { ms } => self.run_for(Duration::from_millis(ms)),
+            Op::Call { at, dated } => self.call_new(at, dated, 0),
+            Op::SkewedCall { at, skew_ms } => self.call_new(at, true, skew_ms),
+            Op::Repeat { at, request } => self.repeat(at, request),
+            Op::Split { mask } => self.split(mask),
+            Op::Cut { from, to } => {
+                self.cuts
+                    .insert((from % self.places.len(), to % self.places.len()));
+            }
+            Op::Heal => self.cuts.clear(),
+            Op::Pause { at, ms } => {
+                let at = at % self.places.len();
+                self.places[at].paused_until = self.now + Duration::from_millis(ms);
+            }
+            Op::Restart { at, clock_error_ms } => self.restart(at, clock_error_ms),
+            Op::Network {
+                loss_percent,
+                double_percent,
+                delay_ms,
+            } => {
+                self.loss_percent = loss_percent;
+                self.double_percent = double_percent;
+                self.delay_ms = delay_ms;
+            }
+            Op::Publish { at, state } => self.publish(at, state),
+            Op::Stale { at, on } => {
+                let at = at % self.places.len();
+                self.places[at].reads_stale = on;
+            }
+            Op::NoPlatform { at, on } => {
+                let at = at % self.places.len();
+                self.places[at].reads_nothing = on;
+            }
+        }
+    }
+
+    /// Ends all faults, waits, and checks that new ids are served again.
+    pub(crate) fn finish(mut self) -> Tally {
+        self.set_service_faults(false);
+        self.cuts.clear();
+        (self.loss_percent, self.double_percent, self.delay_ms) = (0, 0, 5);
+        for at in 0..self.places.len() {
+            self.places[at].paused_until = self.now;
+            self.places[at].reads_stale = false;
+            self.places[at].reads_nothing = false;
+            if self.places[at].clock_error_ms.unsigned_abs() > 400 {
+                self.restart(at, 0);
+            }
+        }
+        for at in 0..self.places.len() {
+            self.publish(at, Some(HostState::Live));
+        }
+        self.run_for(Duration::from_secs(12));
+        let first = self.checker.tally.completed;
+        for at in 0..self.places.len() {
+            self.call_new(at, true, 0);
+        }
+        self.run_for(Duration::from_secs(4));
+        let served = self.checker.tally.completed - first;
+        assert_eq!(
+            served,
+            self.places.len() as u64,
+            "calls served after all faults ended"
+        );
+        self.checker.tally
+    }
+
+    /// Counts so far.
+    pub(crate) fn tally(&self) -> &Tally {
+        &self.checker.tally
+    }
+
+    /// Whether calls are refused, delayed and their answers lost now and then.
+    pub(crate) fn set_service_faults(&mut self, on: bool) {
+        self.service_faults = on;
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some((at, due)) = self.queue.pop_until(end) {
+            self.now = self.now.max(at);
+            self.due(due);
+        }
+        self.now = end;
+    }
+
+    fn due(&mut self, due: Due) {
+        if let Some(at) = due.place() {
+            let until = self.places[at].paused_until;
+            if until > self.now {
+                self.queue.push(until, due);
+                return;
+            }
+        }
+        match due {
+            Due::Tick(at) => {
+                self.queue.push(self.now + TICK, Due::Tick(at));
+                self.handle(at, Event::Tick);
+            }
+            Due::Read(at) => {
+                self.queue.push(self.now + READ, Due::Read(at));
+                self.read(at);
+            }
+            Due::Message { at, envelope } => self.handle(at, Event::Peer(envelope)),
+            Due::Forwarded { at, arrived, call } => self.arrive(at, arrived, call),
+            Due::Reply { at, call, outcome } => self.reply(at, call, outcome),
+            Due::ForwardTimeout {
+                at,
+                incarnation,
+                call,
+            } => {
+                if self.places[at].incarnation == incarnation && self.is_open(at, call) {
+                    self.handle(at, Event::ForwardFailed { call, sent: true });
+                }
+            }
+            Due::Send {
+                at,
+                incarnation,
+                dispatch,
+            } => self.send(at, incarnation, &dispatch),
+            Due::Run {
+                at,
+                incarnation,
+                attempt,
+                request,
+            } => {
+                self.checker.run(request);
+                let delay = self.delay();
+                let is_lost = self.service_faults && self.rng.random_ratio(1, 8);
+                let failed = AttemptEvent::Failed(Failure::Broken);
+                let event = if is_lost { failed } else { AttemptEvent::Done };
+                let answer = Due::Answer {
+                    at,
+                    incarnation,
+                    attempt,
+                    request,
+                    event,
+                };
+                self.queue.push(self.now + delay, answer);
+            }
+            Due::Answer {
+                at,
+                incarnation,
+                attempt,
+                request,
+                event,
+            } => {
+                if self.places[at].incarnation != incarnation {
+                    return;
+                }
+                if event == AttemptEvent::Done {
+                    let answer = self.answer(request);
+                    self.handle(at, Event::Answered { attempt, answer });
+                }
+                self.handle(at, Event::Attempt { attempt, event });
+            }
+        }
+    }
+
+    fn answer(&self, request: usize) -> StoredAnswer {
+        StoredAnswer {
+            status: 200,
+            content_type: Arc::from("text/plain"),
+            body: Arc::from(self.requests[request].id.as_str().as_bytes()),
+        }
+    }
+
+    fn read(&mut self, at: usize) {
+        if self.places[at].reads_nothing {
+            return;
+        }
+        let newest = self.published.len() - 1;
+        let is_stale = self.places[at].reads_stale;
+        let index = if is_stale {
+            self.rng.random_range(0..=newest)
+        } else {
+            newest
+        };
+        let view = self.published[index].clone();
+        let bytes = documents::encode(&view);
+        let hosts = Event::Published {
+            key: Key::Hosts,
+            revision: view.revision,
+            bytes,
+        };
+        self.handle(at, hosts);
+        for key in [Key::Servers, Key::Config] {
+            let bytes = Arc::from(&[][..]);
+            self.handle(
+                at,
+                Event::Published {
+                    key,
+                    revision: Revision(1),
+                    bytes,
+                },
+            );
+        }
+    }
+
+    fn publish(&mut self, at: usize, state: Option<HostState>) {
+        let at = at % self.places.len();
+        let newest = self.published.last().cloned().unwrap_or_default();
+        let mut hosts: Vec<Host> = newest
+            .hosts
+            .into_iter()
+            .filter(|h| h.name != self.places[at].name)
+            .collect();
+        if let Some(state) = state {
+            hosts.push(Host { state, ..host(at) });
+        }
+        if hosts.is_empty() {
+            return;
+        }
+        let revision = Revision(newest.revision.0 + 1);
+        self.published.push(HostView::new(revision, hosts));
+    }
+
+    fn restart(&mut self, at: usize, clock_error_ms: i64) {
+        let at = at % self.places.len();
+        let (stale, nothing) = (self.places[at].reads_stale, self.places[at].reads_nothing);
+        for arrived in std::mem::take(&mut self.places[at].calls).into_values() {
+            if arrived.from.is_none() {
+                self.checker.ended(arrived.caller_call);
+            }
+        }
+        let mut place = self.start_place(at, clock_error_ms);
+        (place.reads_stale, place.reads_nothing) = (stale, nothing);
+        self.places[at] = place;
+    }
+
+    fn split(&mut self, mask: u32) {
+        let side = |i: usize| mask >> i & 1;
+        let size = self.places.len();
+        let pairs = (0..size).flat_map(|a| (0..size).map(move |b| (a, b)));
+        self.cuts
+            .extend(pairs.filter(|(a, b)| side(*a) != side(*b)));
+    }
+
+    fn call_new(&mut self, at: usize, dated: bool, skew_ms: i64) {
+        let random: [u8; 10] = self.rng.random();
+        let id = if dated {
+            let small = self.rng.random_range(-1500..1500);
+            let born_ms = self.wall_ms().saturating_add_signed(skew_ms + small);
+            uuid::Builder::from_unix_timestamp_millis(born_ms, &random)
+                .into_uuid()
+                .to_string()
+        } else {
+            format!("{random:02x?}")
+        };
+        let tells_first = self.rng.random();
+        self.requests.push(Request {
+            id: id.as_str().into(),
+            first_used: None,
+            tells_first,
+        });
+        self.call(at, self.requests.len() - 1);
+    }
+
+    fn repeat(&mut self, at: usize, request: usize) {
+        if self.requests.is_empty() {
+            return;
+        }
+        let request = self.requests.len() - 1 - request % self.requests.len().min(4);
+        let first = self.requests[request].first_used;
+        if first.is_some_and(|first| self.now < first + REPEAT_FOR) {
+            self.call(at, request);
+        }
+    }
+
+    fn call(&mut self, at: usize, request: usize) {
+        let at = at % self.places.len();
+        if self.places[at].paused_until > self.now {
+            return;
+        }
+        self.next_caller_call += 1;
+        let caller_call = self.next_caller_call;
+        let is_first = self.requests[request].first_used.is_none();
+        self.requests[request].first_used.get_or_insert(self.now);
+        let tells_first = is_first && self.requests[request].tells_first;
+        self.checker.called(caller_call, request);
+        let arrived = Arrived {
+            request,
+            caller_call,
+            from: None,
+        };
+        self.arrive(at, arrived, tells_first);
+    }
+
+    fn arrive(&mut self, at: usize, arrived: Arrived, first_try: bool) {
+        let request = self.requests[arrived.request].id.clone();
+        let place = &mut self.places[at];
+        place.next_call += 1;
+        let id = CallId(place.next_call);
+        let origin = match arrived.from {
+            None => Origin::Caller,
+            Some((from, _)) => Origin::Peer(host_name(from)),
+        };
+        place.calls.insert(id, arrived);
+        let call = Call {
+            id,
+            request,
+            profile: "slips".into(),
+            workspace: "desk".into(),
+            target: "slips".into(),
+            prefix_key: 0,
+            max_tokens: 0,
+            received: self.now,
+            first_try,
+        };
+        self.handle(
+            at,
+            Event::Call {
+                call,
+                origin,
+                content_key: 1,
+            },
+        );
+    }
+
+    fn is_open(&self, at: usize, call: CallId) -> bool {
+        self.places[at].calls.contains_key(&call)
+    }
+
+    fn handle(&mut self, at: usize, event: Event) {
+        let actions = self.places[at].node.handle(self.now, event);
+        for action in actions {
+            self.carry_out(at, action);
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, action: Action) {
+        let incarnation = self.places[at].incarnation;
+        match action {
+            Action::Dispatch(dispatch) => {
+                let delay = self.delay();
+                self.queue.push(
+                    self.now + delay,
+                    Due::Send {
+                        at,
+                        incarnation,
+                        dispatch,
+                    },
+                );
+            }
+            Action::Forward { call, to } => self.forward(at, call, &to),
+            Action::Send { to, message } => {
+                let Some(to) = self.places.iter().position(|p| p.name == to) else {
+                    return;
+                };
+                let from = self.places[at].name.clone();
+                let envelope = Envelope {
+                    from,
+                    incarnation,
+                    message,
+                };
+                let due = Due::Message { at: to, envelope };
+                self.transmit(at, to, due);
+            }
+            Action::Refuse { call, refusal } => {
+                if std::env::var("DBG").is_ok() {
+                    println!("{:?} {at} {call:?} {refusal:?}", self.now - self.start);
+                }
+                self.end(at, call, refusal.outcome)
+            }
+            Action::End { call, outcome } => self.end(at, call, outcome),
+            Action::Replay { call, answer } => {
+                if let Some(arrived) = self.places[at].calls.get(&call) {
+                    let id = self.requests[arrived.request].id.as_str().as_bytes();
+                    assert_eq!(&answer.body[..], id, "answer of another request");
+                }
+                self.end(at, call, Outcome::Completed);
+            }
+            Action::Cancel { .. } | Action::Watch(_) | Action::Stopped => {}
+        }
+    }
+
+    fn forward(&mut self, at: usize, call: CallId, to: &HostName) {
+        let Some(arrived) = self.places[at].calls.get(&call).cloned() else {
+            return;
+        };
+        let Some(to) = self.places.iter().position(|p| p.name == *to) else {
+            return;
+        };
+        let incarnation = self.places[at].incarnation;
+        if self.cuts.contains(&(at, to)) && self.rng.random() {
+            let _refused_connection = Event::ForwardFailed { call, sent: false };
+            self.handle(at, _refused_connection);
+            return;
+        }
+        let first_try = self.requests[arrived.request].tells_first
+            && self.checker.is_only_call(arrived.caller_call);
+        let forwarded = Arrived {
+            from: Some((at, call)),
+            ..arrived
+        };
+        let due = Due::Forwarded {
+            at: to,
+            arrived: forwarded,
+            call: first_try,
+        };
+        self.transmit_once(at, to, due);
+        let timeout = Due::ForwardTimeout {
+            at,
+            incarnation,
+            call,
+        };
+        self.queue.push(self.now + FORWARD_TIMEOUT, timeout);
+    }
+
+    fn end(&mut self, at: usize, call: CallId, outcome: Outcome) {
+        let Some(arrived) = self.places[at].calls.remove(&call) else {
+            return;
+        };
+        match arrived.from {
+            None => self
+                .checker
+                .told(arrived.caller_call, arrived.request, outcome),
+            Some((to, to_call)) => {
+                let reply = Due::Reply {
+                    at: to,
+                    call: to_call,
+                    outcome,
+                };
+                self.transmit_once(at, to, reply);
+            }
+        }
+    }
+
+    fn reply(&mut self, at: usize, call: CallId, outcome: Outcome) {
+        if self.is_open(at, call) {
+            self.handle(at, Event::ForwardDone(call));
+            self.end(at, call, outcome);
+        }
+    }
+
+    /// Hands an attempt to the connection, after the last check.
+    fn send(&mut self, at: usize, incarnation: Incarnation, dispatch: &Dispatch) {
+        if self.places[at].incarnation != incarnation {
+            return;
+        }
+        let (call, attempt) = (dispatch.call, dispatch.attempt);
+        let Some(arrived) = self.places[at].calls.get(&call).cloned() else {
+            return;
+        };
+        let now = self.now;
+        let may_send = self.places[at].node.may_send(now, call, attempt);
+        if !may_send {
+            self.fail(at, attempt, Failure::NotSent);
+            return;
+        }
+        if self.service_faults && self.rng.random_ratio(1, 10) {
+            self.fail(at, attempt, Failure::Full);
+            return;
+        }
+        self.checker.sent(arrived.caller_call, arrived.request);
+        let is_slow = self.service_faults && self.rng.random_ratio(1, 6);
+        let pause = if is_slow { 4000 } else { 20 };
+        let delay = Duration::from_millis(self.rng.random_range(0..pause));
+        let run = Due::Run {
+            at,
+            incarnation,
+            attempt,
+            request: arrived.request,
+        };
+        self.queue.push(now + delay, run);
+    }
+
+    fn fail(&mut self, at: usize, attempt: AttemptId, failure: Failure) {
+        let event = AttemptEvent::Failed(failure);
+        self.handle(at, Event::Attempt { attempt, event });
+    }
+
+    fn delay(&mut self) -> Duration {
+        Duration::from_millis(self.rng.random_range(1..=self.delay_ms))
+    }
+
+    /// Sends a message that may be lost, doubled, delayed and reordered.
+    fn transmit(&mut self, from: usize, to: usize, due: Due) {
+        if self.rng.random_ratio(self.double_percent, 100) {
+            let late = self.delay() * 4;
+            if !self.cuts.contains(&(from, to)) {
+                self.queue.push(self.now + late, due.clone());
+            }
+        }
+        self.transmit_once(from, to, due);
+    }
+
+    /// Sends a message that may be lost, delayed and reordered.
+    fn transmit_once(&mut self, from: usize, to: usize, due: Due) {
+        let is_lost = self.rng.random_ratio(self.loss_percent, 100);
+        if is_lost || self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let delay = self.delay();
+        self.queue.push(self.now + delay, due);
+    }
+}
+
+fn host_name(index: usize) -> HostName {
+    HostName::new(&format!("host-{index}"))
+}
+
+fn host(index: usize) -> Host {
+    Host {
+        name: host_name(index),
+        zone: "zone".into(),
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        state: HostState::Live,
+    }
+}
+
+/// Short times, so that histories of some seconds pass through every state.
+fn options() -> Options {
+    Options {
+        owner: owner::Options {
+            lease: Duration::from_millis(900),
+            ask_every: Duration::from_millis(300),
+            ask_again: Duration::from_millis(100),
+            retry_window: Duration::from_secs(14),
+            ..owner::Options::default()
+        },
+        ..Options::default()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/ownership.rs
@@ -0,0 +1,89 @@
+//! Request ids that may not be repeated run at most once, and what is told not run was not run.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, Op, Tally, ops};
+use proptest::test_runner::{Config, TestCaseError, TestRng, TestRunner};
+
+/// Histories of each test.
+const CASES: u32 = 2_500;
+
+fn seed_bytes(seed: u64) -> [u8; 32] {
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    bytes
+}
+
+fn play(size: usize, seed: u64, ops: &[Op]) -> Tally {
+    let mut fleet = Fleet::new(size, seed);
+    fleet.run_for(Duration::from_secs(3));
+    for op in ops {
+        fleet.apply(op);
+    }
+    fleet.finish()
+}
+
+fn histories(size: usize, seed: u64) {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(
+        proptest::test_runner::RngAlgorithm::ChaCha,
+        &seed_bytes(seed),
+    );
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let total = std::cell::RefCell::new(Tally::default());
+    let result = runner.run(&ops(), |ops| {
+        let played = std::panic::catch_unwind(|| play(size, seed, &ops));
+        let tally = played.map_err(|e| {
+            let text = e.downcast_ref::<String>().cloned();
+            TestCaseError::fail(text.unwrap_or_else(|| "panic".to_owned()))
+        })?;
+        total.borrow_mut().add(&tally);
+        Ok(())
+    });
+    println!(
+        "{CASES} histories, {size} nodes, seed {seed}: {:?}",
+        total.borrow()
+    );
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn calls_complete_without_faults() {
+    let mut fleet = Fleet::new(4, 1);
+    fleet.set_service_faults(false);
+    fleet.run_for(Duration::from_secs(10));
+    for at in 0..40 {
+        fleet.apply(&Op::Call { at, dated: true });
+    }
+    fleet.run_for(Duration::from_secs(3));
+    let tally = fleet.tally();
+    assert_eq!(tally.completed, 40, "{tally:?}");
+}
+
+#[test]
+fn three_nodes() {
+    histories(3, 11);
+}
+
+#[test]
+fn four_nodes() {
+    histories(4, 12);
+}
+
+#[test]
+fn five_nodes() {
+    histories(5, 13);
+}
+
+#[test]
+fn eight_nodes() {
+    histories(8, 14);
+}
