--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -61,6 +61,7 @@
     owned: BTreeMap<CallId, Owned>,
     forwarded: BTreeMap<CallId, RequestId>,
     catalog: Option<Arc<crate::catalog::Catalog>>,
+    fleet: Arc<crate::catalog::Fleet>,
     stopping: bool,
     stopped: bool,
 }
@@ -103,6 +104,7 @@
             owned: BTreeMap::new(),
             forwarded: BTreeMap::new(),
             catalog: None,
+            fleet: Arc::default(),
             stopping: false,
             stopped: false,
         }
@@ -132,6 +134,12 @@
         self.catalog.as_ref()
     }
 
+    /// Server list in force.
+    #[must_use]
+    pub fn fleet(&self) -> &Arc<crate::catalog::Fleet> {
+        &self.fleet
+    }
+
     /// Last check before the first byte of an attempt is handed to a connection.
     ///
     /// For a call that may not be repeated it is true at most once.
@@ -211,7 +219,10 @@
     fn adopt(&mut self, now: Instant, adopted: Adopted, actions: &mut Vec<Action>) {
         match adopted {
             Adopted::Hosts(view) => self.owner.adopt(now, view),
-            Adopted::Servers(fleet) => self.route(now, router::Event::Fleet(fleet), actions),
+            Adopted::Servers(fleet) => {
+                self.fleet = Arc::clone(&fleet);
+                self.route(now, router::Event::Fleet(fleet), actions);
+            }
             Adopted::Config(catalog) => {
                 self.catalog = Some(Arc::clone(&catalog));
                 self.owner.retire(catalog.retired_hosts_revision);
