--- /dev/null
+++ b/crates/node/src/call/inbound.rs
@@ -0,0 +1,68 @@
+//! A call as it came in.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use briarbank_core::call::Call;
+use briarbank_core::node::Origin;
+use briarbank_core::rendezvous;
+use briarbank_wire::CallHead;
+use bytes::Bytes;
+
+/// A call with what its server is to be sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Inbound {
+    /// What the decisions see.
+    pub(crate) call: Call,
+    /// Where it came from.
+    pub(crate) origin: Origin,
+    /// HTTP method.
+    pub(crate) method: Arc<str>,
+    /// Path and query for the server.
+    pub(crate) path: Arc<str>,
+    /// Content type of the body.
+    pub(crate) content_type: Option<Arc<str>>,
+    /// Whether the caller wants server-sent events.
+    pub(crate) streamed: bool,
+    /// Body for the server.
+    pub(crate) body: Bytes,
+}
+
+impl Inbound {
+    /// Hash of everything that makes the request.
+    pub(crate) fn content_key(&self) -> u64 {
+        let parts = [
+            self.call.target.as_str().as_bytes(),
+            self.method.as_bytes(),
+            self.path.as_bytes(),
+            &self.body,
+        ];
+        // Lengths keep apart what would be the same bytes in other parts.
+        let mut hashed = Vec::new();
+        for part in parts {
+            hashed.extend_from_slice(&(part.len() as u64).to_le_bytes());
+            hashed.extend_from_slice(&rendezvous::key(part).to_le_bytes());
+        }
+        rendezvous::key(&hashed)
+    }
+
+    /// Head for the node that the call is forwarded to.
+    pub(crate) fn head(&self, from: &briarbank_core::ids::HostName) -> CallHead {
+        let age = Instant::now().saturating_duration_since(self.call.received);
+        CallHead {
+            from: from.clone(),
+            request: self.call.request.clone(),
+            profile: self.call.profile.clone(),
+            workspace: self.call.workspace.clone(),
+            target: self.call.target.clone(),
+            method: Arc::clone(&self.method),
+            path: Arc::clone(&self.path),
+            content_type: self.content_type.clone(),
+            streamed: self.streamed,
+            prefix_key: self.call.prefix_key,
+            max_tokens: self.call.max_tokens,
+            first_try: self.call.first_try,
+            age_ms: age.as_millis() as u64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/call/mod.rs
@@ -0,0 +1,12 @@
+//! One call from its arrival to its answer.
+
+mod answer;
+mod calls;
+mod inbound;
+mod reply;
+mod task;
+
+pub(crate) use answer::Answer;
+pub(crate) use calls::{Calls, unproven};
+pub(crate) use inbound::Inbound;
+pub(crate) use reply::{Reply, ReplyAnswer, ReplyBody};
--- /dev/null
+++ b/crates/node/src/call/task.rs
@@ -0,0 +1,247 @@
+//! The task of one call: carries out its orders and reports what happened.
+
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use briarbank_core::call::{Failure, StoredAnswer};
+use briarbank_core::ids::{AttemptId, HostName};
+use briarbank_core::node::Event;
+use briarbank_core::router::AttemptEvent;
+use briarbank_wire::ReplyHead;
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use super::{Answer, Inbound, Reply, ReplyAnswer, ReplyBody};
+use crate::control::{Control, Progress};
+use crate::order::{Attempt, Order};
+use crate::peer::{Forwarded, Links, NotForwarded, forward};
+use crate::server::{AttemptEnd, AttemptRun, Pool, Upstream};
+
+/// One call and its answer.
+pub(super) struct CallTask {
+    pub(super) host: HostName,
+    pub(super) control: Control,
+    pub(super) links: Links,
+    pub(super) pool: Pool,
+    pub(super) answer: Answer,
+    pub(super) inbound: Inbound,
+    pub(super) orders: mpsc::Receiver<Order>,
+    pub(super) gone: CancellationToken,
+}
+
+impl CallTask {
+    /// Runs until the call is over.
+    pub(super) async fn run(mut self) {
+        let mut told_gone = false;
+        loop {
+            let order = tokio::select! {
+                order = self.orders.recv() => order,
+                () = self.gone.cancelled(), if !told_gone => {
+                    told_gone = true;
+                    self.control.event(Event::CallerGone(self.inbound.call.id));
+                    continue;
+                }
+            };
+            let Some(order) = order else {
+                return;
+            };
+            if self.carry_out(order).await.is_break() {
+                return;
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, order: Order) -> ControlFlow<()> {
+        match order {
+            Order::Dispatch(attempt) => return self.attempt(*attempt).await,
+            Order::Cancel(_) => return ControlFlow::Continue(()),
+            Order::End => {}
+            Order::Refuse(refusal) => {
+                tracing::debug!(
+                    request = %self.inbound.call.request,
+                    reason = refusal.reason.as_str(),
+                    outcome = refusal.outcome.as_str(),
+                    "call: refused"
+                );
+                self.answer.refuse(refusal).await;
+            }
+            Order::Replay(stored) => self.replay(&stored),
+            Order::Forward { to, address } => return self.forward(&to, address).await,
+        }
+        ControlFlow::Break(())
+    }
+
+    fn replay(&mut self, stored: &StoredAnswer) {
+        let body = Bytes::copy_from_slice(&stored.body);
+        self.answer
+            .whole(stored.status, Arc::clone(&stored.content_type), body);
+    }
+
+    /// Runs one attempt, and takes orders meanwhile.
+    async fn attempt(&mut self, attempt: Attempt) -> ControlFlow<()> {
+        let id = attempt.dispatch.attempt;
+        if !attempt.idempotent {
+            self.answer.keep();
+        }
+        let sent = AtomicBool::new(false);
+        let idempotent = attempt.idempotent;
+        let run = AttemptRun {
+            upstream: Upstream {
+                control: &self.control,
+                pool: &self.pool,
+                inbound: &self.inbound,
+                sent: &sent,
+                progress: Progress::new(id),
+            },
+            answer: &mut self.answer,
+            attempt,
+        };
+        let mut told_gone = false;
+        let mut last = None;
+        let end = {
+            let work = run.run();
+            tokio::pin!(work);
+            loop {
+                tokio::select! {
+                    biased;
+                    end = &mut work => break Some(end),
+                    order = self.orders.recv() => match order {
+                        Some(Order::Cancel(cancelled)) if cancelled == id => break None,
+                        Some(Order::Cancel(_)) => {}
+                        order => {
+                            last = order;
+                            break None;
+                        }
+                    },
+                    () = self.gone.cancelled(), if !told_gone => {
+                        told_gone = true;
+                        // What may not be repeated goes on once it is sent.
+                        if idempotent || !sent.load(Ordering::SeqCst) {
+                            self.control.event(Event::CallerGone(self.inbound.call.id));
+                        }
+                    }
+                }
+            }
+        };
+        if let Some(order) = last {
+            return Box::pin(self.carry_out(order)).await;
+        }
+        let Some(end) = end else {
+            return ControlFlow::Continue(());
+        };
+        self.report(id, end)
+    }
+
+    fn report(&mut self, attempt: AttemptId, end: AttemptEnd) -> ControlFlow<()> {
+        match end {
+            AttemptEnd::Done => {
+                self.control.attempt(attempt, AttemptEvent::Done);
+                ControlFlow::Break(())
+            }
+            AttemptEnd::CallerLeft => {
+                self.control.event(Event::CallerGone(self.inbound.call.id));
+                ControlFlow::Continue(())
+            }
+            AttemptEnd::Failed(failure) => {
+                self.log_failure(attempt, failure);
+                self.control.attempt(attempt, AttemptEvent::Failed(failure));
+                ControlFlow::Continue(())
+            }
+        }
+    }
+
+    fn log_failure(&self, attempt: AttemptId, failure: Failure) {
+        tracing::info!(
+            request = %self.inbound.call.request,
+            %attempt,
+            ?failure,
+            "call: attempt failed"
+        );
+    }
+
+    /// Forwards the call to its owner and relays the answer.
+    async fn forward(&mut self, to: &HostName, address: Option<SocketAddr>) -> ControlFlow<()> {
+        let call = self.inbound.call.id;
+        let relayed = tokio::select! {
+            relayed = relay(&self.host, &self.links, &self.inbound, &mut self.answer, to, address) => relayed,
+            () = self.gone.cancelled() => {
+                self.control.event(Event::CallerGone(call));
+                return ControlFlow::Break(());
+            }
+        };
+        match relayed {
+            Ok(()) => {
+                self.control.event(Event::ForwardDone(call));
+                ControlFlow::Break(())
+            }
+            Err(NotForwarded { sent }) => {
+                tracing::info!(request = %self.inbound.call.request, host = %to, sent, "call: forward failed");
+                self.control.event(Event::ForwardFailed { call, sent });
+                ControlFlow::Continue(())
+            }
+        }
+    }
+}
+
+async fn relay(
+    host: &HostName,
+    links: &Links,
+    inbound: &Inbound,
+    answer: &mut Answer,
+    to: &HostName,
+    address: Option<SocketAddr>,
+) -> Result<(), NotForwarded> {
+    let address = address.ok_or(NotForwarded { sent: false })?;
+    let head = inbound.head(host);
+    let forwarded = forward(links, to, address, &head, inbound.body.clone()).await?;
+    match forwarded.head.clone() {
+        ReplyHead::Refusal(refusal) => {
+            answer.send(Reply::Refusal(refusal));
+            Ok(())
+        }
+        ReplyHead::Answer {
+            status,
+            content_type,
+            outcome: Some(outcome),
+        } => {
+            let body = collect(forwarded, answer.limit_bytes()).await?;
+            answer.send(Reply::Answer(ReplyAnswer {
+                status,
+                content_type,
+                outcome: Some(outcome),
+                body: ReplyBody::Whole(body),
+            }));
+            Ok(())
+        }
+        ReplyHead::Answer {
+            status,
+            content_type,
+            outcome: None,
+        } => {
+            answer.begin_stream(status, &content_type);
+            stream(forwarded, answer).await
+        }
+    }
+}
+
+async fn collect(mut forwarded: Forwarded, limit_bytes: usize) -> Result<Bytes, NotForwarded> {
+    let mut body = Vec::new();
+    while let Some(part) = forwarded.next().await? {
+        body.extend_from_slice(&part);
+        if body.len() > limit_bytes {
+            return Err(NotForwarded { sent: true });
+        }
+    }
+    Ok(body.into())
+}
+
+async fn stream(mut forwarded: Forwarded, answer: &mut Answer) -> Result<(), NotForwarded> {
+    while let Some(part) = forwarded.next().await? {
+        // The owner keeps the answer, also when this caller has left.
+        let _ = answer.chunk(&part).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/caller/headers.rs
@@ -0,0 +1,94 @@
+//! Headers that callers send.
+
+use std::sync::Arc;
+
+use briarbank_core::ids::{ProfileName, RequestId, WorkspaceName};
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
+use quick_error::quick_error;
+use uuid::Uuid;
+
+/// Longest name or request id.
+const NAME_BYTES_MAX: usize = 256;
+
+quick_error! {
+    /// What is wrong with a caller's headers.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// A required header is missing.
+        Missing(name: &'static str) {
+            display("The header {name} is missing.")
+        }
+        /// A header is empty, too long or has characters that are not visible ASCII.
+        Invalid(name: &'static str) {
+            display("The header {name} must have 1 to 256 visible ASCII characters.")
+        }
+        /// The attempt number is not a number.
+        InvalidTry {
+            display("The header briarbank-try must be a number from 1.")
+        }
+    }
+}
+
+/// Headers that callers send.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerHeaders {
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) profile: ProfileName,
+    pub(crate) request: RequestId,
+    /// Whether the caller chose the request id.
+    pub(crate) chosen: bool,
+    /// Whether the id was surely never sent before.
+    pub(crate) first_try: bool,
+    pub(crate) content_type: Option<Arc<str>>,
+}
+
+impl CallerHeaders {
+    /// Reads the headers; a missing request id is made up.
+    pub(crate) fn read(headers: &HeaderMap) -> Result<Self, Error> {
+        let chosen = name(headers, "idempotency-key")?;
+        let made_up = chosen.is_none();
+        let request = chosen.map_or_else(make_up, RequestId::new);
+        Ok(Self {
+            workspace: WorkspaceName::new(required(headers, "briarbank-workspace")?),
+            profile: ProfileName::new(required(headers, "briarbank-profile")?),
+            request,
+            chosen: !made_up,
+            first_try: made_up || first_try(headers)?,
+            content_type: headers
+                .get(CONTENT_TYPE)
+                .and_then(|v| v.to_str().ok())
+                .map(Arc::from),
+        })
+    }
+}
+
+fn make_up() -> RequestId {
+    RequestId::new(&Uuid::now_v7().to_string())
+}
+
+fn required<'a>(headers: &'a HeaderMap, header: &'static str) -> Result<&'a str, Error> {
+    name(headers, header)?.ok_or(Error::Missing(header))
+}
+
+fn name<'a>(headers: &'a HeaderMap, header: &'static str) -> Result<Option<&'a str>, Error> {
+    let Some(value) = headers.get(header) else {
+        return Ok(None);
+    };
+    let invalid = Error::Invalid(header);
+    let value = value.to_str().map_err(|_error| invalid)?;
+    let valid =
+        (1..=NAME_BYTES_MAX).contains(&value.len()) && value.bytes().all(|b| b.is_ascii_graphic());
+    if valid { Ok(Some(value)) } else { Err(invalid) }
+}
+
+fn first_try(headers: &HeaderMap) -> Result<bool, Error> {
+    let Some(value) = headers.get("briarbank-try") else {
+        return Ok(false);
+    };
+    let number: Option<u32> = value.to_str().ok().and_then(|v| v.parse().ok());
+    match number {
+        None | Some(0) => Err(Error::InvalidTry),
+        Some(number) => Ok(number == 1),
+    }
+}
--- /dev/null
+++ b/crates/node/src/caller/http.rs
@@ -0,0 +1,240 @@
+//! Requests of callers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use briarbank_core::call::{Call, Outcome};
+use briarbank_core::catalog::TargetKind;
+use briarbank_core::ids::TargetName;
+use briarbank_core::node::Origin;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::headers::CallerHeaders;
+use super::model::ModelCall;
+use super::response::{self, CallerResponse, EarlyRefusal};
+use crate::call::{Calls, Inbound, unproven};
+use crate::control::Control;
+
+const MODELS_PATH: &str = "/v1/models";
+const CHAT_PATH: &str = "/v1/chat/completions";
+const COMPLETIONS_PATH: &str = "/v1/completions";
+const SERVICES_PREFIX: &str = "/services/";
+
+/// When callers whose request can't be read are asked to come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Takes the requests of all connections.
+#[derive(Clone, Debug)]
+pub(super) struct CallerHttp {
+    pub(super) calls: Calls,
+    pub(super) control: Control,
+    pub(super) body_timeout: Duration,
+}
+
+/// Why a request is refused before the core has seen it.
+struct Early {
+    status: StatusCode,
+    kind: &'static str,
+    message: String,
+}
+
+impl Early {
+    fn new(status: StatusCode, kind: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            kind,
+            message: message.into(),
+        }
+    }
+
+    fn response(&self, outcome: Outcome) -> CallerResponse {
+        let early = EarlyRefusal {
+            status: self.status,
+            kind: self.kind,
+            message: &self.message,
+            outcome,
+            retry_after: RETRY_AFTER,
+        };
+        early.response()
+    }
+}
+
+/// What a request's path asks for.
+enum Route {
+    Model,
+    Service { name: TargetName, path: Arc<str> },
+}
+
+impl CallerHttp {
+    /// Answers one request.
+    pub(super) async fn serve(&self, request: Request<Incoming>) -> CallerResponse {
+        if request.uri().path() == MODELS_PATH && request.method() == Method::GET {
+            return response::models(self.control.view().catalog.as_deref());
+        }
+        let headers = match CallerHeaders::read(request.headers()) {
+            Ok(headers) => headers,
+            Err(error) => {
+                let early = Early::new(
+                    StatusCode::BAD_REQUEST,
+                    "invalid-headers",
+                    error.to_string(),
+                );
+                // Without its id nothing is known of earlier tries.
+                return early.response(Outcome::Unknown);
+            }
+        };
+        let mut response = match self.inbound(request, &headers).await {
+            Ok(inbound) => response::from_reply(self.calls.run(inbound).await),
+            Err(early) => early.response(unproven(headers.first_try)),
+        };
+        response::name_request(&mut response, headers.request.as_str());
+        response
+    }
+
+    async fn inbound(
+        &self,
+        request: Request<Incoming>,
+        headers: &CallerHeaders,
+    ) -> Result<Inbound, Early> {
+        let received = Instant::now();
+        let route = route(&request)?;
+        self.check_key(headers)?;
+        let method = Arc::from(request.method().as_str());
+        let uri = request.uri().clone();
+        let body = self.body(request.into_body()).await?;
+        let (model, path) = match route {
+            Route::Model => (read_model(&body)?, Arc::from(uri.path())),
+            Route::Service { name, path } => {
+                let call = ModelCall {
+                    target: name,
+                    streamed: false,
+                    max_tokens: 0,
+                    prefix_key: 0,
+                };
+                (call, path)
+            }
+        };
+        self.check_kind(&model.target, uri.path())?;
+        let call = Call {
+            id: self.calls.next_call(),
+            request: headers.request.clone(),
+            profile: headers.profile.clone(),
+            workspace: headers.workspace.clone(),
+            target: model.target,
+            prefix_key: model.prefix_key,
+            max_tokens: model.max_tokens,
+            received,
+            first_try: headers.first_try,
+        };
+        Ok(Inbound {
+            call,
+            origin: Origin::Caller,
+            method,
+            path,
+            content_type: headers.content_type.clone(),
+            streamed: model.streamed,
+            body,
+        })
+    }
+
+    /// Calls that may not be repeated need an id that their caller knows.
+    fn check_key(&self, headers: &CallerHeaders) -> Result<(), Early> {
+        let idempotent = self.control.view().idempotent(&headers.profile);
+        if headers.chosen || idempotent != Some(false) {
+            return Ok(());
+        }
+        Err(Early::new(
+            StatusCode::BAD_REQUEST,
+            "missing-idempotency-key",
+            "Requests of this profile may not be repeated: send an idempotency-key.",
+        ))
+    }
+
+    /// A model is not called as a service, nor the other way round.
+    fn check_kind(&self, target: &TargetName, path: &str) -> Result<(), Early> {
+        let view = self.control.view();
+        let target = view.catalog.as_ref().and_then(|c| c.target(target));
+        let wanted = if path.starts_with(SERVICES_PREFIX) {
+            TargetKind::Service
+        } else {
+            TargetKind::Model
+        };
+        if target.is_none_or(|t| t.kind == wanted) {
+            return Ok(());
+        }
+        Err(Early::new(
+            StatusCode::NOT_FOUND,
+            "unknown-target",
+            "The target is of another kind: models are called under /v1, services under /services.",
+        ))
+    }
+
+    async fn body(&self, body: Incoming) -> Result<Bytes, Early> {
+        let limit_bytes = self.calls.body_limit();
+        let read = Limited::new(body, limit_bytes).collect();
+        match timeout(self.body_timeout, read).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Early::new(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body-too-large",
+                format!("The body has more than {limit_bytes} bytes."),
+            )),
+            Ok(Err(_)) => Err(Early::new(
+                StatusCode::BAD_REQUEST,
+                "body-incomplete",
+                "The body broke off.",
+            )),
+            Err(_) => Err(Early::new(
+                StatusCode::REQUEST_TIMEOUT,
+                "body-timeout",
+                "The body did not arrive in time.",
+            )),
+        }
+    }
+}
+
+fn route(request: &Request<Incoming>) -> Result<Route, Early> {
+    let path = request.uri().path();
+    if let CHAT_PATH | COMPLETIONS_PATH = path {
+        if request.method() != Method::POST {
+            return Err(Early::new(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "method-not-allowed",
+                "Models are called by POST.",
+            ));
+        }
+        return Ok(Route::Model);
+    }
+    let not_found = || {
+        Early::new(
+            StatusCode::NOT_FOUND,
+            "unknown-path",
+            "Known paths: /v1/chat/completions, /v1/completions, /v1/models, /services/NAME/.",
+        )
+    };
+    let rest = path.strip_prefix(SERVICES_PREFIX).ok_or_else(not_found)?;
+    let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    if name.is_empty() {
+        return Err(not_found());
+    }
+    let query = request.uri().query().map(|q| format!("?{q}"));
+    let path = format!("/{rest}{}", query.unwrap_or_default());
+    Ok(Route::Service {
+        name: TargetName::new(name),
+        path: Arc::from(path),
+    })
+}
+
+fn read_model(body: &[u8]) -> Result<ModelCall, Early> {
+    ModelCall::read(body).map_err(|error| {
+        Early::new(
+            StatusCode::BAD_REQUEST,
+            "invalid-body",
+            format!("The body is no model call: {error}"),
+        )
+    })
+}
--- /dev/null
+++ b/crates/node/src/caller/port.rs
@@ -0,0 +1,126 @@
+//! Connections of callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarbank_config::Limits;
+use http::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::http::CallerHttp;
+use crate::accept::accept;
+use crate::call::Calls;
+use crate::control::Control;
+
+/// Time after the stop is known in which connections are still accepted, so
+/// that what callers had begun is answered.
+const ACCEPT_GRACE: Duration = Duration::from_millis(500);
+
+/// Time after the stop is known after which idle connections are closed.
+const IDLE_GRACE: Duration = Duration::from_secs(1);
+
+/// Most headers of a request.
+const HEADERS_MAX: usize = 64;
+
+/// Least buffer that `hyper` admits.
+const BUFFER_BYTES_MIN: usize = 8 << 10;
+
+/// What the port needs for each connection.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerPort {
+    pub(crate) calls: Calls,
+    pub(crate) control: Control,
+    pub(crate) limits: Limits,
+    /// Owner of the port's tasks.
+    pub(crate) tasks: TaskTracker,
+    /// Says that the node is stopping as planned.
+    pub(crate) stopping: CancellationToken,
+    /// Ends the port.
+    pub(crate) end: CancellationToken,
+}
+
+impl CallerPort {
+    /// Accepts connections until some time after the stop.
+    pub(crate) async fn run(self, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        tokio::select! {
+            () = self.end.cancelled() => {}
+            () = after(&self.stopping, ACCEPT_GRACE) => {}
+            () = self.accept_all(&listener, &permits) => {}
+        }
+        // Connections that the system has already taken are not cut.
+        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+            self.spawn(stream, &permits);
+        }
+    }
+
+    async fn accept_all(&self, listener: &TcpListener, permits: &Arc<Semaphore>) {
+        loop {
+            let (stream, _) = accept(listener).await;
+            self.spawn(stream, permits);
+        }
+    }
+
+    fn spawn(&self, stream: TcpStream, permits: &Arc<Semaphore>) {
+        let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
+            metrics::counter!("briarbank_caller_connections_refused_total").increment(1);
+            return;
+        };
+        let port = self.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = port.end.cancelled() => {}
+                () = port.connection(stream) => {}
+            }
+            drop(permit);
+        });
+    }
+
+    async fn connection(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let http = CallerHttp {
+            calls: self.calls.clone(),
+            control: self.control.clone(),
+            body_timeout: Duration::from_millis(self.limits.body_timeout_ms),
+        };
+        let service = service_fn(|request| async {
+            let mut response = http.serve(request).await;
+            if self.stopping.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(self.limits.header_timeout_ms))
+            .max_buf_size(self.limits.header_bytes.max(BUFFER_BYTES_MIN))
+            .max_headers(HEADERS_MAX);
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let served = tokio::select! {
+            served = &mut connection => served,
+            () = after(&self.stopping, IDLE_GRACE) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = served {
+            tracing::debug!(%error, "caller: connection broke");
+        }
+    }
+}
+
+async fn after(token: &CancellationToken, pause: Duration) {
+    token.cancelled().await;
+    sleep(pause).await;
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,26 @@
-//! Placeholder.
+//! The router daemon.
+//!
+//! It adds nothing to a decision: it feeds [`briarbank_core::node::Node`] with
+//! events and the time, and carries out its actions in their order.
+
+mod accept;
+mod actions;
+mod call;
+mod caller;
+mod control;
+mod dump;
+mod error;
+mod operator;
+mod order;
+mod peer;
+mod platform;
+mod recorder;
+mod refusal;
+mod run;
+mod server;
+mod view;
+
+pub use dump::{Adopted, Dump};
+pub use error::Error;
+pub use platform::{Error as PlatformError, HttpPlatform, Platform, Query, Value};
+pub use run::{run, run_with};
--- /dev/null
+++ b/crates/node/src/operator/mod.rs
@@ -0,0 +1,5 @@
+//! The port for operators.
+
+mod port;
+
+pub(crate) use port::OperatorPort;
--- /dev/null
+++ b/crates/node/src/peer/key.rs
@@ -0,0 +1,37 @@
+//! The key that nodes and operators must show.
+
+use std::fmt;
+use std::sync::Arc;
+
+use http::HeaderMap;
+use http::header::{AUTHORIZATION, HeaderValue};
+use subtle::ConstantTimeEq;
+
+/// The shared key, as the value of the authorization header.
+#[derive(Clone)]
+pub(crate) struct SharedKey(Arc<str>);
+
+impl SharedKey {
+    pub(crate) fn new(key: &str) -> Self {
+        Self(Arc::from(format!("Bearer {key}")))
+    }
+
+    /// Whether the request shows the key; compared in constant time.
+    pub(crate) fn shown_by(&self, headers: &HeaderMap) -> bool {
+        let shown = headers
+            .get(AUTHORIZATION)
+            .map_or(&b""[..], HeaderValue::as_bytes);
+        bool::from(shown.ct_eq(self.0.as_bytes()))
+    }
+
+    /// Header value that shows the key.
+    pub(crate) fn header(&self) -> Option<HeaderValue> {
+        HeaderValue::from_str(&self.0).ok()
+    }
+}
+
+impl fmt::Debug for SharedKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SharedKey")
+    }
+}
--- /dev/null
+++ b/crates/node/src/platform/http.rs
@@ -0,0 +1,123 @@
+//! Platform over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarbank_core::ids::{HostName, Revision};
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::{Error, Platform, Query, Value};
+
+/// Largest document; the platform holds values up to a megabyte.
+const DOCUMENT_BYTES_MAX: usize = 1 << 20;
+
+/// Time for an answer beyond the time that the platform may wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Platform whose replicas answer HTTP.
+#[derive(Debug)]
+pub struct HttpPlatform {
+    reader: HostName,
+    addresses: Vec<SocketAddr>,
+}
+
+impl HttpPlatform {
+    /// A client that names itself `reader`.
+    #[must_use]
+    pub fn new(reader: HostName, addresses: Vec<SocketAddr>) -> Self {
+        Self { reader, addresses }
+    }
+
+    async fn get(&self, address: SocketAddr, query: Query) -> Result<Option<Value>, Error> {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|e| Error::Connect(address, e))?;
+        let http_error = |e| Error::Http(address, e);
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(http_error)?;
+        let exchange = async {
+            let request = self.request(address, query);
+            let response = sender.send_request(request).await.map_err(http_error)?;
+            read_value(address, response).await
+        };
+        tokio::pin!(connection);
+        tokio::pin!(exchange);
+        // The connection lives as long as the exchange: no task is left behind.
+        tokio::select! {
+            result = &mut exchange => result,
+            _ = &mut connection => exchange.await,
+        }
+    }
+
+    fn request(&self, address: SocketAddr, query: Query) -> Request<Empty<Bytes>> {
+        let path = format!(
+            "/v1/values/{}?after={}&wait_ms={}",
+            query.key.as_str(),
+            query.after,
+            query.wait.as_millis()
+        );
+        let mut request = Request::new(Empty::new());
+        if let Ok(uri) = path.parse() {
+            *request.uri_mut() = uri;
+        }
+        let headers = request.headers_mut();
+        insert(headers, "host", &address.to_string());
+        insert(headers, "briarbank-reader", self.reader.as_str());
+        request
+    }
+}
+
+fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        headers.insert(name, value);
+    }
+}
+
+async fn read_value(
+    address: SocketAddr,
+    response: http::Response<hyper::body::Incoming>,
+) -> Result<Option<Value>, Error> {
+    match response.status() {
+        StatusCode::NO_CONTENT => return Ok(None),
+        StatusCode::OK => {}
+        status => return Err(Error::Status(address, status.as_u16())),
+    }
+    let revision = response.headers().get("revision");
+    let revision = revision
+        .and_then(|r| r.to_str().ok()?.parse().ok())
+        .ok_or(Error::NoRevision(address))?;
+    let body = Limited::new(response.into_body(), DOCUMENT_BYTES_MAX);
+    let body = body.collect().await.map_err(|e| {
+        e.downcast::<hyper::Error>()
+            .map_or(Error::TooLarge(address), |e| Error::Http(address, *e))
+    })?;
+    Ok(Some(Value {
+        revision: Revision(revision),
+        bytes: Arc::from(&*body.to_bytes()),
+    }))
+}
+
+impl Platform for HttpPlatform {
+    fn replicas(&self) -> usize {
+        self.addresses.len()
+    }
+
+    fn read(&self, replica: usize, query: Query) -> BoxFuture<'_, Result<Option<Value>, Error>> {
+        Box::pin(async move {
+            let address = self.addresses.get(replica).copied();
+            let address = address.ok_or(Error::NoReplica(replica))?;
+            timeout(query.wait + ANSWER_TIMEOUT, self.get(address, query))
+                .await
+                .unwrap_or(Err(Error::Timeout(address)))
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,320 @@
+//! The parent of all tasks of a node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use briarbank_config::{NodeSettings, Published};
+use briarbank_core::conf::Key;
+use briarbank_core::ids::Incarnation;
+use briarbank_core::node::{Event, Identity, Node, Options};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::Error;
+use crate::actions::Actions;
+use crate::call::Calls;
+use crate::caller::CallerPort;
+use crate::control::Control;
+use crate::operator::OperatorPort;
+use crate::peer::{Links, PeerPort, Reports, SharedKey};
+use crate::platform::{HttpPlatform, Platform, watch as watch_value};
+use crate::recorder;
+use crate::server::Pool;
+
+/// Reports of peers that wait for the control actor.
+const REPORTS_MAX: usize = 256;
+
+/// Time between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Runs a node until `shutdown` resolves and the planned stop is over.
+///
+/// # Errors
+///
+/// A port can't be opened, or the control actor ended.
+pub async fn run(settings: NodeSettings, shutdown: impl Future<Output = ()>) -> Result<(), Error> {
+    let platform = HttpPlatform::new(settings.host.clone(), settings.platform_addresses.clone());
+    run_with(settings, Arc::new(platform), shutdown).await
+}
+
+/// Runs a node with another source of the published values.
+///
+/// # Errors
+///
+/// As for [`run`].
+pub async fn run_with(
+    settings: NodeSettings,
+    platform: Arc<dyn Platform>,
+    shutdown: impl Future<Output = ()>,
+) -> Result<(), Error> {
+    let listeners = Listeners::bind(&settings).await?;
+    let daemon = Daemon::start(settings, platform, listeners).await?;
+    daemon.serve(shutdown).await
+}
+
+/// Open ports.
+struct Listeners {
+    caller: TcpListener,
+    peer: TcpListener,
+    operator: TcpListener,
+}
+
+impl Listeners {
+    async fn bind(settings: &NodeSettings) -> Result<Self, Error> {
+        Ok(Self {
+            caller: bind("caller", settings.caller_address).await?,
+            peer: bind("peer", settings.peer_address).await?,
+            operator: bind("operator", settings.operator_address).await?,
+        })
+    }
+}
+
+async fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|e| Error::Bind(port, address, e))
+}
+
+/// Signs that all tasks watch.
+#[derive(Clone, Debug, Default)]
+struct Signs {
+    /// A planned stop is wanted.
+    stopping: CancellationToken,
+    /// The planned stop is over.
+    stopped: CancellationToken,
+    /// All tasks are to end.
+    end: CancellationToken,
+}
+
+/// All tasks of a node.
+struct Daemon {
+    control: Control,
+    actor: JoinHandle<()>,
+    tasks: TaskTracker,
+    signs: Signs,
+    drain_timeout: Duration,
+}
+
+impl Daemon {
+    async fn start(
+        settings: NodeSettings,
+        platform: Arc<dyn Platform>,
+        listeners: Listeners,
+    ) -> Result<Self, Error> {
+        let tasks = TaskTracker::new();
+        let signs = Signs::default();
+        let key = SharedKey::new(&settings.shared_key);
+        let (reports, receiver) = mpsc::channel(REPORTS_MAX);
+        let links = Links::new(
+            key.clone(),
+            tasks.clone(),
+            signs.end.clone(),
+            reports.clone(),
+        );
+        let (watching, wanted) = watch::channel(true);
+        let identity = identity(&settings);
+        let actions = Actions::new(
+            settings.host.clone(),
+            identity.incarnation,
+            links.clone(),
+            watching,
+            signs.stopped.clone(),
+        );
+        let options = Options::default();
+        let tick = options.tick;
+        let (control, actor) = Control::start(node(identity, options), actions).await?;
+        let pool = Pool::new(tasks.clone(), signs.end.clone());
+        let background = Background {
+            control: control.clone(),
+            tasks: tasks.clone(),
+            end: signs.end.clone(),
+        };
+        background.start(tick, pool.clone(), receiver);
+        background.watch(&platform, &wanted);
+        let ports = Ports {
+            control: control.clone(),
+            tasks: tasks.clone(),
+            signs: signs.clone(),
+            key,
+        };
+        ports.open(&settings, listeners, links, pool, reports);
+        tracing::info!(host = %settings.host, "node: started");
+        Ok(Self {
+            control,
+            actor,
+            tasks,
+            signs,
+            drain_timeout: Duration::from_millis(settings.drain_timeout_ms),
+        })
+    }
+
+    async fn serve(mut self, shutdown: impl Future<Output = ()>) -> Result<(), Error> {
+        let alive = tokio::select! {
+            () = shutdown => true,
+            () = self.signs.stopping.cancelled() => true,
+            _ = &mut self.actor => false,
+        };
+        if alive {
+            self.stop().await;
+        }
+        self.signs.end.cancel();
+        self.control.end();
+        self.tasks.close();
+        self.tasks.wait().await;
+        if !alive {
+            return Err(Error::ControlEnded);
+        }
+        let _ = self.actor.await;
+        tracing::info!("node: stopped");
+        Ok(())
+    }
+
+    /// Lets what is in flight finish, within the bound.
+    async fn stop(&self) {
+        tracing::info!("node: stopping");
+        self.signs.stopping.cancel();
+        self.control.event(Event::Stop);
+        let stopped = self.signs.stopped.cancelled();
+        if timeout(self.drain_timeout, stopped).await.is_err() {
+            tracing::warn!("node: drain timeout reached with calls in flight");
+        }
+    }
+}
+
+/// The ports and what they share.
+struct Ports {
+    control: Control,
+    tasks: TaskTracker,
+    signs: Signs,
+    key: SharedKey,
+}
+
+impl Ports {
+    fn open(
+        self,
+        settings: &NodeSettings,
+        listeners: Listeners,
+        links: Links,
+        pool: Pool,
+        reports: Reports,
+    ) {
+        let calls = Calls::new(
+            settings.host.clone(),
+            self.control.clone(),
+            links,
+            pool,
+            self.tasks.clone(),
+            settings.limits.clone(),
+        );
+        let operator = OperatorPort {
+            control: self.control.clone(),
+            key: self.key.clone(),
+            metrics: recorder::install(),
+            drain: self.signs.stopping.clone(),
+            tasks: self.tasks.clone(),
+            end: self.signs.end.clone(),
+        };
+        let peer = PeerPort {
+            host: settings.host.clone(),
+            key: self.key,
+            calls: calls.clone(),
+            reports,
+            tasks: self.tasks.clone(),
+            end: self.signs.end.clone(),
+        };
+        let caller = CallerPort {
+            calls,
+            control: self.control,
+            limits: settings.limits.clone(),
+            tasks: self.tasks.clone(),
+            stopping: self.signs.stopping,
+            end: self.signs.end,
+        };
+        self.tasks.spawn(operator.run(listeners.operator));
+        self.tasks.spawn(peer.run(listeners.peer));
+        self.tasks.spawn(caller.run(listeners.caller));
+    }
+}
+
+/// Tasks that run as long as the node does.
+struct Background {
+    control: Control,
+    tasks: TaskTracker,
+    end: CancellationToken,
+}
+
+impl Background {
+    fn start(&self, tick: Duration, pool: Pool, reports: mpsc::Receiver<Event>) {
+        self.spawn(tick_forever(self.control.clone(), tick));
+        self.spawn(sweep_forever(pool));
+        self.spawn(report_forever(self.control.clone(), reports));
+    }
+
+    fn watch(&self, platform: &Arc<dyn Platform>, wanted: &watch::Receiver<bool>) {
+        for key in Key::ALL {
+            let platform = Arc::clone(platform);
+            let watch = watch_value(platform, key, self.control.clone(), wanted.clone());
+            self.spawn(watch);
+        }
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let end = self.end.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = end.cancelled() => {}
+                () = task => {}
+            }
+        });
+    }
+}
+
+fn identity(settings: &NodeSettings) -> Identity {
+    Identity {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        incarnation: Incarnation(rand::random()),
+    }
+}
+
+fn node(identity: Identity, options: Options) -> Node {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    let wall_ms = wall.map_or(0, |w| w.as_millis() as u64);
+    Node::new(
+        identity,
+        options,
+        Box::new(Published),
+        Instant::now(),
+        wall_ms,
+        rand::random(),
+    )
+}
+
+async fn tick_forever(control: Control, period: Duration) {
+    let mut ticks = interval(period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        control.tick().await;
+    }
+}
+
+async fn sweep_forever(pool: Pool) {
+    let mut ticks = interval(SWEEP_INTERVAL);
+    loop {
+        ticks.tick().await;
+        pool.sweep();
+    }
+}
+
+/// Hands reports to the control actor one by one, so that few wait there.
+async fn report_forever(control: Control, mut reports: mpsc::Receiver<Event>) {
+    while let Some(event) = reports.recv().await {
+        control.event(event);
+        control.settle().await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/server/attempt.rs
@@ -0,0 +1,328 @@
+//! One attempt of a call at a server.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use briarbank_core::call::{Failure, ServerLoad, StoredAnswer};
+use briarbank_core::node::Event;
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::pool::{Connection, Pool};
+use super::request;
+use super::stream::{StreamEnd, StreamReader};
+use crate::call::{Answer, Inbound};
+use crate::control::{Control, Progress};
+use crate::order::Attempt;
+
+/// Content type of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Content type of an answer that names none.
+const DEFAULT_CONTENT_TYPE: &str = "application/octet-stream";
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptEnd {
+    /// The whole answer was given to the caller.
+    Done,
+    /// The caller is gone.
+    CallerLeft,
+    /// The answer is not whole.
+    Failed(Failure),
+}
+
+/// What an attempt uses.
+pub(crate) struct Upstream<'a> {
+    pub(crate) control: &'a Control,
+    pub(crate) pool: &'a Pool,
+    pub(crate) inbound: &'a Inbound,
+    /// Set when bytes may have reached the server.
+    pub(crate) sent: &'a AtomicBool,
+    pub(crate) progress: Arc<Progress>,
+}
+
+/// One attempt.
+pub(crate) struct AttemptRun<'a> {
+    pub(crate) upstream: Upstream<'a>,
+    pub(crate) answer: &'a mut Answer,
+    pub(crate) attempt: Attempt,
+}
+
+/// An answer's head, on the connection that it came from.
+struct Answered {
+    connection: Connection,
+    response: Response<Incoming>,
+}
+
+impl AttemptRun<'_> {
+    /// Sends the call and hands the answer on.
+    pub(crate) async fn run(mut self) -> AttemptEnd {
+        let answered = match self.exchange().await {
+            Ok(answered) => answered,
+            Err(failure) => return AttemptEnd::Failed(failure),
+        };
+        self.report_server(answered.response.headers());
+        if let Err(failure) = self.check_head(&answered.response) {
+            return AttemptEnd::Failed(failure);
+        }
+        let content_type = content_type(answered.response.headers());
+        let streamed = content_type.starts_with(EVENT_STREAM);
+        let end = if streamed {
+            self.stream(answered, &content_type).await
+        } else {
+            self.whole(answered, content_type).await
+        };
+        if end == AttemptEnd::Failed(Failure::Silent) {
+            self.purge();
+        }
+        end
+    }
+
+    /// Sends the request until a head comes back; on a kept connection that
+    /// proves dead, once more on a fresh one.
+    async fn exchange(&mut self) -> Result<Answered, Failure> {
+        let address = self.attempt.address.ok_or(Failure::NotSent)?;
+        let body = request::body(self.upstream.inbound, self.answer)?;
+        let pool = self.upstream.pool;
+        let connection = pool.get(address).await.ok_or(Failure::NotSent)?;
+        let reused = connection.reused;
+        match self.send(connection, body.clone()).await {
+            Ok(answered) => Ok(answered),
+            Err(failure) if reused && self.may_send_again(failure) => {
+                pool.purge(address);
+                let connection = pool.connect(address).await.ok_or(failure)?;
+                self.send(connection, body).await
+            }
+            Err(failure) => Err(failure),
+        }
+    }
+
+    /// Whether a failure on a kept connection says nothing of the server.
+    fn may_send_again(&self, failure: Failure) -> bool {
+        self.attempt.idempotent && matches!(failure, Failure::NotSent | Failure::Broken)
+    }
+
+    async fn send(&self, mut connection: Connection, body: Bytes) -> Result<Answered, Failure> {
+        let address = self.attempt.address.ok_or(Failure::NotSent)?;
+        let resume_tokens = self.answer.tokens();
+        let request = request::head(self.upstream.inbound, &self.attempt, address, resume_tokens);
+        let request = request.map(|()| Full::new(body));
+        if !self.attempt.idempotent && !self.may_send().await {
+            return Err(Failure::NotSent);
+        }
+        self.upstream.sent.store(true, Ordering::SeqCst);
+        let response = connection.sender.try_send_request(request);
+        match timeout(self.attempt.patience.first, response).await {
+            Ok(Ok(response)) => Ok(Answered {
+                connection,
+                response,
+            }),
+            Ok(Err(error)) if error.message().is_some() => {
+                // The request came back: it never reached the connection.
+                self.upstream.sent.store(false, Ordering::SeqCst);
+                Err(Failure::NotSent)
+            }
+            Ok(Err(_)) => Err(Failure::Broken),
+            Err(_) => {
+                self.purge();
+                Err(Failure::Silent)
+            }
+        }
+    }
+
+    async fn may_send(&self) -> bool {
+        let dispatch = &self.attempt.dispatch;
+        self.upstream
+            .control
+            .may_send(dispatch.call, dispatch.attempt)
+            .await
+    }
+
+    fn purge(&self) {
+        if let Some(address) = self.attempt.address {
+            self.upstream.pool.purge(address);
+        }
+    }
+
+    /// Tells the core what the server says of itself.
+    fn report_server(&self, headers: &HeaderMap) {
+        let server = &self.attempt.dispatch.server;
+        let control = self.upstream.control;
+        if let Some(load) = header(headers, "briarbank-load").and_then(parse_load) {
+            control.event(Event::Load {
+                server: server.clone(),
+                load,
+            });
+        }
+        if header(headers, "briarbank-server-state") == Some("leaving") {
+            control.event(Event::ServerLeaving(server.clone()));
+        }
+    }
+
+    /// Checks that the answer is one to this attempt, and that the call ran.
+    fn check_head(&self, response: &Response<Incoming>) -> Result<(), Failure> {
+        let headers = response.headers();
+        let attempt = self.attempt.dispatch.attempt.to_string();
+        if header(headers, "briarbank-attempt") != Some(&attempt) {
+            metrics::counter!("briarbank_crossed_answers_total").increment(1);
+            return Err(Failure::Malformed);
+        }
+        match header(headers, "briarbank-not-run") {
+            Some("leaving") => return Err(Failure::Leaving),
+            Some("full") => return Err(Failure::Full),
+            _ => {}
+        }
+        if response.status().is_server_error() {
+            return Err(Failure::ServerError);
+        }
+        Ok(())
+    }
+
+    async fn whole(&mut self, answered: Answered, content_type: Arc<str>) -> AttemptEnd {
+        if self.answer.started() {
+            return AttemptEnd::Failed(Failure::Malformed);
+        }
+        let Answered {
+            connection,
+            response,
+        } = answered;
+        let status = response.status().as_u16();
+        let limit_bytes = self.answer.limit_bytes();
+        let patience = self.attempt.patience.first;
+        let body = match collect(response.into_body(), limit_bytes, patience).await {
+            Ok(body) => body,
+            Err(failure) => return AttemptEnd::Failed(failure),
+        };
+        self.upstream.pool.put(connection);
+        if !self.attempt.idempotent {
+            self.store(StoredAnswer {
+                status,
+                content_type: Arc::clone(&content_type),
+                body: Arc::from(&body[..]),
+            });
+        }
+        self.answer.whole(status, content_type, body);
+        AttemptEnd::Done
+    }
+
+    async fn stream(&mut self, answered: Answered, content_type: &Arc<str>) -> AttemptEnd {
+        let Answered {
+            connection,
+            response,
+        } = answered;
+        self.answer
+            .begin_stream(response.status().as_u16(), content_type);
+        let mut reader = StreamReader::new(
+            response.into_body(),
+            self.attempt.dispatch.attempt,
+            self.answer.limit_bytes(),
+        );
+        let mut patience = self.attempt.patience.first;
+        loop {
+            let Ok(read) = timeout(patience, reader.read(self.answer)).await else {
+                return AttemptEnd::Failed(Failure::Silent);
+            };
+            patience = self.attempt.patience.between;
+            match read.end {
+                Some(StreamEnd::Whole) => {
+                    self.upstream.pool.put(connection);
+                    return self.last_chunk(read.chunk).await;
+                }
+                Some(StreamEnd::Failed(failure)) => {
+                    let left = self.chunk(read.chunk).await;
+                    return left.unwrap_or(AttemptEnd::Failed(failure));
+                }
+                None => {
+                    if let Some(end) = self.chunk(read.chunk).await {
+                        return end;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Hands on a part of a stream.
+    async fn chunk(&mut self, chunk: Bytes) -> Option<AttemptEnd> {
+        let tokens = self.answer.tokens();
+        if self.answer.chunk(&chunk).await.is_err() && self.attempt.idempotent {
+            return Some(AttemptEnd::CallerLeft);
+        }
+        self.upstream
+            .control
+            .progress(&self.upstream.progress, tokens);
+        None
+    }
+
+    /// Hands on the last part of a stream, after the answer is kept for repeats.
+    async fn last_chunk(&mut self, chunk: Bytes) -> AttemptEnd {
+        self.answer.push(&chunk);
+        if !self.attempt.idempotent
+            && let Some(stored) = self.answer.stored()
+        {
+            self.store(stored);
+        }
+        match self.answer.flush().await {
+            Err(_) if self.attempt.idempotent => AttemptEnd::CallerLeft,
+            _ => AttemptEnd::Done,
+        }
+    }
+
+    fn store(&self, answer: StoredAnswer) {
+        self.upstream.control.event(Event::Answered {
+            attempt: self.attempt.dispatch.attempt,
+            answer,
+        });
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn content_type(headers: &HeaderMap) -> Arc<str> {
+    let value = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    Arc::from(value.unwrap_or(DEFAULT_CONTENT_TYPE))
+}
+
+/// Parses `running=N,waiting=N,age_ms=N`.
+fn parse_load(text: &str) -> Option<ServerLoad> {
+    let mut load = ServerLoad::default();
+    for part in text.split(',') {
+        let (name, value) = part.trim().split_once('=')?;
+        match name {
+            "running" => load.running = value.parse().ok()?,
+            "waiting" => load.waiting = value.parse().ok()?,
+            "age_ms" => load.age_ms = value.parse().ok()?,
+            _ => {}
+        }
+    }
+    Some(load)
+}
+
+async fn collect(
+    mut body: Incoming,
+    limit_bytes: usize,
+    patience: Duration,
+) -> Result<Bytes, Failure> {
+    let mut collected = Vec::new();
+    loop {
+        let frame = timeout(patience, body.frame()).await;
+        let Some(frame) = frame.map_err(|_error| Failure::Silent)? else {
+            return Ok(collected.into());
+        };
+        let frame = frame.map_err(|_error| Failure::Broken)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if collected.len() + data.len() > limit_bytes {
+            return Err(Failure::Malformed);
+        }
+        collected.extend_from_slice(data);
+    }
+}
--- /dev/null
+++ b/crates/node/src/server/request.rs
@@ -0,0 +1,67 @@
+//! The request to a server.
+
+use std::net::SocketAddr;
+
+use briarbank_core::call::Failure;
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HOST, HeaderName};
+use http::{HeaderValue, Method, Request};
+use serde_json::Value;
+
+use crate::call::{Answer, Inbound};
+use crate::order::Attempt;
+
+/// Field of the body with the text that the caller already has.
+const RESUME_FIELD: &str = "briarbank_resume";
+
+/// Head of the request.
+pub(super) fn head(
+    inbound: &Inbound,
+    attempt: &Attempt,
+    address: SocketAddr,
+    resume_tokens: u32,
+) -> Request<()> {
+    let mut request = Request::new(());
+    *request.method_mut() = inbound.method.parse().unwrap_or(Method::POST);
+    if let Ok(uri) = inbound.path.parse() {
+        *request.uri_mut() = uri;
+    }
+    let dispatch = &attempt.dispatch;
+    let headers = request.headers_mut();
+    let mut insert = |name: HeaderName, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    let named = HeaderName::from_static;
+    insert(HOST, &address.to_string());
+    insert(named("briarbank-attempt"), &dispatch.attempt.to_string());
+    insert(named("briarbank-request-id"), inbound.call.request.as_str());
+    insert(named("briarbank-tier"), &dispatch.tier.to_string());
+    if resume_tokens > 0 {
+        insert(named("briarbank-resume-tokens"), &resume_tokens.to_string());
+    }
+    if let Some(content_type) = &inbound.content_type {
+        insert(CONTENT_TYPE, content_type);
+    }
+    request
+}
+
+/// Body of the request; with a part of the answer it asks for the rest.
+///
+/// # Errors
+///
+/// [`Failure::NotSent`] when the answer so far was too long to resume it.
+pub(super) fn body(inbound: &Inbound, answer: &Answer) -> Result<Bytes, Failure> {
+    if answer.tokens() == 0 {
+        return Ok(inbound.body.clone());
+    }
+    let text = answer.text().ok_or(Failure::NotSent)?;
+    let body = serde_json::from_slice(&inbound.body).ok();
+    let Some(Value::Object(mut fields)) = body else {
+        return Err(Failure::NotSent);
+    };
+    fields.insert(RESUME_FIELD.to_owned(), Value::from(text));
+    let body = serde_json::to_vec(&fields).map_err(|_error| Failure::NotSent)?;
+    Ok(body.into())
+}
--- /dev/null
+++ b/crates/node/src/server/sse.rs
@@ -0,0 +1,120 @@
+//! Server-sent events in a byte stream, bounded.
+
+use bytes::{Bytes, BytesMut};
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a stream of events can't be read any further.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum Error {
+        /// An event is larger than any may be.
+        TooLarge(limit_bytes: usize) {
+            display("event is larger than {limit_bytes} bytes")
+        }
+        /// An event is not UTF-8.
+        NotText {
+            display("event is not UTF-8")
+        }
+    }
+}
+
+/// One event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ServerEvent {
+    /// The event as sent, with the empty line at its end.
+    pub(crate) raw: Bytes,
+    /// Value of its `event` field, empty without one.
+    pub(crate) name: String,
+    /// Its data lines.
+    pub(crate) data: String,
+}
+
+/// Takes a byte stream in parts and gives back the events in it.
+#[derive(Debug)]
+pub(crate) struct EventReader {
+    buffer: BytesMut,
+    searched: usize,
+    limit_bytes: usize,
+}
+
+impl EventReader {
+    pub(crate) fn new(limit_bytes: usize) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            searched: 0,
+            limit_bytes,
+        }
+    }
+
+    /// Takes the next part of the stream.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether no part of an event waits for its rest.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// The next whole event, or `None` when more bytes are needed.
+    pub(crate) fn next(&mut self) -> Result<Option<ServerEvent>, Error> {
+        let Some(end) = self.find_end() else {
+            if self.buffer.len() > self.limit_bytes {
+                return Err(Error::TooLarge(self.limit_bytes));
+            }
+            return Ok(None);
+        };
+        if end > self.limit_bytes {
+            return Err(Error::TooLarge(self.limit_bytes));
+        }
+        self.searched = 0;
+        let raw = self.buffer.split_to(end).freeze();
+        parse(raw).map(Some)
+    }
+
+    /// Position after the next empty line.
+    fn find_end(&mut self) -> Option<usize> {
+        let bytes = &self.buffer[..];
+        for at in self.searched..bytes.len() {
+            if bytes[at] != b'\n' {
+                continue;
+            }
+            let line = &bytes[..at];
+            let empty = line.is_empty()
+                || line.ends_with(b"\n")
+                || line.ends_with(b"\n\r")
+                || line == b"\r";
+            if empty {
+                return Some(at + 1);
+            }
+        }
+        self.searched = bytes.len();
+        None
+    }
+}
+
+fn parse(raw: Bytes) -> Result<ServerEvent, Error> {
+    let text = std::str::from_utf8(&raw).map_err(|_error| Error::NotText)?;
+    let mut name = String::new();
+    let mut data: Option<String> = None;
+    for line in text.lines() {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "event" => value.clone_into(&mut name),
+            "data" => match &mut data {
+                None => data = Some(value.to_owned()),
+                Some(data) => {
+                    data.push('\n');
+                    data.push_str(value);
+                }
+            },
+            _ => {}
+        }
+    }
+    Ok(ServerEvent {
+        name,
+        data: data.unwrap_or_default(),
+        raw,
+    })
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! Messages between nodes and their encoding.
+//!
+//! Every message starts with a version byte; the rest is `bincode`. Decoding
+//! untrusted bytes gives a message or a typed error, within a size limit.
+
+mod call;
+mod codec;
+mod error;
+mod frame;
+
+pub use call::{CallHead, ReplyHead};
+pub use codec::{MESSAGE_BYTES_MAX, VERSION, decode, encode};
+pub use error::Error;
+pub use frame::FrameReader;
