Add the command line and collect all faults of settings

Cause: the binary was empty, and settings told only their first fault. Ruled out: repairing by templates and a hand-written reader for each struct, since both repeat the field lists of the core's types. Change: the text becomes a tree with lines; a faulty value becomes a hole that fits any type, so that generated types go on to the next fault. Rules beyond types are collected per type and between files. The command line has check, dump and drain; the other subcommands read their settings and say that they are not in this build. Before: 1 fault a file without line.

--- /dev/null
+++ b/crates/briarbank/src/error.rs
@@ -0,0 +1,102 @@
+//! Why a subcommand failed, and its exit code.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use quick_error::quick_error;
+
+/// Exit code of a failed run.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code of wrong arguments.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code of invalid settings or documents.
+pub const EXIT_INVALID: u8 = 3;
+/// Exit code when a process can't be reached or refuses the key.
+pub const EXIT_UNREACHABLE: u8 = 4;
+
+quick_error! {
+    /// Why a subcommand failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// No subcommand was given.
+        NoCommand {
+            display("a subcommand is required; see `briarbank --help`")
+        }
+        /// `check` was given nothing to check.
+        NothingToCheck {
+            display("name at least one file to check; see `briarbank check --help`")
+        }
+        /// The log filter can't be used.
+        LogFilter(error: tracing_subscriber::filter::ParseError) {
+            source(error)
+            display("--log: {error}; a level such as info or a filter such as briarbank_node=debug is allowed")
+        }
+        /// Settings or documents are invalid.
+        Config(error: briarbank_config::FileError) {
+            source(error)
+            display("{error}")
+            from()
+        }
+        /// This part is not in this build.
+        Missing(part: &'static str) {
+            display("`briarbank {part}` is not in this build")
+        }
+        /// `check` found invalid files and printed why.
+        Invalid(files: usize) {
+            display("{files} of the files are invalid")
+        }
+        /// Output could not be written, or the runtime could not start.
+        Io(error: io::Error) {
+            source(error)
+            display("input or output failed: {error}")
+            from()
+        }
+        /// No connection to an operator port.
+        Connect(address: SocketAddr, error: io::Error) {
+            source(error)
+            display("{address} can't be reached: {error}")
+        }
+        /// A request to an operator port failed.
+        Http(address: SocketAddr, error: hyper::Error) {
+            source(error)
+            display("{address} gave no whole answer: {error}")
+        }
+        /// No answer from an operator port in time.
+        Timeout(address: SocketAddr) {
+            display("{address} gave no answer in time")
+        }
+        /// An operator port answered with an error.
+        Status(address: SocketAddr, status: http::StatusCode) {
+            display("{address} answered {status}; --settings names a file with the shared key")
+        }
+        /// An answer of an operator port is larger than allowed.
+        AnswerSize(address: SocketAddr, limit_bytes: usize) {
+            display("{address} answered with more than {limit_bytes} bytes")
+        }
+        /// A dump is not JSON.
+        Dump(address: SocketAddr, error: serde_json::Error) {
+            source(error)
+            display("the dump of {address} is not valid JSON: {error}")
+        }
+        /// The shared key can't stand in a header.
+        Key(path: Arc<str>) {
+            display("{path}: field shared_key: only visible ASCII characters are allowed")
+        }
+    }
+}
+
+impl Error {
+    /// Exit code of the process.
+    #[must_use]
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::NoCommand | Self::NothingToCheck | Self::LogFilter(_) => EXIT_USAGE,
+            Self::Config(_) | Self::Invalid(_) | Self::Key(_) => EXIT_INVALID,
+            Self::Connect(..) | Self::Http(..) | Self::Timeout(_) | Self::Status(..) => {
+                EXIT_UNREACHABLE
+            }
+            Self::Io(_) | Self::Missing(_) | Self::AnswerSize(..) | Self::Dump(..) => EXIT_FAILED,
+        }
+    }
+}
--- /dev/null
+++ b/crates/briarbank/src/lib.rs
@@ -0,0 +1,21 @@
+//! The command line's work: what each subcommand of the binary does.
+//!
+//! Argument parsing and exit codes stay in the binary; the router, the
+//! stand-ins and the decoding of settings are crates of their own.
+
+mod check;
+mod dump;
+mod error;
+mod logs;
+mod operator;
+mod run;
+
+mod table;
+
+pub use check::{Selection, check};
+pub use dump::{drain, dump};
+pub use error::{EXIT_FAILED, EXIT_INVALID, EXIT_UNREACHABLE, EXIT_USAGE, Error};
+pub use logs::init_logs;
+pub use operator::Operator;
+pub use run::{demo, engine, load, node, platform, service};
+pub use table::render;
--- /dev/null
+++ b/crates/briarbank/src/logs.rs
@@ -0,0 +1,30 @@
+//! Log output.
+
+use std::io::{IsTerminal, stderr};
+
+use tracing_subscriber::EnvFilter;
+
+use crate::Error;
+
+const DEFAULT_FILTER: &str = "info";
+
+/// Starts logging to the standard error stream.
+///
+/// # Errors
+///
+/// [`Error::LogFilter`] when the filter can't be parsed.
+pub fn init_logs(filter: Option<&str>, json: bool) -> Result<(), Error> {
+    let filter = EnvFilter::try_new(filter.unwrap_or(DEFAULT_FILTER)).map_err(Error::LogFilter)?;
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(stderr)
+        .with_target(false)
+        .with_ansi(stderr().is_terminal());
+    // A subscriber that is already set stays: an embedding program chose it.
+    let _ = if json {
+        builder.json().try_init()
+    } else {
+        builder.try_init()
+    };
+    Ok(())
+}
--- a/crates/briarbank/src/main.rs
+++ b/crates/briarbank/src/main.rs
@@ -1,2 +1,68 @@
-//! Command line of briarbank.
-fn main() {}
+//! The briarbank binary.
+
+mod flags;
+
+use std::io::Write;
+use std::process::ExitCode;
+
+use briarbank::Error;
+
+use crate::flags::{Briarbank, BriarbankCmd, StandinCmd};
+
+fn main() -> ExitCode {
+    let flags = match Briarbank::from_env() {
+        Ok(flags) => flags,
+        Err(error) => return print_usage(&error),
+    };
+    match run(flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            print_line(std::io::stderr(), &format!("briarbank: {error}"));
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+fn run(flags: Briarbank) -> Result<(), Error> {
+    if flags.version {
+        print_line(
+            std::io::stdout(),
+            concat!("briarbank ", env!("CARGO_PKG_VERSION")),
+        );
+        return Ok(());
+    }
+    briarbank::init_logs(flags.log.as_deref(), flags.log_json)?;
+    match flags.subcommand {
+        BriarbankCmd::Usage(_) => Err(Error::NoCommand),
+        BriarbankCmd::Node(node) => briarbank::node(&node.settings),
+        BriarbankCmd::Check(check) => briarbank::check(&check.into(), &mut std::io::stdout()),
+        BriarbankCmd::Dump(dump) => {
+            briarbank::dump(&dump.operator(), dump.json, &mut std::io::stdout())
+        }
+        BriarbankCmd::Drain(drain) => briarbank::drain(&drain.operator(), &mut std::io::stdout()),
+        BriarbankCmd::Demo(_) => briarbank::demo(&mut std::io::stdout()),
+        BriarbankCmd::Load(load) => briarbank::load(&load.plan, load.json, &mut std::io::stdout()),
+        BriarbankCmd::Standin(standin) => match standin.subcommand {
+            StandinCmd::Platform(platform) => briarbank::platform(&platform.settings),
+            StandinCmd::Engine(engine) => briarbank::engine(&engine.settings),
+            StandinCmd::Service(service) => briarbank::service(&service.settings),
+        },
+    }
+}
+
+fn print_usage(error: &xflags::Error) -> ExitCode {
+    if error.is_help() {
+        print_line(std::io::stdout(), &error.to_string());
+        return ExitCode::SUCCESS;
+    }
+    print_line(
+        std::io::stderr(),
+        &format!("briarbank: {error}; see `briarbank --help`"),
+    );
+    ExitCode::from(briarbank::EXIT_USAGE)
+}
+
+/// Prints a line; a reader that has closed the pipe is no fault.
+fn print_line(mut out: impl Write, line: &str) {
+    let _ = writeln!(out, "{line}");
+}
--- /dev/null
+++ b/crates/config/src/decode.rs
@@ -0,0 +1,184 @@
+//! Decoding of a text with all of its faults.
+
+use std::fs::File;
+use std::io::Read;
+use std::path::Path;
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+
+use crate::de::{Mismatch, Problem};
+use crate::error::{Error, FileError};
+use crate::fault::Fault;
+use crate::rules::{Rules, Validate};
+use crate::tree::{Kind, Tree};
+
+/// Largest text that is read, settings and published documents alike.
+pub const SIZE_LIMIT_BYTES: usize = 1 << 20;
+
+/// Most faults of one text that are reported.
+const FAULT_LIMIT: usize = 64;
+
+/// Fields whose content is never shown.
+const SECRET_FIELDS: [&str; 1] = ["shared_key"];
+
+/// Parses a text of JSON with comments and checks it by the rules of its type.
+///
+/// # Errors
+///
+/// [`Error::Faults`] with all faults of the text, or why it can't be read at all.
+///
+/// ```
+/// use briarbank_config::{PlatformSettings, parse};
+///
+/// let error = parse::<PlatformSettings>(r#"{"address": 7, "rate_per_s": 0}"#).unwrap_err();
+/// assert_eq!(error.faults().len(), 2);
+/// ```
+pub fn parse<T: DeserializeOwned + Validate>(text: &str) -> Result<T, Error> {
+    if text.len() > SIZE_LIMIT_BYTES {
+        return Err(Error::Size(SIZE_LIMIT_BYTES));
+    }
+    let (mut tree, mut faults) = Tree::parse(text)?;
+    let value = build::<T>(&mut tree, &mut faults);
+    if let Some(value) = &value {
+        check(value, &tree, &mut faults);
+    }
+    faults.sort_by_key(|f| f.line);
+    faults.truncate(FAULT_LIMIT);
+    match value {
+        Some(value) if faults.is_empty() => Ok(value),
+        _ => Err(Error::Faults(faults)),
+    }
+}
+
+/// Parses bytes as [`parse`] does.
+pub(crate) fn parse_bytes<T: DeserializeOwned + Validate>(bytes: &[u8]) -> Result<T, Error> {
+    if bytes.len() > SIZE_LIMIT_BYTES {
+        return Err(Error::Size(SIZE_LIMIT_BYTES));
+    }
+    let text = std::str::from_utf8(bytes).map_err(|error| {
+        let valid = &bytes[..error.valid_up_to()];
+        Error::Encoding(valid.split(|b| *b == b'\n').count())
+    })?;
+    parse(text)
+}
+
+/// Reads and parses a file as [`parse`] does.
+///
+/// # Errors
+///
+/// [`FileError`] with the file's name and all faults.
+pub fn load<T: DeserializeOwned + Validate>(path: &Path) -> Result<T, FileError> {
+    let read = || {
+        let mut bytes = Vec::new();
+        let limit = SIZE_LIMIT_BYTES as u64 + 1;
+        File::open(path)?.take(limit).read_to_end(&mut bytes)?;
+        Ok(bytes)
+    };
+    let bytes = read().map_err(|e| FileError::Read(path.to_path_buf(), e))?;
+    parse_bytes(&bytes).map_err(|e| FileError::Invalid(path.to_path_buf(), e))
+}
+
+/// Deserializes the tree; each fault becomes a hole, so that the rest is seen too.
+fn build<T: DeserializeOwned>(tree: &mut Tree, faults: &mut Vec<Fault>) -> Option<T> {
+    while faults.len() < FAULT_LIMIT {
+        let mismatch = match T::deserialize(&*tree) {
+            Ok(value) => return Some(value),
+            Err(mismatch) => mismatch,
+        };
+        faults.push(fault(&mismatch, tree));
+        if !repair(&mismatch, tree) {
+            return None;
+        }
+    }
+    None
+}
+
+fn check<T: Validate>(value: &T, tree: &Tree, faults: &mut Vec<Fault>) {
+    let mut rules = Rules::default();
+    value.validate(&mut rules);
+    let found = rules.into_faults().into_iter();
+    faults.extend(found.filter(|f| !tree.is_hole(&f.path)).map(|f| Fault {
+        line: Some(tree.line(&f.path)),
+        ..f
+    }));
+}
+
+fn fault(mismatch: &Mismatch, tree: &Tree) -> Fault {
+    let object = mismatch.path();
+    let (path, found, allowed) = match &mismatch.problem {
+        Problem::Missing(field) => (
+            object.field(field),
+            String::from("nothing"),
+            String::from("a value, since the field is required"),
+        ),
+        Problem::Unknown(field, expected) => (
+            object.field(field),
+            String::from("an unknown field"),
+            format!("only {}", expected.join(", ")),
+        ),
+        Problem::Value(allowed) => {
+            let found = tree.get(&object).map_or_else(String::new, Tree::describe);
+            let secret = SECRET_FIELDS.iter().any(|name| object.ends_with(name));
+            let found = if secret {
+                String::from("another value")
+            } else {
+                found
+            };
+            (object, found, in_words(allowed))
+        }
+    };
+    Fault {
+        line: Some(tree.line(&path)),
+        path,
+        found: Arc::from(found),
+        allowed: Arc::from(allowed),
+    }
+}
+
+/// Takes a fault out of the tree; false when that is impossible.
+fn repair(mismatch: &Mismatch, tree: &mut Tree) -> bool {
+    let Some(target) = tree.get_mut(&mismatch.path()) else {
+        return false;
+    };
+    let line = target.line;
+    match (&mismatch.problem, &mut target.kind) {
+        (Problem::Missing(field), Kind::Object(fields)) => {
+            let hole = Tree {
+                line,
+                kind: Kind::Hole,
+            };
+            fields.push((Box::from(*field), hole));
+            true
+        }
+        (Problem::Unknown(field, _), Kind::Object(fields)) => {
+            fields.retain(|(name, _)| name != field);
+            true
+        }
+        (Problem::Value(_), Kind::Hole) => false,
+        (Problem::Value(_), kind) => {
+            *kind = Kind::Hole;
+            true
+        }
+        _ => false,
+    }
+}
+
+/// The library's words for a type in plain words.
+fn in_words(expected: &str) -> String {
+    let words = match expected {
+        "u8" => "a whole number from 0 to 255",
+        "u16" => "a whole number from 0 to 65535",
+        "u32" => "a whole number from 0 to 4294967295",
+        "u64" | "usize" => "a whole number from 0 to 18446744073709551615",
+        "f64" => "a number",
+        "a boolean" => "true or false",
+        "a string" | "str" => "a text in quotes",
+        "a sequence" => "an array",
+        "invalid socket address syntax" | "socket address" => {
+            "an IP address and a port, such as \"127.0.0.1:7000\""
+        }
+        other => other,
+    };
+    String::from(words)
+}
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -2,39 +2,59 @@
 
 use std::sync::Arc;
 
-use briarbank_core::catalog::{Catalog, Fleet, Server};
+use briarbank_core::catalog::{
+    Catalog, Fleet, Profile, Server, TIER_COUNT, Target, TargetKind, Workspace,
+};
 use briarbank_core::conf::Documents;
 use briarbank_core::hosts::{Host, HostView};
 use briarbank_core::ids::Revision;
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::settings::{Error, parse};
+use crate::decode::parse_bytes;
+use crate::error::Error;
+use crate::field::FieldPath;
+use crate::rules::{Rules, Validate};
 
-#[derive(Debug, Serialize, Deserialize)]
+const TIMEOUT_MAX_MS: u64 = 86_400_000;
+const QUEUE_MAX: usize = 1_000_000;
+const SLOTS_MAX: u32 = 1_000_000;
+const IN_FLIGHT_MAX: usize = 10_000_000;
+const WEIGHT_MIN: f64 = 0.001;
+const WEIGHT_MAX: f64 = 1_000.0;
+/// Rounding that a sum of shares may show.
+const SHARE_TOLERANCE: f64 = 1e-9;
+
+/// The published host list.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct HostsDocument {
-    hosts: Vec<Host>,
+pub struct HostsDocument {
+    /// Router hosts.
+    pub hosts: Vec<Host>,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+/// The published server list.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct ServersDocument {
-    servers: Vec<Server>,
+pub struct ServersDocument {
+    /// Backend servers.
+    pub servers: Vec<Server>,
 }
 
-fn from_bytes<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
-    let text = std::str::from_utf8(bytes).map_err(|e| Error::Syntax(Arc::from(e.to_string())))?;
-    parse(text)
+/// The published configuration.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ConfigDocument {
+    /// Profiles, workspaces and targets.
+    pub catalog: Catalog,
 }
 
 /// Parses the host list.
 ///
 /// # Errors
 ///
-/// The first fault of the document.
+/// All faults of the document.
 pub fn parse_hosts(revision: Revision, bytes: &[u8]) -> Result<HostView, Error> {
-    let document: HostsDocument = from_bytes(bytes)?;
+    let document: HostsDocument = parse_bytes(bytes)?;
     Ok(HostView::new(revision, document.hosts))
 }
 
@@ -42,9 +62,9 @@
 ///
 /// # Errors
 ///
-/// The first fault of the document.
+/// All faults of the document.
 pub fn parse_servers(revision: Revision, bytes: &[u8]) -> Result<Fleet, Error> {
-    let document: ServersDocument = from_bytes(bytes)?;
+    let document: ServersDocument = parse_bytes(bytes)?;
     Ok(Fleet {
         revision,
         servers: document.servers,
@@ -55,12 +75,12 @@
 ///
 /// # Errors
 ///
-/// The first fault of the document.
+/// All faults of the document.
 pub fn parse_config(revision: Revision, bytes: &[u8]) -> Result<Catalog, Error> {
-    let catalog: Catalog = from_bytes(bytes)?;
+    let document: ConfigDocument = parse_bytes(bytes)?;
     Ok(Catalog {
         revision,
-        ..catalog
+        ..document.catalog
     })
 }
 
@@ -81,3 +101,137 @@
         parse_config(revision, bytes).map_err(|e| Arc::from(e.to_string()))
     }
 }
+
+impl Validate for HostsDocument {
+    fn validate(&self, rules: &mut Rules) {
+        let root = FieldPath::default().field("hosts");
+        for (index, host) in self.hosts.iter().enumerate() {
+            let path = root.index(index);
+            rules.name(&path.field("name"), host.name.as_str());
+            rules.name(&path.field("zone"), host.zone.as_str());
+            rules.reachable(&path.field("peer_address"), host.peer_address);
+        }
+        rules.unique(self.hosts.iter().map(|h| &h.name), |index| {
+            root.index(index).field("name")
+        });
+        rules.unique(self.hosts.iter().map(|h| h.peer_address), |index| {
+            root.index(index).field("peer_address")
+        });
+    }
+}
+
+impl Validate for ServersDocument {
+    fn validate(&self, rules: &mut Rules) {
+        let root = FieldPath::default().field("servers");
+        for (index, server) in self.servers.iter().enumerate() {
+            check_server(server, &root.index(index), rules);
+        }
+        rules.unique(self.servers.iter().map(|s| &s.name), |index| {
+            root.index(index).field("name")
+        });
+        rules.unique(self.servers.iter().map(|s| s.address), |index| {
+            root.index(index).field("address")
+        });
+    }
+}
+
+fn check_server(server: &Server, path: &FieldPath, rules: &mut Rules) {
+    rules.name(&path.field("name"), server.name.as_str());
+    rules.name(&path.field("zone"), server.zone.as_str());
+    rules.reachable(&path.field("address"), server.address);
+    rules.within(&path.field("slots"), server.slots, 1..=SLOTS_MAX);
+    let targets = path.field("targets");
+    if server.targets.is_empty() {
+        rules.refuse(&targets, "no targets", "at least one target");
+    }
+    for (index, target) in server.targets.iter().enumerate() {
+        rules.name(&targets.index(index), target.as_str());
+    }
+    rules.unique(&server.targets, |index| targets.index(index));
+}
+
+impl Validate for ConfigDocument {
+    fn validate(&self, rules: &mut Rules) {
+        let root = FieldPath::default();
+        let catalog = &self.catalog;
+        if catalog.revision != Revision::default() {
+            let path = root.field("revision");
+            let allowed = "no such field, since the platform gives the revision";
+            rules.refuse(&path, catalog.revision, allowed);
+        }
+        check_profiles(&catalog.profiles, &root.field("profiles"), rules);
+        check_workspaces(&catalog.workspaces, &root.field("workspaces"), rules);
+        check_targets(&catalog.targets, &root.field("targets"), rules);
+    }
+}
+
+fn check_profiles(profiles: &[Profile], root: &FieldPath, rules: &mut Rules) {
+    for (index, profile) in profiles.iter().enumerate() {
+        check_profile(profile, &root.index(index), rules);
+    }
+    rules.unique(profiles.iter().map(|p| &p.name), |index| {
+        root.index(index).field("name")
+    });
+    let sum: f64 = profiles.iter().map(|p| p.share_ratio).sum();
+    if sum > 1.0 + SHARE_TOLERANCE {
+        let found = format!("shares with the sum {sum}");
+        rules.refuse(root, found, "shares with a sum of at most 1");
+    }
+}
+
+fn check_profile(profile: &Profile, path: &FieldPath, rules: &mut Rules) {
+    rules.name(&path.field("name"), profile.name.as_str());
+    rules.within(&path.field("tier"), profile.tier, 0..=TIER_COUNT - 1);
+    rules.within(&path.field("share_ratio"), profile.share_ratio, 0.0..=1.0);
+    rules.within(
+        &path.field("queue_limit"),
+        profile.queue_limit,
+        1..=QUEUE_MAX,
+    );
+    let whole = profile.whole_ms;
+    rules.within(&path.field("whole_ms"), whole, 1..=TIMEOUT_MAX_MS);
+    let parts = [
+        ("first_token_ms", profile.first_token_ms, 1),
+        ("between_tokens_ms", profile.between_tokens_ms, 0),
+    ];
+    for (field, value, least) in parts {
+        if value < least || value > whole {
+            let allowed = format!("{least} to {whole}, the value of whole_ms");
+            rules.refuse(&path.field(field), value, allowed);
+        }
+    }
+}
+
+fn check_workspaces(workspaces: &[Workspace], root: &FieldPath, rules: &mut Rules) {
+    for (index, workspace) in workspaces.iter().enumerate() {
+        let path = root.index(index);
+        rules.name(&path.field("name"), workspace.name.as_str());
+        rules.within(
+            &path.field("weight"),
+            workspace.weight,
+            WEIGHT_MIN..=WEIGHT_MAX,
+        );
+        rules.within(
+            &path.field("in_flight_limit"),
+            workspace.in_flight_limit,
+            1..=IN_FLIGHT_MAX,
+        );
+    }
+    rules.unique(workspaces.iter().map(|w| &w.name), |index| {
+        root.index(index).field("name")
+    });
+}
+
+fn check_targets(targets: &[Target], root: &FieldPath, rules: &mut Rules) {
+    for (index, target) in targets.iter().enumerate() {
+        let path = root.index(index).field("name");
+        rules.name(&path, target.name.as_str());
+        if target.kind == TargetKind::Service && target.name.as_str().contains('/') {
+            let allowed = "a name without / for a service, since it stands in a path";
+            rules.refuse(&path, format!("{:?}", target.name.as_str()), allowed);
+        }
+    }
+    rules.unique(targets.iter().map(|t| &t.name), |index| {
+        root.index(index).field("name")
+    });
+}
--- /dev/null
+++ b/crates/config/src/field.rs
@@ -0,0 +1,68 @@
+//! Place of a value within a text.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// One step from a value to a part of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// Field of an object.
+    Field(Arc<str>),
+    /// Element of an array, from 0.
+    Index(usize),
+}
+
+/// Path from the root of a text to a field, such as `profiles[2].tier`.
+///
+/// ```
+/// let path = briarbank_config::FieldPath::default()
+///     .field("profiles")
+///     .index(2)
+///     .field("tier");
+/// assert_eq!(path.to_string(), "profiles[2].tier");
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FieldPath {
+    pub(crate) steps: Vec<Step>,
+}
+
+impl FieldPath {
+    /// The field of that name below this path.
+    #[must_use]
+    pub fn field(&self, name: &str) -> Self {
+        self.with(Step::Field(Arc::from(name)))
+    }
+
+    /// The element with that index below this path.
+    #[must_use]
+    pub fn index(&self, index: usize) -> Self {
+        self.with(Step::Index(index))
+    }
+
+    fn with(&self, step: Step) -> Self {
+        let mut steps = self.steps.clone();
+        steps.push(step);
+        Self { steps }
+    }
+
+    /// Whether the last step is the field of that name.
+    pub(crate) fn ends_with(&self, name: &str) -> bool {
+        matches!(self.steps.last(), Some(Step::Field(field)) if **field == *name)
+    }
+}
+
+impl fmt::Display for FieldPath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.steps.is_empty() {
+            return f.write_str("(whole text)");
+        }
+        for (position, step) in self.steps.iter().enumerate() {
+            match step {
+                Step::Field(name) if position == 0 => f.write_str(name)?,
+                Step::Field(name) => write!(f, ".{name}")?,
+                Step::Index(index) => write!(f, "[{index}]")?,
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,9 +1,29 @@
 //! Settings of the programs and documents that the platform publishes.
+//!
+//! Both are JSON with comments and take the same way: the text becomes a tree
+//! with line numbers, the tree becomes a typed value, and the value is checked
+//! against the rules of its type. All faults of a text are reported at once,
+//! each with its line, its field, what was found and what is allowed.
 
+mod de;
+mod decode;
 mod document;
+mod error;
+mod fault;
+mod field;
+mod fleet;
+mod rules;
 mod settings;
+mod tree;
 
-pub use document::{Published, parse_config, parse_hosts, parse_servers};
-pub use settings::{
-    EngineSettings, Error, Limits, NodeSettings, PlatformSettings, ServiceSettings, parse,
+pub use decode::{SIZE_LIMIT_BYTES, load, parse};
+pub use document::{
+    ConfigDocument, HostsDocument, Published, ServersDocument, parse_config, parse_hosts,
+    parse_servers,
 };
+pub use error::{Error, FileError};
+pub use fault::Fault;
+pub use field::FieldPath;
+pub use fleet::{check_node, check_servers};
+pub use rules::{Rules, Validate};
+pub use settings::{EngineSettings, Limits, NodeSettings, PlatformSettings, ServiceSettings};
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -4,25 +4,10 @@
 use std::sync::Arc;
 
 use briarbank_core::ids::{HostName, ServerName, TargetName, ZoneName};
-use jsonc_parser::ParseOptions;
-use quick_error::quick_error;
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-quick_error! {
-    /// Why settings or a document can't be used.
-    #[derive(Debug)]
-    pub enum Error {
-        /// The text is not JSON with comments.
-        Syntax(error: Arc<str>) {
-            display("not valid JSON with comments: {error}")
-        }
-        /// A field is unknown, missing or of the wrong kind.
-        Field(path: Arc<str>, error: Arc<str>) {
-            display("field {path}: {error}")
-        }
-    }
-}
+use crate::field::FieldPath;
+use crate::rules::{Rules, Validate};
 
 /// Bounds of the caller port.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -136,19 +121,148 @@
     pub call_us: u64,
 }
 
-/// Parses settings from JSON with comments.
-///
-/// # Errors
-///
-/// [`Error::Syntax`] or [`Error::Field`].
-pub fn parse<T: DeserializeOwned>(text: &str) -> Result<T, Error> {
-    let value =
-        jsonc_parser::parse_to_serde_value::<serde_json::Value>(text, &ParseOptions::default())
-            .map_err(|e| Error::Syntax(Arc::from(e.to_string())))?;
-    serde_path_to_error::deserialize(value).map_err(|e| {
-        Error::Field(
-            Arc::from(e.path().to_string()),
-            Arc::from(e.inner().to_string()),
-        )
-    })
+const KEY_MIN_CHARS: usize = 16;
+const KEY_MAX_CHARS: usize = 256;
+const REPLICAS_MAX: usize = 16;
+const COUNT_MAX: usize = 1_000_000;
+const BODY_MAX_BYTES: usize = 64 << 20;
+const HEADER_MIN_BYTES: usize = 1 << 10;
+const HEADER_MAX_BYTES: usize = 1 << 20;
+const TIMEOUT_MAX_MS: u64 = 600_000;
+const CALL_MAX_US: u64 = 600_000_000;
+
+impl Validate for NodeSettings {
+    fn validate(&self, rules: &mut Rules) {
+        let root = FieldPath::default();
+        rules.name(&root.field("host"), self.host.as_str());
+        rules.name(&root.field("zone"), self.zone.as_str());
+        self.check_ports(rules);
+        self.check_platform(rules);
+        self.check_key(rules);
+        rules.within(
+            &root.field("drain_timeout_ms"),
+            self.drain_timeout_ms,
+            1..=TIMEOUT_MAX_MS,
+        );
+        self.limits.check(&root.field("limits"), rules);
+    }
+}
+
+impl NodeSettings {
+    fn check_ports(&self, rules: &mut Rules) {
+        let ports = [
+            ("caller_address", self.caller_address),
+            ("peer_address", self.peer_address),
+            ("operator_address", self.operator_address),
+        ];
+        for (index, (field, address)) in ports.iter().enumerate() {
+            let path = FieldPath::default().field(field);
+            for (other, taken) in &ports[..index] {
+                if clash(*address, *taken) {
+                    let allowed = format!("an address and port apart from those of {other}");
+                    rules.refuse(&path, address, allowed);
+                }
+            }
+        }
+    }
+
+    fn check_platform(&self, rules: &mut Rules) {
+        let path = FieldPath::default().field("platform_addresses");
+        let count = self.platform_addresses.len();
+        if !(1..=REPLICAS_MAX).contains(&count) {
+            let allowed = format!("1 to {REPLICAS_MAX} addresses");
+            rules.refuse(&path, format!("{count} addresses"), allowed);
+        }
+        for (index, address) in self.platform_addresses.iter().enumerate() {
+            rules.reachable(&path.index(index), *address);
+        }
+        rules.unique(&self.platform_addresses, |index| path.index(index));
+    }
+
+    /// The key itself never stands in a fault.
+    fn check_key(&self, rules: &mut Rules) {
+        let path = FieldPath::default().field("shared_key");
+        let count = self.shared_key.chars().count();
+        if !(KEY_MIN_CHARS..=KEY_MAX_CHARS).contains(&count) {
+            let allowed = format!("{KEY_MIN_CHARS} to {KEY_MAX_CHARS} characters");
+            rules.refuse(&path, format!("{count} characters"), allowed);
+        }
+        if !self.shared_key.bytes().all(|b| b.is_ascii_graphic()) {
+            rules.refuse(&path, "other characters", "visible ASCII characters");
+        }
+    }
+}
+
+/// Whether two ports can't be bound together; port 0 stands for any free port.
+fn clash(a: SocketAddr, b: SocketAddr) -> bool {
+    let any = a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() != 0 && a.port() == b.port() && (any || a.ip() == b.ip())
+}
+
+impl Limits {
+    fn check(&self, path: &FieldPath, rules: &mut Rules) {
+        let sizes = [
+            ("body_bytes", self.body_bytes, 1..=BODY_MAX_BYTES),
+            (
+                "header_bytes",
+                self.header_bytes,
+                HEADER_MIN_BYTES..=HEADER_MAX_BYTES,
+            ),
+            ("connections", self.connections, 1..=COUNT_MAX),
+            ("calls", self.calls, 1..=COUNT_MAX),
+            ("answer_bytes", self.answer_bytes, 1..=BODY_MAX_BYTES),
+        ];
+        for (field, value, range) in sizes {
+            rules.within(&path.field(field), value, range);
+        }
+        let timeouts = [
+            ("header_timeout_ms", self.header_timeout_ms),
+            ("body_timeout_ms", self.body_timeout_ms),
+        ];
+        for (field, value) in timeouts {
+            rules.within(&path.field(field), value, 1..=TIMEOUT_MAX_MS);
+        }
+    }
+}
+
+impl Validate for PlatformSettings {
+    fn validate(&self, rules: &mut Rules) {
+        let path = FieldPath::default().field("rate_per_s");
+        rules.within(&path, self.rate_per_s, 1..=u32::MAX);
+    }
+}
+
+impl Validate for EngineSettings {
+    fn validate(&self, rules: &mut Rules) {
+        let root = FieldPath::default();
+        rules.name(&root.field("server"), self.server.as_str());
+        rules.within(&root.field("slots"), self.slots, 1..=u32::MAX);
+        let times = [
+            ("token_us", self.token_us),
+            ("batch_token_us", self.batch_token_us),
+            ("prompt_us", self.prompt_us),
+        ];
+        for (field, value) in times {
+            rules.within(&root.field(field), value, 0..=CALL_MAX_US);
+        }
+        rules.within(
+            &root.field("cached_prefixes"),
+            self.cached_prefixes,
+            0..=COUNT_MAX,
+        );
+        rules.within(
+            &root.field("load_lag_ms"),
+            self.load_lag_ms,
+            0..=TIMEOUT_MAX_MS,
+        );
+    }
+}
+
+impl Validate for ServiceSettings {
+    fn validate(&self, rules: &mut Rules) {
+        let root = FieldPath::default();
+        rules.name(&root.field("server"), self.server.as_str());
+        rules.name(&root.field("service"), self.service.as_str());
+        rules.within(&root.field("call_us"), self.call_us, 0..=CALL_MAX_US);
+    }
 }
