Add stand-ins of platform, model engine and plain service

Cause: the node, the demo and the tests need what stands outside the router, by its published protocol.

Change: library functions platform, engine and service, each serving until its shutdown future completes; failure switches under /control; answers follow from the hash of the prompt, so that callers can check them. A small keep-alive client over hyper's connections, since hyper-util's pooled client needs a crate that is not in the cache.

Ruled out: a second port for control, since the published server list has one address for each server.

--- /dev/null
+++ b/crates/standin/src/backend/load.rs
@@ -0,0 +1,62 @@
+//! Load reports that lag.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::control::locked;
+use super::switches::FalseLoad;
+
+#[derive(Debug)]
+struct Snapshot {
+    running: u32,
+    waiting: u32,
+    taken_at: Instant,
+}
+
+/// A snapshot of the load that is renewed only after the lag.
+#[derive(Debug)]
+pub(crate) struct LoadReport {
+    lag: Duration,
+    snapshot: Mutex<Snapshot>,
+}
+
+impl LoadReport {
+    pub(crate) fn new(lag: Duration) -> Self {
+        let snapshot = Snapshot {
+            running: 0,
+            waiting: 0,
+            taken_at: Instant::now(),
+        };
+        Self {
+            lag,
+            snapshot: Mutex::new(snapshot),
+        }
+    }
+
+    /// The report as of now, given the true load.
+    pub(crate) fn read(&self, running: u32, waiting: u32) -> FalseLoad {
+        let now = Instant::now();
+        let mut snapshot = locked(&self.snapshot);
+        let age = now.saturating_duration_since(snapshot.taken_at);
+        let report = FalseLoad {
+            running: snapshot.running,
+            waiting: snapshot.waiting,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        };
+        if age < self.lag {
+            return report;
+        }
+        *snapshot = Snapshot {
+            running,
+            waiting,
+            taken_at: now,
+        };
+        FalseLoad {
+            running,
+            waiting,
+            age_ms: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/endpoint.rs
@@ -0,0 +1,221 @@
+//! Requests to the engine stand-in.
+
+use std::sync::Arc;
+
+use briarbank_config::EngineSettings;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use super::answer::{answer_length, answer_word};
+use super::batch::{Job, Token};
+use super::prompt::{Api, Prompt};
+use super::stepper::Stepper;
+use super::stream::EventStream;
+use crate::backend::{Gate, Identity, header, not_run};
+use crate::error::Error;
+use crate::http::{Body, Endpoint, Line, Reply, full, json as json_answer, read, status};
+
+/// Tier of a call that names none.
+const LOWEST_TIER: u8 = 5;
+
+/// The engine's port.
+pub(crate) struct EngineEndpoint {
+    settings: EngineSettings,
+    gate: Arc<Gate>,
+    stepper: Arc<Stepper>,
+}
+
+/// Request headers that the engine reads.
+struct CallHeaders {
+    attempt: Arc<str>,
+    tier: u8,
+    resume_tokens: u32,
+}
+
+impl CallHeaders {
+    fn of(request: &Request<Incoming>) -> Self {
+        let tier = header(request, "briarbank-tier").and_then(|t| t.parse().ok());
+        let resume = header(request, "briarbank-resume-tokens").and_then(|t| t.parse().ok());
+        Self {
+            attempt: Arc::from(header(request, "briarbank-attempt").unwrap_or("")),
+            tier: tier.unwrap_or(LOWEST_TIER),
+            resume_tokens: resume.unwrap_or(0),
+        }
+    }
+}
+
+impl EngineEndpoint {
+    pub(crate) fn new(settings: EngineSettings, gate: Arc<Gate>, stepper: Arc<Stepper>) -> Self {
+        Self {
+            settings,
+            gate,
+            stepper,
+        }
+    }
+
+    async fn call(&self, api: Api, request: Request<Incoming>) -> Reply {
+        let mut response = match self.gate.refusal(&request).await {
+            Some(refusal) => refusal,
+            None => self.run(api, request).await?,
+        };
+        self.gate.late().await;
+        self.gate.thawed().await;
+        let counters = self.stepper.counters();
+        self.gate
+            .stamp(&mut response, counters.running, counters.waiting);
+        Ok(response)
+    }
+
+    async fn run(&self, api: Api, request: Request<Incoming>) -> Reply {
+        let headers = CallHeaders::of(&request);
+        let body = read(request.into_body()).await?;
+        let prompt = Prompt::parse(api, &body)?;
+        let Some(tokens) = self.queue(&headers, &prompt) else {
+            return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE, "full"));
+        };
+        let own = Identity {
+            attempt: headers.attempt,
+            hash: prompt.hash,
+        };
+        let identity = self.gate.identity(own).await;
+        if prompt.stream {
+            Ok(self.stream(api, identity, tokens))
+        } else {
+            self.plain(&prompt, identity, tokens).await
+        }
+    }
+
+    fn queue(&self, headers: &CallHeaders, prompt: &Prompt) -> Option<mpsc::Receiver<Token>> {
+        let natural = answer_length(prompt.hash, self.settings.seed, prompt.max_tokens);
+        // A resumed answer ends with at least one further token.
+        let length = natural.max(headers.resume_tokens.saturating_add(1));
+        let room = length.saturating_sub(headers.resume_tokens).max(1);
+        let (sender, receiver) = mpsc::channel(room as usize);
+        let job = Job {
+            tier: headers.tier,
+            prefix_key: prompt.prefix_key,
+            prompt_tokens: prompt.size_tokens,
+            next: headers.resume_tokens,
+            length,
+            sender,
+        };
+        self.stepper.push(job).then_some(receiver)
+    }
+
+    fn stream(
+        &self,
+        api: Api,
+        identity: Identity,
+        tokens: mpsc::Receiver<Token>,
+    ) -> Response<Body> {
+        let attempt = Arc::clone(&identity.attempt);
+        let events = EventStream {
+            identity,
+            api,
+            tokens,
+            gate: Arc::clone(&self.gate),
+            ended: false,
+            broken: false,
+        };
+        let mut response = Response::new(events.boxed_unsync());
+        set_head(&mut response, "text/event-stream", &attempt);
+        response
+    }
+
+    async fn plain(
+        &self,
+        prompt: &Prompt,
+        identity: Identity,
+        mut tokens: mpsc::Receiver<Token>,
+    ) -> Reply {
+        let mut text = String::new();
+        let mut count = 0_u32;
+        loop {
+            let token = tokens.recv().await.ok_or(Error::Cut)?;
+            if self.gate.breaks_at(token.index) {
+                return Err(Error::Cut);
+            }
+            text.push_str(&answer_word(identity.hash, token.index, token.last));
+            count += 1;
+            if token.last {
+                break;
+            }
+        }
+        if self.gate.takes_malformed() {
+            return Ok(Response::new(full("{\"choices\": [")));
+        }
+        let mut response = json_answer(
+            StatusCode::OK,
+            &plain_answer(prompt, &identity, &text, count),
+        )?;
+        set_head(&mut response, "application/json", &identity.attempt);
+        Ok(response)
+    }
+}
+
+fn plain_answer(
+    prompt: &Prompt,
+    identity: &Identity,
+    text: &str,
+    tokens: u32,
+) -> serde_json::Value {
+    let (object, choice) = match prompt.api {
+        Api::Chat => (
+            "chat.completion",
+            json!({"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": "stop"}),
+        ),
+        Api::Completion => (
+            "text_completion",
+            json!({"index": 0, "text": text, "finish_reason": "stop"}),
+        ),
+    };
+    json!({
+        "id": format!("answer-{:016x}", identity.hash),
+        "object": object,
+        "model": &*prompt.model,
+        "attempt": &*identity.attempt,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": prompt.size_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": prompt.size_tokens.saturating_add(tokens as usize),
+        },
+    })
+}
+
+/// Sets the content type and echoes the attempt id.
+fn set_head(response: &mut Response<Body>, content_type: &'static str, attempt: &str) {
+    let headers = response.headers_mut();
+    headers.insert(
+        http::header::CONTENT_TYPE,
+        HeaderValue::from_static(content_type),
+    );
+    if let Ok(attempt) = HeaderValue::from_str(attempt) {
+        headers.insert("briarbank-attempt", attempt);
+    }
+}
+
+impl Endpoint for EngineEndpoint {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>, line: Arc<Line>) -> Reply {
+        let path = request.uri().path().to_owned();
+        if request.method() == Method::POST
+            && let Some(api) = Api::of_path(&path)
+        {
+            return self.call(api, request).await;
+        }
+        if request.method() == Method::GET && path == "/control/state" {
+            line.exempt();
+            return json_answer(StatusCode::OK, &self.stepper.counters());
+        }
+        if path == "/control/crash" {
+            self.stepper.clear();
+        }
+        match self.gate.control(request, &line).await {
+            Some(reply) => reply,
+            None => Ok(status(StatusCode::NOT_FOUND)),
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Small stand-ins for the systems outside the router, and the load tool.
+//!
+//! Each stand-in speaks the published protocol of what it replaces and has
+//! failure switches on the same port under `/control`. They serve until their
+//! shutdown future completes and join every task that they started.
+
+mod backend;
+mod engine;
+mod error;
+mod http;
+mod platform;
+mod service;
+
+pub use backend::{FalseLoad, Switches};
+pub use engine::{answer_length, answer_word, engine, prompt_hash};
+pub use error::Error;
+pub use http::{Answer, Client, ClientError, Running};
+pub use platform::{PlatformSwitches, StaleValue, platform};
+pub use service::service;
--- /dev/null
+++ b/crates/standin/src/service/mod.rs
@@ -0,0 +1,34 @@
+//! Stand-in for a plain service.
+
+mod endpoint;
+mod runs;
+
+use std::future::Future;
+use std::sync::Arc;
+
+use briarbank_config::ServiceSettings;
+
+use crate::backend::Gate;
+use crate::error::Error;
+use crate::http::{Port, Running, start};
+use endpoint::ServiceEndpoint;
+
+/// Serves calls of a plain service until `shutdown` completes.
+///
+/// `GET /control/runs` tells how often each request id ran. The switches are
+/// those of the engine, with each answer taken as a stream of one token.
+///
+/// # Errors
+///
+/// [`Error::Bind`] if the address can't be bound.
+pub async fn service(
+    settings: ServiceSettings,
+    shutdown: impl Future<Output = ()> + Send + 'static,
+) -> Result<Running, Error> {
+    let (port, crashes) = Port::new();
+    let gate = Gate::new(Arc::clone(&port), std::time::Duration::ZERO);
+    let address = settings.address;
+    let endpoint = Arc::new(ServiceEndpoint::new(&settings, gate));
+    let background = std::future::pending();
+    start(address, endpoint, port, crashes, background, shutdown).await
+}
--- /dev/null
+++ b/crates/standin/src/service/runs.rs
@@ -0,0 +1,84 @@
+//! Runs of each request id.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+
+use serde::Serialize;
+
+/// Most request ids that are remembered.
+const ID_LIMIT: usize = 1 << 20;
+
+/// How often each request id ran.
+#[derive(Debug, Default)]
+pub(crate) struct Runs {
+    counts: HashMap<Arc<str>, u32>,
+    order: VecDeque<Arc<str>>,
+    total: u64,
+    without_id: u64,
+}
+
+/// Runs in short.
+#[derive(Debug, Serialize)]
+pub(crate) struct RunSummary {
+    pub(crate) total: u64,
+    pub(crate) without_id: u64,
+    pub(crate) distinct: usize,
+    pub(crate) doubled: BTreeMap<Arc<str>, u32>,
+}
+
+/// Runs by request id.
+#[derive(Debug, Serialize)]
+pub(crate) struct RunList {
+    pub(crate) total: u64,
+    pub(crate) runs: BTreeMap<Arc<str>, u32>,
+    pub(crate) doubled: BTreeMap<Arc<str>, u32>,
+}
+
+impl Runs {
+    /// Counts a run, and tells how often the id has run now.
+    pub(crate) fn count(&mut self, id: Option<&str>) -> u32 {
+        self.total += 1;
+        let Some(id) = id else {
+            self.without_id += 1;
+            return 1;
+        };
+        if let Some(count) = self.counts.get_mut(id) {
+            *count += 1;
+            return *count;
+        }
+        if self.order.len() >= ID_LIMIT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.counts.remove(&oldest);
+        }
+        let id: Arc<str> = Arc::from(id);
+        self.order.push_back(Arc::clone(&id));
+        self.counts.insert(id, 1);
+        1
+    }
+
+    pub(crate) fn summary(&self) -> RunSummary {
+        RunSummary {
+            total: self.total,
+            without_id: self.without_id,
+            distinct: self.counts.len(),
+            doubled: self.above(1),
+        }
+    }
+
+    pub(crate) fn list(&self) -> RunList {
+        RunList {
+            total: self.total,
+            runs: self.above(0),
+            doubled: self.above(1),
+        }
+    }
+
+    fn above(&self, bound: u32) -> BTreeMap<Arc<str>, u32> {
+        self.counts
+            .iter()
+            .filter(|(_, count)| **count > bound)
+            .map(|(id, count)| (Arc::clone(id), *count))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,267 @@
+//! The engine stand-in keeps to the protocol of model engines.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use briarbank_standin::{Client, answer_length, answer_word, prompt_hash};
+use common::{Server, get_json, model_call, send, start_engine, switch};
+use serde_json::{Value, json};
+
+/// Seed of the lengths in [`start_engine`].
+const SEED: u64 = 7;
+const PATH: &str = "/v1/completions";
+
+fn whole_answer(prompt: &str, max_tokens: u32) -> Vec<String> {
+    let hash = prompt_hash(prompt);
+    let length = answer_length(hash, SEED, max_tokens);
+    (0..length)
+        .map(|i| answer_word(hash, i, i + 1 == length))
+        .collect()
+}
+
+/// Events of a stream, up to its end or break.
+async fn stream(
+    client: &Client,
+    at: SocketAddr,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Vec<String> {
+    let mut answer = send(client, at, "POST", PATH, headers, body)
+        .await
+        .expect("head");
+    let mut text = String::new();
+    while let Ok(Some(chunk)) = answer.chunk().await {
+        text.push_str(std::str::from_utf8(&chunk).expect("UTF-8"));
+    }
+    let events = text.split("\n\n").filter(|e| !e.is_empty());
+    events
+        .map(|e| e.strip_prefix("data: ").expect("data").to_owned())
+        .collect()
+}
+
+fn words(events: &[String]) -> Vec<String> {
+    let parsed = events
+        .iter()
+        .filter_map(|e| serde_json::from_str::<Value>(e).ok());
+    parsed
+        .filter_map(|e| Some(e["choices"][0]["text"].as_str()?.to_owned()))
+        .collect()
+}
+
+async fn started() -> (Server, Client) {
+    (start_engine(8, 0).await, Client::default())
+}
+
+#[tokio::test]
+async fn streams_the_whole_answer_once_in_order() {
+    let (engine, client) = started().await;
+    let headers = [("briarbank-attempt", "a-1")];
+    let events = stream(
+        &client,
+        engine.address,
+        &headers,
+        &model_call("which lenses", true, 200),
+    )
+    .await;
+    assert_eq!(events.last().map(String::as_str), Some("[DONE]"));
+    assert_eq!(words(&events), whole_answer("which lenses", 200));
+    for (index, event) in events[..events.len() - 1].iter().enumerate() {
+        let event: Value = serde_json::from_str(event).expect("JSON");
+        assert_eq!(event["index"], index);
+        assert_eq!(event["attempt"], "a-1");
+        let finish = &event["choices"][0]["finish_reason"];
+        assert_eq!(*finish == "stop", index + 2 == events.len());
+    }
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn plain_answer_is_that_of_the_stream() {
+    let (engine, client) = started().await;
+    let body = json!({"model": "m", "messages": [{"role": "user", "content": "a list"}]});
+    let answer = send(
+        &client,
+        engine.address,
+        "POST",
+        "/v1/chat/completions",
+        &[("briarbank-attempt", "a-2")],
+        &body.to_string(),
+    )
+    .await
+    .expect("answer");
+    assert_eq!(answer.header("briarbank-attempt"), Some("a-2"));
+    let answer: Value = serde_json::from_slice(&answer.whole().await.expect("body")).expect("JSON");
+    let text = whole_answer("a list", 256).concat();
+    assert_eq!(answer["choices"][0]["message"]["content"], text);
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn resumes_after_the_tokens_that_the_caller_has() {
+    let (engine, client) = started().await;
+    let whole = whole_answer("resume me", 300);
+    let have = whole.len() / 2;
+    let headers = [("briarbank-resume-tokens", &*have.to_string())];
+    let events = stream(
+        &client,
+        engine.address,
+        &headers,
+        &model_call("resume me", true, 300),
+    )
+    .await;
+    assert_eq!(words(&events), whole[have..]);
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn closed_connection_cancels_the_attempt() {
+    let engine = start_engine(1, 1_000).await;
+    let client = Client::default();
+    let prompt = (0..100_000)
+        .map(|n| format!("long {n}"))
+        .find(|p| whole_answer(p, 5_000).len() > 2_000)
+        .expect("a long answer");
+    let mut answer = send(
+        &client,
+        engine.address,
+        "POST",
+        PATH,
+        &[],
+        &model_call(&prompt, true, 5_000),
+    )
+    .await
+    .expect("head");
+    assert!(answer.chunk().await.expect("first").is_some());
+    drop(answer);
+    while get_json(&client, engine.address, "/control/state").await["cancelled"] != 1 {}
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn crash_breaks_the_stream_and_the_engine_comes_back() {
+    let (engine, client) = started().await;
+    let order = json!({"crash_after_tokens": 3, "crash_down_ms": 1});
+    switch(&client, engine.address, &order).await;
+    let body = model_call("long enough", true, 100);
+    let events = stream(&client, engine.address, &[], &body).await;
+    assert_eq!(words(&events), whole_answer("long enough", 100)[..3]);
+    loop {
+        let again = send(&client, engine.address, "POST", PATH, &[], &body).await;
+        if again.is_ok_and(|a| a.head.status == 200) {
+            break;
+        }
+    }
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn crossed_answers_carry_each_others_attempt() {
+    let (engine, client) = started().await;
+    switch(&client, engine.address, &json!({"cross_answers": true})).await;
+    let bodies = [model_call("one", true, 50), model_call("two", true, 50)];
+    let calls = ["a", "b"].map(|a| [("briarbank-attempt", a)]);
+    let (one, two) = tokio::join!(
+        stream(&client, engine.address, &calls[0], &bodies[0]),
+        stream(&client, engine.address, &calls[1], &bodies[1]),
+    );
+    let first = |events: &[String]| serde_json::from_str::<Value>(&events[0]).expect("JSON");
+    assert_eq!(first(&one)["attempt"], "b");
+    assert_eq!(first(&two)["attempt"], "a");
+    assert_eq!(words(&one)[0], whole_answer("two", 50)[0]);
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn silent_connections_stay_silent_while_new_ones_work() {
+    let engine = start_engine(8, 0).await;
+    let (old, new) = (Client::default(), Client::default());
+    let body = model_call("quiet", false, 10);
+    let first = send(&old, engine.address, "POST", PATH, &[], &body).await;
+    first.expect("head").whole().await.expect("body");
+    let order = send(&new, engine.address, "POST", "/control/silence", &[], "");
+    assert_eq!(order.await.expect("answer").head.status, 200);
+    let later_calls = async {
+        for _ in 0..20 {
+            let fresh = send(&new, engine.address, "POST", PATH, &[], &body).await;
+            fresh.expect("head").whole().await.expect("body");
+        }
+    };
+    tokio::select! {
+        biased;
+        _ = send(&old, engine.address, "POST", PATH, &[], &body) => panic!("a silent connection answered"),
+        () = later_calls => {}
+    }
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn malformed_events_are_no_json() {
+    let (engine, client) = started().await;
+    switch(&client, engine.address, &json!({"malformed_events": 1})).await;
+    let body = model_call("odd", true, 50);
+    let events = stream(&client, engine.address, &[], &body).await;
+    assert!(serde_json::from_str::<Value>(&events[0]).is_err());
+    assert_eq!(words(&events), whole_answer("odd", 50)[1..]);
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn leaving_engine_refuses_with_proof() {
+    let (engine, client) = started().await;
+    switch(&client, engine.address, &json!({"leaving": true})).await;
+    let body = model_call("late", false, 50);
+    let refused = send(&client, engine.address, "POST", PATH, &[], &body)
+        .await
+        .expect("answer");
+    assert_eq!(refused.head.status, 503);
+    assert_eq!(refused.header("briarbank-not-run"), Some("leaving"));
+    assert_eq!(refused.header("briarbank-server-state"), Some("leaving"));
+    let state = get_json(&client, engine.address, "/control/state").await;
+    assert_eq!(state["queued"], 0);
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn old_fencing_numbers_are_refused_only_where_checked() {
+    let (engine, client) = started().await;
+    let body = model_call("order", false, 5);
+    for (checks, number, status) in [
+        (false, "9", 200),
+        (false, "8", 200),
+        (true, "8", 409),
+        (true, "9", 200),
+    ] {
+        switch(&client, engine.address, &json!({"checks_fencing": checks})).await;
+        let headers = [("briarbank-fencing", number)];
+        let answer = send(&client, engine.address, "POST", PATH, &headers, &body).await;
+        assert_eq!(answer.expect("answer").head.status, status, "{number}");
+    }
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn false_load_replaces_the_report() {
+    let (engine, client) = started().await;
+    let load = json!({"false_load": {"running": 1, "waiting": 2, "age_ms": 3}});
+    switch(&client, engine.address, &load).await;
+    let body = model_call("load", false, 5);
+    let answer = send(&client, engine.address, "POST", PATH, &[], &body)
+        .await
+        .expect("answer");
+    assert_eq!(
+        answer.header("briarbank-load"),
+        Some("running=1,waiting=2,age_ms=3")
+    );
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn bad_requests_are_refused() {
+    let (engine, client) = started().await;
+    for body in ["", "{", "[]", "{\"model\": 3}"] {
+        let answer = send(&client, engine.address, "POST", PATH, &[], body).await;
+        assert_eq!(answer.expect("answer").head.status, 400, "{body}");
+    }
+    engine.stop().await;
+}
