Run the stand-ins by subcommand and publish first documents

Cause: the stand-ins had no program. Ruled out: fields for documents in the platform's settings, since every test that builds these settings would have to name files. The operator client is the one that the load tool has. Before: not in this build.

--- a/crates/briarbank/src/dump.rs
+++ b/crates/briarbank/src/dump.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 
+use bytes::Bytes;
 use http::Method;
 
 use crate::Error;
@@ -9,13 +10,31 @@
 use crate::run::runtime;
 use crate::table::render;
 
+/// Kind of the process that is asked for its state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Process {
+    /// Router node.
+    Node,
+    /// Stand-in of an outside system.
+    Standin,
+}
+
 /// Prints the state of a process, as tables or as the JSON that came.
 ///
 /// # Errors
 ///
 /// A process that can't be reached or gives no valid dump.
-pub fn dump(operator: &Operator, json: bool, out: &mut dyn Write) -> Result<(), Error> {
-    let body = runtime()?.block_on(operator.call(Method::GET, "/dump"))?;
+pub fn dump(
+    operator: &Operator,
+    process: Process,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<(), Error> {
+    let path = match process {
+        Process::Node => "/dump",
+        Process::Standin => "/control/state",
+    };
+    let body = runtime()?.block_on(operator.call(Method::GET, path, Bytes::new()))?;
     if json {
         out.write_all(&body)?;
         writeln!(out)?;
@@ -32,7 +51,7 @@
 ///
 /// A node that can't be reached or refuses.
 pub fn drain(operator: &Operator, out: &mut dyn Write) -> Result<(), Error> {
-    runtime()?.block_on(operator.call(Method::POST, "/drain"))?;
+    runtime()?.block_on(operator.call(Method::POST, "/drain", Bytes::new()))?;
     writeln!(out, "{}: planned stop begins", operator.address)?;
     Ok(())
 }
--- a/crates/briarbank/src/error.rs
+++ b/crates/briarbank/src/error.rs
@@ -38,6 +38,12 @@
             display("{error}")
             from()
         }
+        /// A stand-in can't run.
+        Standin(error: briarbank_standin::Error) {
+            source(error)
+            display("{error}")
+            from()
+        }
         /// This part is not in this build.
         Missing(part: &'static str) {
             display("`briarbank {part}` is not in this build")
@@ -52,15 +58,10 @@
             display("input or output failed: {error}")
             from()
         }
-        /// No connection to an operator port.
-        Connect(address: SocketAddr, error: io::Error) {
+        /// A call to another process failed.
+        Call(address: SocketAddr, error: briarbank_standin::ClientError) {
             source(error)
-            display("{address} can't be reached: {error}")
-        }
-        /// A request to an operator port failed.
-        Http(address: SocketAddr, error: hyper::Error) {
-            source(error)
-            display("{address} gave no whole answer: {error}")
+            display("{address} gave no answer: {error}")
         }
         /// No answer from an operator port in time.
         Timeout(address: SocketAddr) {
@@ -70,10 +71,6 @@
         Status(address: SocketAddr, status: http::StatusCode) {
             display("{address} answered {status}; --settings names a file with the shared key")
         }
-        /// An answer of an operator port is larger than allowed.
-        AnswerSize(address: SocketAddr, limit_bytes: usize) {
-            display("{address} answered with more than {limit_bytes} bytes")
-        }
         /// A dump is not JSON.
         Dump(address: SocketAddr, error: serde_json::Error) {
             source(error)
@@ -93,10 +90,8 @@
         match self {
             Self::NoCommand | Self::NothingToCheck | Self::LogFilter(_) => EXIT_USAGE,
             Self::Config(_) | Self::Invalid(_) | Self::Key(_) => EXIT_INVALID,
-            Self::Connect(..) | Self::Http(..) | Self::Timeout(_) | Self::Status(..) => {
-                EXIT_UNREACHABLE
-            }
-            Self::Io(_) | Self::Missing(_) | Self::AnswerSize(..) | Self::Dump(..) => EXIT_FAILED,
+            Self::Call(..) | Self::Timeout(_) | Self::Status(..) => EXIT_UNREACHABLE,
+            Self::Io(_) | Self::Missing(_) | Self::Standin(_) | Self::Dump(..) => EXIT_FAILED,
         }
     }
 }
--- a/crates/briarbank/src/flags.rs
+++ b/crates/briarbank/src/flags.rs
@@ -4,18 +4,18 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use briarbank::{Operator, Selection};
+use briarbank::{DocumentFiles, Operator, Process, Selection};
 
 xflags::xflags! {
     /// Router for language-model traffic with service levels.
     ///
     /// EXAMPLES:
     ///   briarbank demo
-    ///   briarbank check --node settings/node.json --config settings/recife/config.json
-    ///   briarbank node settings/node.json
-    ///   briarbank dump 127.0.0.1:7002 --settings settings/node.json
-    ///   briarbank drain 127.0.0.1:7002 --settings settings/node.json
-    ///   briarbank standin engine settings/engine.json
+    ///   briarbank check --node settings/nordeste/node-recife-1.json
+    ///   briarbank node settings/nordeste/node-recife-1.json
+    ///   briarbank dump 127.0.0.1:7112 --settings settings/nordeste/node-recife-1.json
+    ///   briarbank drain 127.0.0.1:7112 --settings settings/nordeste/node-recife-1.json
+    ///   briarbank standin engine settings/nordeste/engine.json
     ///   briarbank load settings/load.json --json
     ///
     /// EXIT CODES:
@@ -39,7 +39,7 @@
 
         /// Validate settings and published documents, offline and together.
         ///
-        /// Example: briarbank check --node settings/node.json --hosts hosts.json
+        /// Example: briarbank check --node settings/nordeste/node-recife-1.json --hosts hosts.json
         cmd check {
             /// Settings of a node.
             repeated --node path: PathBuf
@@ -59,19 +59,21 @@
 
         /// Print the state of a running process as tables.
         ///
-        /// Example: briarbank dump 127.0.0.1:7002 --settings settings/node.json
+        /// Example: briarbank dump 127.0.0.1:7112 --settings settings/nordeste/node-recife-1.json
         cmd dump {
             /// Address of the operator port.
             required address: SocketAddr
             /// Settings of a node, to take the shared key from.
             optional --settings path: PathBuf
+            /// The address is the port of a stand-in.
+            optional --standin
             /// Print the JSON as it came.
             optional --json
         }
 
         /// Tell a node to stop as planned.
         ///
-        /// Example: briarbank drain 127.0.0.1:7002 --settings settings/node.json
+        /// Example: briarbank drain 127.0.0.1:7112 --settings settings/nordeste/node-recife-1.json
         cmd drain {
             /// Address of the operator port.
             required address: SocketAddr
@@ -98,6 +100,12 @@
             cmd platform {
                 /// Settings file.
                 required settings: PathBuf
+                /// Host list to publish at first.
+                optional --hosts path: PathBuf
+                /// Server list to publish at first.
+                optional --servers path: PathBuf
+                /// Configuration to publish at first.
+                optional --config path: PathBuf
             }
             /// Run a model engine.
             cmd engine {
@@ -127,7 +135,25 @@
     }
 }
 
+impl Platform {
+    pub fn documents(&self) -> DocumentFiles {
+        DocumentFiles {
+            hosts: self.hosts.clone(),
+            servers: self.servers.clone(),
+            config: self.config.clone(),
+        }
+    }
+}
+
 impl Dump {
+    pub fn process(&self) -> Process {
+        if self.standin {
+            Process::Standin
+        } else {
+            Process::Node
+        }
+    }
+
     pub fn operator(&self) -> Operator {
         Operator {
             address: self.address,
--- a/crates/briarbank/src/lib.rs
+++ b/crates/briarbank/src/lib.rs
@@ -8,14 +8,17 @@
 mod error;
 mod logs;
 mod operator;
+mod publish;
 mod run;
+mod signal;
 
 mod table;
 
 pub use check::{Selection, check};
-pub use dump::{drain, dump};
+pub use dump::{Process, drain, dump};
 pub use error::{EXIT_FAILED, EXIT_INVALID, EXIT_UNREACHABLE, EXIT_USAGE, Error};
 pub use logs::init_logs;
 pub use operator::Operator;
+pub use publish::DocumentFiles;
 pub use run::{demo, engine, load, node, platform, service};
 pub use table::render;
--- a/crates/briarbank/src/main.rs
+++ b/crates/briarbank/src/main.rs
@@ -37,13 +37,16 @@
         BriarbankCmd::Node(node) => briarbank::node(&node.settings),
         BriarbankCmd::Check(check) => briarbank::check(&check.into(), &mut std::io::stdout()),
         BriarbankCmd::Dump(dump) => {
-            briarbank::dump(&dump.operator(), dump.json, &mut std::io::stdout())
+            let mut out = std::io::stdout();
+            briarbank::dump(&dump.operator(), dump.process(), dump.json, &mut out)
         }
         BriarbankCmd::Drain(drain) => briarbank::drain(&drain.operator(), &mut std::io::stdout()),
         BriarbankCmd::Demo(_) => briarbank::demo(&mut std::io::stdout()),
         BriarbankCmd::Load(load) => briarbank::load(&load.plan, load.json, &mut std::io::stdout()),
         BriarbankCmd::Standin(standin) => match standin.subcommand {
-            StandinCmd::Platform(platform) => briarbank::platform(&platform.settings),
+            StandinCmd::Platform(platform) => {
+                briarbank::platform(&platform.settings, &platform.documents())
+            }
             StandinCmd::Engine(engine) => briarbank::engine(&engine.settings),
             StandinCmd::Service(service) => briarbank::service(&service.settings),
         },
--- a/crates/briarbank/src/run.rs
+++ b/crates/briarbank/src/run.rs
@@ -7,6 +7,8 @@
 use tokio::runtime::{Builder, Runtime};
 
 use crate::Error;
+use crate::publish::{DocumentFiles, publish};
+use crate::signal::shutdown;
 
 pub(crate) fn runtime() -> Result<Runtime, Error> {
     Ok(Builder::new_multi_thread().enable_all().build()?)
@@ -22,14 +24,22 @@
     Err(Error::Missing("node"))
 }
 
-/// Runs the platform stand-in.
+/// Runs the platform stand-in, with the documents that it publishes at first.
 ///
 /// # Errors
 ///
-/// Invalid settings, or a stand-in that can't run.
-pub fn platform(path: &Path) -> Result<(), Error> {
-    let _settings: PlatformSettings = briarbank_config::load(path)?;
-    Err(Error::Missing("standin platform"))
+/// Invalid settings or documents, or a stand-in that can't run.
+pub fn platform(path: &Path, documents: &DocumentFiles) -> Result<(), Error> {
+    let settings: PlatformSettings = briarbank_config::load(path)?;
+    let documents = documents.read()?;
+    runtime()?.block_on(async {
+        let running = briarbank_standin::platform(settings, shutdown()?).await?;
+        for (key, body) in documents {
+            publish(running.address(), key, body).await?;
+        }
+        running.join().await;
+        Ok(())
+    })
 }
 
 /// Runs a model engine stand-in.
@@ -38,8 +48,12 @@
 ///
 /// Invalid settings, or a stand-in that can't run.
 pub fn engine(path: &Path) -> Result<(), Error> {
-    let _settings: EngineSettings = briarbank_config::load(path)?;
-    Err(Error::Missing("standin engine"))
+    let settings: EngineSettings = briarbank_config::load(path)?;
+    runtime()?.block_on(async {
+        let running = briarbank_standin::engine(settings, shutdown()?).await?;
+        running.join().await;
+        Ok(())
+    })
 }
 
 /// Runs a plain service stand-in.
@@ -48,8 +62,12 @@
 ///
 /// Invalid settings, or a stand-in that can't run.
 pub fn service(path: &Path) -> Result<(), Error> {
-    let _settings: ServiceSettings = briarbank_config::load(path)?;
-    Err(Error::Missing("standin service"))
+    let settings: ServiceSettings = briarbank_config::load(path)?;
+    runtime()?.block_on(async {
+        let running = briarbank_standin::service(settings, shutdown()?).await?;
+        running.join().await;
+        Ok(())
+    })
 }
 
 /// Runs stand-ins and two nodes in this process and shows some calls.
