Run the whole path through separate processes

Two nodes, platform, engine and service as processes of the binary: one streamed answer checked token by token, and 16 slips each asked for at both nodes, run once each. Found on the way: the owner watched for a reset on the head's handle, which fails once the head is out, and so dropped each forwarded call; it now watches the stream.

--- a/crates/briarbank/src/error.rs
+++ b/crates/briarbank/src/error.rs
@@ -44,6 +44,12 @@
             display("{error}")
             from()
         }
+        /// A node can't run.
+        Node(error: briarbank_node::Error) {
+            source(error)
+            display("{error}")
+            from()
+        }
         /// This part is not in this build.
         Missing(part: &'static str) {
             display("`briarbank {part}` is not in this build")
@@ -91,7 +97,9 @@
             Self::NoCommand | Self::NothingToCheck | Self::LogFilter(_) => EXIT_USAGE,
             Self::Config(_) | Self::Invalid(_) | Self::Key(_) => EXIT_INVALID,
             Self::Call(..) | Self::Timeout(_) | Self::Status(..) => EXIT_UNREACHABLE,
-            Self::Io(_) | Self::Missing(_) | Self::Standin(_) | Self::Dump(..) => EXIT_FAILED,
+            Self::Io(_) | Self::Missing(_) | Self::Node(_) | Self::Standin(_) | Self::Dump(..) => {
+                EXIT_FAILED
+            }
         }
     }
 }
--- a/crates/briarbank/src/run.rs
+++ b/crates/briarbank/src/run.rs
@@ -20,8 +20,11 @@
 ///
 /// Invalid settings, or a node that can't run.
 pub fn node(path: &Path) -> Result<(), Error> {
-    let _settings: NodeSettings = briarbank_config::load(path)?;
-    Err(Error::Missing("node"))
+    let settings: NodeSettings = briarbank_config::load(path)?;
+    runtime()?.block_on(async {
+        briarbank_node::run(settings, shutdown()?).await?;
+        Ok(())
+    })
 }
 
 /// Runs the platform stand-in, with the documents that it publishes at first.
--- /dev/null
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -0,0 +1,208 @@
+//! A small fleet of separate processes on loopback addresses of its own.
+
+#![expect(dead_code, reason = "each test file uses a part of it")]
+#![expect(unreachable_pub, reason = "shared by test files as a module")]
+
+mod caller;
+mod process;
+mod published;
+
+pub use caller::{Answer, Call, Caller};
+pub use process::Process;
+pub use published::{NodeAddresses, Published, ServerEntry};
+
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use serde_json::{Value, json};
+
+/// Key that the nodes share.
+pub const KEY: &str = "key-of-the-tests";
+
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// Processes of one test; they end with it.
+#[derive(Debug)]
+pub struct Fleet {
+    ip: IpAddr,
+    folder: PathBuf,
+    pub published: Published,
+    pub platform: Process,
+    pub engines: Vec<Process>,
+    pub services: Vec<Process>,
+    pub nodes: Vec<Process>,
+}
+
+/// Sizes of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub nodes: usize,
+    pub engines: usize,
+    pub services: usize,
+    /// Time for one token of an engine.
+    pub token_us: u64,
+    /// Time for one call of a service.
+    pub call_us: u64,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            nodes: 2,
+            engines: 1,
+            services: 1,
+            token_us: 500,
+            call_us: 500,
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts all processes and waits until the nodes are ready.
+    pub async fn start(size: Size) -> Self {
+        let ip = own_address();
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{ip}"));
+        fs::create_dir_all(&folder).expect("a scratch folder");
+        let platform_address = free_port(ip);
+        let platform = Process::start(
+            &folder,
+            "platform",
+            &["standin", "platform"],
+            &json!({"address": platform_address, "rate_per_s": 2000}),
+            platform_address,
+        );
+        let mut fleet = Self {
+            ip,
+            folder,
+            published: Published::default(),
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            nodes: Vec::new(),
+        };
+        for _ in 0..size.engines {
+            fleet.start_engine(size.token_us);
+        }
+        for _ in 0..size.services {
+            fleet.start_service(size.call_us);
+        }
+        for _ in 0..size.nodes {
+            fleet.list_node();
+        }
+        fleet.platform.listening().await;
+        fleet.publish_all().await;
+        for index in 0..size.nodes {
+            fleet.start_node(index);
+        }
+        for node in &fleet.nodes {
+            node.ready().await;
+        }
+        fleet
+    }
+
+    fn start_engine(&mut self, token_us: u64) {
+        let name = format!("engine-{}", self.engines.len());
+        let address = free_port(self.ip);
+        let settings = json!({
+            "server": name, "address": address, "slots": 32, "token_us": token_us,
+            "batch_token_us": 1, "prompt_us": 10, "cached_prefixes": 100,
+            "load_lag_ms": 0, "seed": 7,
+        });
+        let arguments = ["standin", "engine"];
+        let process = Process::start(&self.folder, &name, &arguments, &settings, address);
+        self.engines.push(process);
+        self.published.list_server(&name, address, "lens-model");
+    }
+
+    fn start_service(&mut self, call_us: u64) {
+        let name = format!("service-{}", self.services.len());
+        let address = free_port(self.ip);
+        let settings = json!({
+            "server": name, "service": "slips", "address": address, "call_us": call_us,
+        });
+        let arguments = ["standin", "service"];
+        let process = Process::start(&self.folder, &name, &arguments, &settings, address);
+        self.services.push(process);
+        self.published.list_server(&name, address, "slips");
+    }
+
+    fn list_node(&mut self) {
+        let addresses = NodeAddresses {
+            caller: free_port(self.ip),
+            peer: free_port(self.ip),
+            operator: free_port(self.ip),
+        };
+        self.published.list_node(addresses);
+    }
+
+    /// Starts the process of a listed node, as after a restart.
+    pub fn start_node(&mut self, index: usize) {
+        let name = Published::host_name(index);
+        let addresses = self.published.nodes[index];
+        let settings = json!({
+            "host": name, "zone": "zone-a",
+            "caller_address": addresses.caller,
+            "peer_address": addresses.peer,
+            "operator_address": addresses.operator,
+            "platform_addresses": [self.platform.address],
+            "shared_key": KEY,
+        });
+        let process = Process::start(
+            &self.folder,
+            &name,
+            &["node"],
+            &settings,
+            addresses.operator,
+        );
+        if index < self.nodes.len() {
+            self.nodes[index] = process;
+        } else {
+            self.nodes.push(process);
+        }
+    }
+
+    /// Publishes all documents anew.
+    pub async fn publish_all(&self) {
+        for (key, document) in self.published.documents() {
+            self.publish(key, &document).await;
+        }
+    }
+
+    /// Publishes one document.
+    pub async fn publish(&self, key: &str, document: &Value) {
+        let path = format!("/control/values/{key}");
+        self.platform.put(&path, document).await;
+    }
+
+    /// A caller of the node.
+    pub fn caller(&self, node: usize) -> Caller {
+        Caller::new(self.published.nodes[node].caller)
+    }
+
+    /// How often a request id ran, over all services.
+    pub async fn runs(&self, id: &str) -> u64 {
+        let mut runs = 0;
+        for service in &self.services {
+            let list = service.get("/control/runs").await;
+            runs += list["runs"][id].as_u64().unwrap_or(0);
+        }
+        runs
+    }
+}
+
+/// A loopback address that no other test of any process uses.
+fn own_address() -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    // 127.0.0.x stays free for what other programs use.
+    let second = 1 + high % 200;
+    IpAddr::V4(Ipv4Addr::new(127, second, low, fleet))
+}
+
+/// A free port of the address; nothing else binds there in the meantime.
+fn free_port(ip: IpAddr) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
+    listener.local_addr().expect("its address")
+}
--- /dev/null
+++ b/crates/briarbank/tests/fleet/published.rs
@@ -0,0 +1,102 @@
+//! Documents that the platform publishes.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+/// Ports of a node.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeAddresses {
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub operator: SocketAddr,
+}
+
+/// A listed server.
+#[derive(Clone, Debug)]
+pub struct ServerEntry {
+    pub name: String,
+    pub address: SocketAddr,
+    pub target: String,
+}
+
+/// Documents of one fleet.
+#[derive(Clone, Debug, Default)]
+pub struct Published {
+    pub nodes: Vec<NodeAddresses>,
+    pub servers: Vec<ServerEntry>,
+}
+
+impl Published {
+    /// Name of the node with that index.
+    pub fn host_name(index: usize) -> String {
+        format!("node-{index}")
+    }
+
+    pub(super) fn list_node(&mut self, addresses: NodeAddresses) {
+        self.nodes.push(addresses);
+    }
+
+    pub(super) fn list_server(&mut self, name: &str, address: SocketAddr, target: &str) {
+        self.servers.push(ServerEntry {
+            name: name.to_owned(),
+            address,
+            target: target.to_owned(),
+        });
+    }
+
+    pub(super) fn documents(&self) -> [(&'static str, Value); 3] {
+        [
+            ("config", config()),
+            ("servers", self.servers()),
+            ("hosts", self.hosts()),
+        ]
+    }
+
+    fn hosts(&self) -> Value {
+        let hosts: Vec<Value> = self.nodes.iter().enumerate().map(host).collect();
+        json!({ "hosts": hosts })
+    }
+
+    fn servers(&self) -> Value {
+        let servers: Vec<Value> = self.servers.iter().map(server).collect();
+        json!({ "servers": servers })
+    }
+}
+
+fn host((index, addresses): (usize, &NodeAddresses)) -> Value {
+    json!({
+        "name": Published::host_name(index), "zone": "zone-a",
+        "peer_address": addresses.peer, "state": "live",
+    })
+}
+
+fn server(entry: &ServerEntry) -> Value {
+    json!({
+        "name": entry.name, "zone": "zone-a", "address": entry.address,
+        "targets": [entry.target], "slots": 32, "state": "live",
+    })
+}
+
+fn config() -> Value {
+    json!({
+        "profiles": [
+            profile("slips", 0, false),
+            profile("lists", 1, true),
+            profile("orders", 0, false),
+        ],
+        "workspaces": [{"name": "w", "weight": 1.0, "in_flight_limit": 1000}],
+        "targets": [
+            {"name": "lens-model", "kind": "model"},
+            {"name": "slips", "kind": "service"},
+        ],
+    })
+}
+
+fn profile(name: &str, tier: u8, idempotent: bool) -> Value {
+    json!({
+        "name": name, "tier": tier, "idempotent": idempotent,
+        "first_token_ms": 2000, "between_tokens_ms": 100, "whole_ms": 60000,
+        "share_ratio": 0.2, "queue_limit": 1000,
+    })
+}
--- a/crates/node/src/peer/reply.rs
+++ b/crates/node/src/peer/reply.rs
@@ -27,20 +27,22 @@
     let Ok(mut stream) = respond.send_response(Response::new(()), false) else {
         return;
     };
-    let answer = async {
-        let reply = calls.run(inbound).await;
-        write(&mut stream, reply).await
+    // Dropping the call's future tells its task that nobody waits for it.
+    let reply = tokio::select! {
+        reply = calls.run(inbound) => reply,
+        () = reset(&mut stream) => return,
     };
-    // Dropping the answer tells the call's task that nobody waits for it.
-    let answered = tokio::select! {
-        answered = answer => answered.is_ok(),
-        _ = poll_fn(|cx| respond.poll_reset(cx)) => true,
-    };
-    if !answered {
+    if write(&mut stream, reply).await.is_err() {
         stream.send_reset(h2::Reason::INTERNAL_ERROR);
     }
 }
 
+/// Waits until the node that forwarded the call gives it up.
+async fn reset(stream: &mut SendStream<Bytes>) {
+    // Any end of the stream counts, also a broken connection.
+    let _ = poll_fn(|cx| stream.poll_reset(cx)).await;
+}
+
 async fn read(calls: &Calls, mut stream: RecvStream) -> Option<Inbound> {
     let mut reader = FrameReader::default();
     let mut head: Option<CallHead> = None;
@@ -110,11 +112,16 @@
     match body {
         None => {}
         Some(ReplyBody::Whole(bytes)) => write_all(stream, bytes).await?,
-        Some(ReplyBody::Stream(mut chunks)) => {
-            while let Some(chunk) = chunks.next().await {
-                write_all(stream, chunk).await?;
-            }
-        }
+        Some(ReplyBody::Stream(mut chunks)) => loop {
+            let chunk = tokio::select! {
+                chunk = chunks.next() => chunk,
+                () = reset(stream) => return Err(Broken),
+            };
+            let Some(chunk) = chunk else {
+                break;
+            };
+            write_all(stream, chunk).await?;
+        },
     }
     finish(stream)
 }
--- a/crates/standin/src/backend/gate.rs
+++ b/crates/standin/src/backend/gate.rs
@@ -122,7 +122,19 @@
     }
 
     /// Adds the headers that each answer carries.
-    pub(crate) fn stamp(&self, response: &mut Response<Body>, running: u32, waiting: u32) {
+    ///
+    /// An answer that carries an attempt id already, as a crossed one, keeps it.
+    pub(crate) fn stamp(
+        &self,
+        response: &mut Response<Body>,
+        attempt: &str,
+        running: u32,
+        waiting: u32,
+    ) {
+        if let Ok(attempt) = HeaderValue::from_str(attempt) {
+            let headers = response.headers_mut();
+            headers.entry("briarbank-attempt").or_insert(attempt);
+        }
         let switches = self.switches();
         let load = switches
             .false_load
--- a/crates/standin/src/engine/endpoint.rs
+++ b/crates/standin/src/engine/endpoint.rs
@@ -57,6 +57,9 @@
     }
 
     async fn call(&self, api: Api, request: Request<Incoming>) -> Reply {
+        let attempt = header(&request, "briarbank-attempt")
+            .unwrap_or("")
+            .to_owned();
         let mut response = match self.gate.refusal(&request).await {
             Some(refusal) => refusal,
             None => self.run(api, request).await?,
@@ -65,7 +68,7 @@
         self.gate.thawed().await;
         let counters = self.stepper.counters();
         self.gate
-            .stamp(&mut response, counters.running, counters.waiting);
+            .stamp(&mut response, &attempt, counters.running, counters.waiting);
         Ok(response)
     }
 
--- a/crates/standin/src/service/endpoint.rs
+++ b/crates/standin/src/service/endpoint.rs
@@ -52,6 +52,9 @@
     }
 
     async fn call(&self, request: Request<Incoming>) -> Reply {
+        let attempt = header(&request, "briarbank-attempt")
+            .unwrap_or("")
+            .to_owned();
         let mut response = match self.gate.refusal(&request).await {
             Some(refusal) => refusal,
             None => self.run(request).await?,
@@ -59,7 +62,7 @@
         self.gate.late().await;
         self.gate.thawed().await;
         let running = self.running.load(Ordering::Relaxed);
-        self.gate.stamp(&mut response, running, 0);
+        self.gate.stamp(&mut response, &attempt, running, 0);
         Ok(response)
     }
 
