--- a/crates/briarbank/tests/fleet/process.rs
+++ b/crates/briarbank/tests/fleet/process.rs
@@ -86,6 +86,17 @@
         }
     }
 
+    /// Waits until a node holds all ids that the host list gives to it.
+    pub async fn owning(&self) {
+        loop {
+            let owner = &self.get("/dump").await["owner"];
+            if owner["owned_slots"] != 0 && owner["held_slots"] == owner["owned_slots"] {
+                return;
+            }
+            sleep(POLL).await;
+        }
+    }
+
     /// JSON behind a path.
     pub async fn get(&self, path: &str) -> Value {
         let (status, body) = self.call(Method::GET, path, Bytes::new()).await;
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -63,10 +63,6 @@
         }
     }
 
-    pub(crate) fn host(&self) -> &HostName {
-        &self.host
-    }
-
     /// Number of calls that wait or run.
     pub(crate) fn calls(&self) -> usize {
         self.calls.len()
--- a/crates/node/src/call/calls.rs
+++ b/crates/node/src/call/calls.rs
@@ -73,7 +73,7 @@
     /// Runs a call; dropping the future says that the caller is gone.
     pub(crate) async fn run(&self, inbound: Inbound) -> Reply {
         let shared = &self.shared;
-        let unproven = unproven(inbound.call.first_try);
+        let unproven = inbound.call.unproven();
         let Ok(permit) = Arc::clone(&shared.permits).try_acquire_owned() else {
             return refusal(Reason::QueueFull, unproven);
         };
@@ -102,15 +102,6 @@
     }
 }
 
-/// Outcome to state before the core has seen the call.
-pub(crate) fn unproven(first_try: bool) -> Outcome {
-    if first_try {
-        Outcome::NotRun
-    } else {
-        Outcome::Unknown
-    }
-}
-
 fn refusal(reason: Reason, outcome: Outcome) -> Reply {
     Reply::Refusal(Refusal {
         reason,
--- a/crates/node/src/caller/http.rs
+++ b/crates/node/src/caller/http.rs
@@ -16,7 +16,7 @@
 use super::headers::CallerHeaders;
 use super::model::ModelCall;
 use super::response::{self, CallerResponse, EarlyRefusal};
-use crate::call::{Calls, Inbound, unproven};
+use crate::call::{Calls, Inbound};
 use crate::control::Control;
 
 const MODELS_PATH: &str = "/v1/models";
@@ -89,7 +89,7 @@
         };
         let mut response = match self.inbound(request, &headers).await {
             Ok(inbound) => response::from_reply(self.calls.run(inbound).await),
-            Err(early) => early.response(unproven(headers.first_try)),
+            Err(early) => early.response(headers.unproven()),
         };
         response::name_request(&mut response, headers.request.as_str());
         response
--- a/crates/node/src/dump.rs
+++ b/crates/node/src/dump.rs
@@ -1,49 +1,17 @@
 //! State of the process on request.
 
-use briarbank_core::conf::Key;
 use briarbank_core::hosts::Host;
-use briarbank_core::ids::{HostName, Revision};
-use briarbank_core::node::Node;
+use briarbank_core::node;
 use serde::{Deserialize, Serialize};
 
-use crate::actions::Actions;
-
-/// Adopted revision of one published value.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Adopted {
-    /// Which value.
-    pub key: Key,
-    /// Its revision, 0 before the first.
-    pub revision: Revision,
-}
-
-/// State of a node.
+/// State of a node's process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Dump {
-    /// Name in the host list.
-    pub host: HostName,
-    /// Whether it serves callers.
-    pub ready: bool,
-    /// Calls that wait or run.
-    pub calls: usize,
-    /// Published values in force.
-    pub values: Vec<Adopted>,
+    /// State of its decisions.
+    #[serde(flatten)]
+    pub node: node::Dump,
+    /// Tasks of calls that wait for orders.
+    pub call_tasks: usize,
     /// Host list in force.
     pub hosts: Vec<Host>,
 }
-
-impl Dump {
-    pub(crate) fn new(node: &Node, actions: &Actions) -> Self {
-        let adopted = |key| Adopted {
-            key,
-            revision: node.revision(key),
-        };
-        Self {
-            host: actions.host().clone(),
-            ready: node.ready(),
-            calls: actions.calls(),
-            values: Key::ALL.map(adopted).to_vec(),
-            hosts: node.hosts().hosts.clone(),
-        }
-    }
-}
