Check streams under faults through separate processes

Engine crash in mid-stream, cut, malformed and crossed answers, late heads, and connections that go silent, each with streams checked token by token. A planned stop now waits until all answers are out before it ends connections; connections beyond the bound get a clear refusal; calls that may not be repeated take no connection that was idle for a second.

--- a/crates/briarbank/tests/fleet/caller.rs
+++ b/crates/briarbank/tests/fleet/caller.rs
@@ -2,13 +2,26 @@
 
 use std::net::SocketAddr;
 
-use briarbank_standin::{Client, answer_word, prompt_hash};
+use briarbank_standin::{Client, answer_length, answer_word, prompt_hash};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
 use uuid::Uuid;
 
+/// Seed of the engines' answer lengths.
+pub const ENGINE_SEED: u64 = 7;
+
+/// A prompt whose answer has at least that many tokens, when they are allowed.
+pub fn long_prompt(tokens: u32) -> String {
+    let prompts = (0..).map(|number| format!("long list {number}"));
+    let is_long = |prompt: &String| {
+        let length = answer_length(prompt_hash(prompt), ENGINE_SEED, u32::MAX);
+        length >= tokens
+    };
+    prompts.into_iter().find(is_long).expect("lengths vary")
+}
+
 /// Calls one node.
 #[derive(Debug)]
 pub struct Caller {
--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -1,14 +1,15 @@
 //! A small fleet of separate processes on loopback addresses of its own.
 
-#![expect(dead_code, reason = "each test file uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 #![expect(unreachable_pub, reason = "shared by test files as a module")]
 
 mod caller;
 mod process;
 mod published;
 
-pub use caller::{Call, Caller};
-pub use process::Process;
+use caller::ENGINE_SEED;
+pub use caller::{Call, Caller, long_prompt};
+pub use process::{POLL, Process};
 use published::NodeAddresses;
 pub use published::Published;
 
@@ -127,7 +128,7 @@
         let settings = json!({
             "server": name, "address": address, "slots": 32, "token_us": token_us,
             "batch_token_us": 1, "prompt_us": 10, "cached_prefixes": 100,
-            "load_lag_ms": 0, "seed": 7,
+            "load_lag_ms": 0, "seed": ENGINE_SEED,
         });
         let arguments = ["standin", "engine"];
         let process = Process::start(&self.folder, &name, &arguments, &settings, address);
--- /dev/null
+++ b/crates/briarbank/tests/streams.rs
@@ -0,0 +1,132 @@
+//! Streamed answers under faults of the engines.
+
+mod fleet;
+
+use fleet::{Call, Fleet, POLL, Size, long_prompt};
+use http::StatusCode;
+use serde_json::json;
+
+/// Two engines behind one node, with slow tokens so that faults hit streams.
+const SIZE: Size = Size {
+    nodes: 1,
+    engines: 2,
+    services: 0,
+    token_us: 2_000,
+    call_us: 0,
+};
+
+/// Sends several streams at once and checks that each is whole, in order and its own.
+async fn assert_streams_whole(fleet: &Fleet, count: usize, max_tokens: u32) {
+    let caller = fleet.caller(0);
+    let calls = (0..count).map(|number| {
+        let caller = &caller;
+        async move {
+            let prompt = format!("list {number}");
+            let call = Call::stream(&prompt, max_tokens);
+            let answer = caller.send(&call).await.expect("an answer");
+            answer.assert_stream_of(&prompt);
+        }
+    });
+    futures_util::future::join_all(calls).await;
+}
+
+#[tokio::test]
+async fn crash_of_an_engine_in_mid_stream_is_resumed() {
+    let fleet = Fleet::start(SIZE).await;
+    let crash = json!({"crash_after_tokens": 5, "crash_down_ms": 300});
+    fleet.engines[0].post("/control", &crash).await;
+    assert_streams_whole(&fleet, 12, 200).await;
+}
+
+#[tokio::test]
+async fn stream_that_breaks_off_is_resumed() {
+    let fleet = Fleet::start(SIZE).await;
+    for engine in &fleet.engines {
+        engine
+            .post("/control", &json!({"cut_after_tokens": 3}))
+            .await;
+    }
+    assert_streams_whole(&fleet, 8, 100).await;
+}
+
+#[tokio::test]
+async fn malformed_events_never_reach_the_caller() {
+    let fleet = Fleet::start(SIZE).await;
+    for engine in &fleet.engines {
+        engine
+            .post("/control", &json!({"malformed_events": 2}))
+            .await;
+    }
+    assert_streams_whole(&fleet, 8, 100).await;
+}
+
+#[tokio::test]
+async fn crossed_answers_reach_nobody() {
+    let fleet = Fleet::start(SIZE).await;
+    for engine in &fleet.engines {
+        engine
+            .post("/control", &json!({"cross_answers": true}))
+            .await;
+    }
+    assert_streams_whole(&fleet, 8, 50).await;
+    let crossed = fleet.nodes[0]
+        .metric("briarbank_crossed_answers_total")
+        .await;
+    assert!(crossed >= 2.0, "{crossed}");
+}
+
+#[tokio::test]
+async fn late_answers_are_whole() {
+    let fleet = Fleet::start(SIZE).await;
+    fleet.engines[0]
+        .post("/control", &json!({"late_ms": 400}))
+        .await;
+    assert_streams_whole(&fleet, 8, 50).await;
+}
+
+#[tokio::test]
+async fn connections_that_go_silent_are_replaced() {
+    let fleet = Fleet::start(SIZE).await;
+    assert_streams_whole(&fleet, 8, 20).await;
+    // The connections that the node keeps are lost; new ones work.
+    for engine in &fleet.engines {
+        engine.post("/control/silence", &json!({})).await;
+    }
+    assert_streams_whole(&fleet, 8, 20).await;
+}
+
+#[tokio::test]
+async fn connection_that_goes_silent_in_mid_stream_is_replaced() {
+    let fleet = Fleet::start(SIZE).await;
+    let caller = fleet.caller(0);
+    let prompt = long_prompt(400);
+    let call = Call::stream(&prompt, 1_000);
+    let (answer, ()) = tokio::join!(caller.send(&call), silence_running(&fleet));
+    let tokens = answer.expect("an answer").assert_stream_of(&prompt);
+    assert!(tokens >= 400, "{tokens}");
+}
+
+/// Makes open connections silent of the first engine that generates tokens.
+async fn silence_running(fleet: &Fleet) {
+    loop {
+        for engine in &fleet.engines {
+            let state = engine.get("/control/state").await;
+            if state["tokens"].as_u64() > Some(10) {
+                engine.post("/control/silence", &json!({})).await;
+                return;
+            }
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+#[tokio::test]
+async fn plain_completion_is_passed_on() {
+    let fleet = Fleet::start(SIZE).await;
+    let mut call = Call::stream("short", 10);
+    call.body["stream"] = json!(false);
+    let answer = fleet.caller(0).send(&call).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.outcome.as_deref(), Some("completed"));
+    assert_eq!(answer.json()["choices"][0]["finish_reason"], "stop");
+}
--- a/crates/node/src/call/calls.rs
+++ b/crates/node/src/call/calls.rs
@@ -7,6 +7,7 @@
 use briarbank_core::call::{Outcome, Reason, Refusal};
 use briarbank_core::ids::{CallId, HostName};
 use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::reply;
@@ -27,34 +28,28 @@
 
 #[derive(Debug)]
 struct Shared {
-    host: HostName,
-    control: Control,
-    links: Links,
-    pool: Pool,
-    tasks: TaskTracker,
+    parts: CallParts,
     permits: Arc<Semaphore>,
-    limits: Limits,
+}
+
+/// What calls use of the node.
+#[derive(Debug)]
+pub(crate) struct CallParts {
+    pub(crate) host: HostName,
+    pub(crate) control: Control,
+    pub(crate) links: Links,
+    pub(crate) pool: Pool,
+    /// Owner of the calls' tasks.
+    pub(crate) tasks: TaskTracker,
+    /// Cuts the calls that are in flight when the time of a stop is over.
+    pub(crate) cut: CancellationToken,
+    pub(crate) limits: Limits,
 }
 
 impl Calls {
-    pub(crate) fn new(
-        host: HostName,
-        control: Control,
-        links: Links,
-        pool: Pool,
-        tasks: TaskTracker,
-        limits: Limits,
-    ) -> Self {
-        let permits = Arc::new(Semaphore::new(limits.calls));
-        let shared = Shared {
-            host,
-            control,
-            links,
-            pool,
-            tasks,
-            permits,
-            limits,
-        };
+    pub(crate) fn new(parts: CallParts) -> Self {
+        let permits = Arc::new(Semaphore::new(parts.limits.calls));
+        let shared = Shared { parts, permits };
         Self {
             shared: Arc::new(shared),
         }
@@ -62,39 +57,40 @@
 
     /// A fresh call id.
     pub(crate) fn next_call(&self) -> CallId {
-        self.shared.control.next_call()
+        self.shared.parts.control.next_call()
     }
 
     /// Largest body of a call.
     pub(crate) fn body_limit(&self) -> usize {
-        self.shared.limits.body_bytes
+        self.shared.parts.limits.body_bytes
     }
 
     /// Runs a call; dropping the future says that the caller is gone.
     pub(crate) async fn run(&self, inbound: Inbound) -> Reply {
-        let shared = &self.shared;
-        let unproven = inbound.call.unproven();
-        let Ok(permit) = Arc::clone(&shared.permits).try_acquire_owned() else {
-            return refusal(Reason::QueueFull, unproven);
+        let parts = &self.shared.parts;
+        let permits = Arc::clone(&self.shared.permits);
+        let Ok(permit) = permits.try_acquire_owned() else {
+            return refusal(Reason::QueueFull, inbound.call.unproven());
         };
         let (sender, receiver, gone) = reply::channel();
-        let orders = shared.control.call(
+        let orders = parts.control.call(
             inbound.call.clone(),
             inbound.origin.clone(),
             inbound.content_key(),
         );
         let task = CallTask {
-            host: shared.host.clone(),
-            control: shared.control.clone(),
-            links: shared.links.clone(),
-            pool: shared.pool.clone(),
-            answer: Answer::new(sender, shared.limits.answer_bytes),
+            host: parts.host.clone(),
+            control: parts.control.clone(),
+            links: parts.links.clone(),
+            pool: parts.pool.clone(),
+            answer: Answer::new(sender, parts.limits.answer_bytes),
             inbound,
             orders,
             gone,
         };
-        shared.tasks.spawn(async move {
-            task.run().await;
+        let cut = parts.cut.clone();
+        parts.tasks.spawn(async move {
+            task.run(&cut).await;
             drop(permit);
         });
         let reply = receiver.reply().await;
--- a/crates/node/src/call/mod.rs
+++ b/crates/node/src/call/mod.rs
@@ -7,6 +7,6 @@
 mod task;
 
 pub(crate) use answer::Answer;
-pub(crate) use calls::Calls;
+pub(crate) use calls::{CallParts, Calls};
 pub(crate) use inbound::Inbound;
 pub(crate) use reply::{Reply, ReplyAnswer, ReplyBody};
--- a/crates/node/src/call/task.rs
+++ b/crates/node/src/call/task.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::sync::Arc;
+use std::time::Duration;
 
-use briarbank_core::call::{Failure, StoredAnswer};
+use briarbank_core::call::{Failure, Outcome, Reason, Refusal, StoredAnswer};
 use briarbank_core::ids::{AttemptId, HostName};
 use briarbank_core::node::Event;
 use briarbank_core::router::AttemptEvent;
 use briarbank_wire::ReplyHead;
 use bytes::Bytes;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use super::{Answer, Inbound, Reply, ReplyAnswer, ReplyBody};
@@ -19,6 +21,12 @@
 use crate::peer::{Forwarded, Links, NotForwarded, forward};
 use crate::server::{AttemptEnd, AttemptRun, Pool, Upstream};
 
+/// When callers whose calls were cut by a stop are asked to come back.
+const CUT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time for the last word to a caller whose call is cut.
+const CUT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// One call and its answer.
 pub(super) struct CallTask {
     pub(super) host: HostName,
@@ -32,8 +40,23 @@
 }
 
 impl CallTask {
-    /// Runs until the call is over.
-    pub(super) async fn run(mut self) {
+    /// Runs until the call is over, or cut by the end of a planned stop.
+    pub(super) async fn run(mut self, cut: &CancellationToken) {
+        tokio::select! {
+            () = self.follow() => return,
+            () = cut.cancelled() => {}
+        }
+        tracing::warn!(request = %self.inbound.call.request, "call: cut by the stop");
+        let refusal = Refusal {
+            reason: Reason::Stopping,
+            outcome: Outcome::Unknown,
+            retry_after: CUT_RETRY_AFTER,
+        };
+        let _ = timeout(CUT_TIMEOUT, self.answer.refuse(refusal)).await;
+    }
+
+    /// Follows the orders until the call is over.
+    async fn follow(&mut self) {
         let mut told_gone = false;
         loop {
             let order = tokio::select! {
--- a/crates/node/src/caller/headers.rs
+++ b/crates/node/src/caller/headers.rs
@@ -33,20 +33,28 @@
 
 /// Headers that callers send.
 #[derive(Clone, Debug)]
-pub(crate) struct CallerHeaders {
-    pub(crate) workspace: WorkspaceName,
-    pub(crate) profile: ProfileName,
-    pub(crate) request: RequestId,
+pub struct CallerHeaders {
+    /// Workspace that pays.
+    pub workspace: WorkspaceName,
+    /// Class of the request.
+    pub profile: ProfileName,
+    /// Request id, made up when the caller chose none.
+    pub request: RequestId,
     /// Whether the caller chose the request id.
-    pub(crate) chosen: bool,
+    pub chosen: bool,
     /// Whether the id was surely never sent before.
-    pub(crate) first_try: bool,
-    pub(crate) content_type: Option<Arc<str>>,
+    pub first_try: bool,
+    /// Content type of the body.
+    pub content_type: Option<Arc<str>>,
 }
 
 impl CallerHeaders {
     /// Reads the headers; a missing request id is made up.
-    pub(crate) fn read(headers: &HeaderMap) -> Result<Self, Error> {
+    ///
+    /// # Errors
+    ///
+    /// The first header that is missing or invalid.
+    pub fn read(headers: &HeaderMap) -> Result<Self, Error> {
         let chosen = name(headers, "idempotency-key")?;
         let made_up = chosen.is_none();
         let request = chosen.map_or_else(make_up, RequestId::new);
@@ -66,7 +74,8 @@
 
 impl CallerHeaders {
     /// Outcome to state before the core has seen the call.
-    pub(crate) fn unproven(&self) -> Outcome {
+    #[must_use]
+    pub fn unproven(&self) -> Outcome {
         if self.first_try {
             Outcome::NotRun
         } else {
--- a/crates/node/src/caller/http.rs
+++ b/crates/node/src/caller/http.rs
@@ -33,6 +33,8 @@
     pub(super) calls: Calls,
     pub(super) control: Control,
     pub(super) body_timeout: Duration,
+    /// Whether the connection is one too many.
+    pub(super) full: bool,
 }
 
 /// Why a request is refused before the core has seen it.
@@ -101,6 +103,13 @@
         headers: &CallerHeaders,
     ) -> Result<Inbound, Early> {
         let received = Instant::now();
+        if self.full {
+            return Err(Early::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "too-many-connections",
+                "The node has its limit of connections.",
+            ));
+        }
         let route = route(&request)?;
         self.check_key(headers)?;
         let method = Arc::from(request.method().as_str());
--- a/crates/node/src/caller/mod.rs
+++ b/crates/node/src/caller/mod.rs
@@ -7,4 +7,6 @@
 mod port;
 mod response;
 
+pub use headers::{CallerHeaders, Error as HeaderError};
+pub use model::ModelCall;
 pub(crate) use port::CallerPort;
--- a/crates/node/src/caller/model.rs
+++ b/crates/node/src/caller/model.rs
@@ -31,11 +31,15 @@
 
 /// What the router reads of a model call.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct ModelCall {
-    pub(super) target: TargetName,
-    pub(super) streamed: bool,
-    pub(super) max_tokens: u32,
-    pub(super) prefix_key: u64,
+pub struct ModelCall {
+    /// Model.
+    pub target: TargetName,
+    /// Whether server-sent events are wanted.
+    pub streamed: bool,
+    /// Most tokens of the answer.
+    pub max_tokens: u32,
+    /// Hash of the prompt's first part.
+    pub prefix_key: u64,
 }
 
 impl ModelCall {
@@ -44,7 +48,7 @@
     /// # Errors
     ///
     /// What `serde_json` says of a body that is no model call.
-    pub(super) fn read(body: &[u8]) -> Result<Self, serde_json::Error> {
+    pub fn read(body: &[u8]) -> Result<Self, serde_json::Error> {
         let fields: Fields<'_> = serde_json::from_slice(body)?;
         let max_tokens = fields.max_tokens.or(fields.max_completion_tokens);
         let mut prefix = String::new();
--- a/crates/node/src/caller/port.rs
+++ b/crates/node/src/caller/port.rs
@@ -10,7 +10,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -27,6 +27,9 @@
 /// Time after the stop is known after which idle connections are closed.
 const IDLE_GRACE: Duration = Duration::from_secs(1);
 
+/// Connections beyond the bound that get a refusal; further ones are closed.
+const REFUSED_MAX: usize = 256;
+
 /// Most headers of a request.
 const HEADERS_MAX: usize = 64;
 
@@ -39,8 +42,8 @@
     pub(crate) calls: Calls,
     pub(crate) control: Control,
     pub(crate) limits: Limits,
-    /// Owner of the port's tasks.
-    pub(crate) tasks: TaskTracker,
+    /// Owner of the port's tasks; a planned stop waits for them.
+    pub(crate) serving: TaskTracker,
     /// Says that the node is stopping as planned.
     pub(crate) stopping: CancellationToken,
     /// Ends the port.
@@ -50,7 +53,7 @@
 impl CallerPort {
     /// Accepts connections until some time after the stop.
     pub(crate) async fn run(self, listener: TcpListener) {
-        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let permits = Permits::new(self.limits.connections);
         tokio::select! {
             () = self.end.cancelled() => {}
             () = after(&self.stopping, ACCEPT_GRACE) => {}
@@ -62,38 +65,38 @@
         }
     }
 
-    async fn accept_all(&self, listener: &TcpListener, permits: &Arc<Semaphore>) {
+    async fn accept_all(&self, listener: &TcpListener, permits: &Permits) {
         loop {
             let (stream, _) = accept(listener).await;
             self.spawn(stream, permits);
         }
     }
 
-    fn spawn(&self, stream: TcpStream, permits: &Arc<Semaphore>) {
-        let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
-            metrics::counter!("briarbank_caller_connections_refused_total").increment(1);
+    fn spawn(&self, stream: TcpStream, permits: &Permits) {
+        let Some((permit, full)) = permits.take() else {
             return;
         };
         let port = self.clone();
-        self.tasks.spawn(async move {
+        self.serving.spawn(async move {
             tokio::select! {
                 () = port.end.cancelled() => {}
-                () = port.connection(stream) => {}
+                () = port.connection(stream, full) => {}
             }
             drop(permit);
         });
     }
 
-    async fn connection(&self, stream: TcpStream) {
+    async fn connection(&self, stream: TcpStream, full: bool) {
         let _ = stream.set_nodelay(true);
         let http = CallerHttp {
             calls: self.calls.clone(),
             control: self.control.clone(),
             body_timeout: Duration::from_millis(self.limits.body_timeout_ms),
+            full,
         };
         let service = service_fn(|request| async {
             let mut response = http.serve(request).await;
-            if self.stopping.is_cancelled() {
+            if full || self.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -120,6 +123,31 @@
     }
 }
 
+/// Bounds of the connections.
+struct Permits {
+    served: Arc<Semaphore>,
+    refused: Arc<Semaphore>,
+}
+
+impl Permits {
+    fn new(connections: usize) -> Self {
+        Self {
+            served: Arc::new(Semaphore::new(connections)),
+            refused: Arc::new(Semaphore::new(REFUSED_MAX)),
+        }
+    }
+
+    /// A permit, and whether it only allows to be refused.
+    fn take(&self) -> Option<(OwnedSemaphorePermit, bool)> {
+        if let Ok(permit) = Arc::clone(&self.served).try_acquire_owned() {
+            return Some((permit, false));
+        }
+        metrics::counter!("briarbank_connections_refused_total").increment(1);
+        let permit = Arc::clone(&self.refused).try_acquire_owned().ok()?;
+        Some((permit, true))
+    }
+}
+
 async fn after(token: &CancellationToken, pause: Duration) {
     token.cancelled().await;
     sleep(pause).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,11 @@
 mod server;
 mod view;
 
+pub use caller::{CallerHeaders, HeaderError, ModelCall};
 pub use dump::Dump;
 pub use error::Error;
 pub use platform::{Error as PlatformError, HttpPlatform, Platform, Query, Value};
 pub use run::{run, run_with};
+pub use server::{
+    AnswerStream, EventError, EventReader, NotRun, Part, ServerEvent, ServerHead, StreamEnd,
+};
--- a/crates/node/src/peer/port.rs
+++ b/crates/node/src/peer/port.rs
@@ -1,6 +1,8 @@
 //! The port for other nodes.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,12 +11,12 @@
 use briarbank_core::peer::Envelope;
 use briarbank_wire::FrameReader;
 use bytes::Bytes;
-use h2::RecvStream;
 use h2::server::{self, Connection, SendResponse};
+use h2::{Ping, PingPong, RecvStream};
 use http::{Request, Response, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -35,6 +37,15 @@
 /// Time for a connection's first bytes.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time between pings.
+const PING_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Longest time for a ping's answer.
+const PING_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for the last bytes to leave.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What the port needs for each connection.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerPort {
@@ -48,6 +59,8 @@
     pub(crate) reports: Reports,
     /// Owner of the port's tasks.
     pub(crate) tasks: TaskTracker,
+    /// Owner of the tasks that answer calls; a planned stop waits for them.
+    pub(crate) serving: TaskTracker,
     /// Ends the port.
     pub(crate) end: CancellationToken,
 }
@@ -67,10 +80,7 @@
             };
             let port = self.clone();
             self.tasks.spawn(async move {
-                tokio::select! {
-                    () = port.end.cancelled() => {}
-                    () = port.connection(stream, address) => {}
-                }
+                port.connection(stream, address).await;
                 drop(permit);
             });
         }
@@ -87,13 +97,36 @@
             tracing::debug!(%address, "peer: handshake failed");
             return;
         };
-        self.streams(&mut connection).await;
+        tokio::select! {
+            () = self.streams(&mut connection) => return,
+            () = self.end.cancelled() => {}
+        }
+        // What was answered last still leaves.
+        connection.graceful_shutdown();
+        let closed = poll_fn(|cx| connection.poll_closed(cx));
+        let _ = timeout(CLOSE_TIMEOUT, closed).await;
     }
 
+    /// Takes streams until the connection ends or goes silent.
     async fn streams(&self, connection: &mut Connection<TcpStream, Bytes>) {
-        while let Some(Ok((request, respond))) = connection.accept().await {
+        let Some(mut pings) = connection.ping_pong() else {
+            return;
+        };
+        let mut silence = pin!(silence(&mut pings));
+        loop {
+            let accepted = tokio::select! {
+                accepted = connection.accept() => accepted,
+                () = &mut silence => return,
+            };
+            let Some(Ok((request, respond))) = accepted else {
+                return;
+            };
+            let owner = match request.uri().path() {
+                CALLS_PATH => &self.serving,
+                _ => &self.tasks,
+            };
             let port = self.clone();
-            self.tasks.spawn(async move {
+            owner.spawn(async move {
                 tokio::select! {
                     () = port.end.cancelled() => {}
                     () = port.stream(request, respond) => {}
@@ -141,3 +174,14 @@
         }
     }
 }
+
+/// Returns when a ping gets no answer.
+async fn silence(pings: &mut PingPong) {
+    loop {
+        sleep(PING_INTERVAL).await;
+        let pong = timeout(PING_TIMEOUT, pings.ping(Ping::opaque()));
+        if !matches!(pong.await, Ok(Ok(_))) {
+            return;
+        }
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -17,7 +17,7 @@
 
 use crate::Error;
 use crate::actions::Actions;
-use crate::call::Calls;
+use crate::call::{CallParts, Calls};
 use crate::caller::CallerPort;
 use crate::control::Control;
 use crate::operator::OperatorPort;
@@ -32,6 +32,9 @@
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time for the last word to callers whose calls are cut.
+const CUT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Runs a node until `shutdown` resolves and the planned stop is over.
 ///
 /// # Errors
@@ -86,6 +89,8 @@
     stopping: CancellationToken,
     /// The planned stop is over.
     stopped: CancellationToken,
+    /// Calls that are still in flight are to be cut.
+    cut: CancellationToken,
     /// All tasks are to end.
     end: CancellationToken,
 }
@@ -95,6 +100,8 @@
     control: Control,
     actor: JoinHandle<()>,
     tasks: TaskTracker,
+    /// Tasks that answer callers and other nodes.
+    serving: TaskTracker,
     signs: Signs,
     drain_timeout: Duration,
 }
@@ -106,6 +113,7 @@
         listeners: Listeners,
     ) -> Result<Self, Error> {
         let tasks = TaskTracker::new();
+        let serving = TaskTracker::new();
         let signs = Signs::default();
         let key = SharedKey::new(&settings.shared_key);
         let (reports, receiver) = mpsc::channel(REPORTS_MAX);
@@ -138,6 +146,7 @@
         let ports = Ports {
             control: control.clone(),
             tasks: tasks.clone(),
+            serving: serving.clone(),
             signs: signs.clone(),
             key,
         };
@@ -147,6 +156,7 @@
             control,
             actor,
             tasks,
+            serving,
             signs,
             drain_timeout: Duration::from_millis(settings.drain_timeout_ms),
         })
@@ -161,8 +171,11 @@
         if alive {
             self.stop().await;
         }
+        self.signs.cut.cancel();
         self.signs.end.cancel();
         self.control.end();
+        self.serving.close();
+        self.serving.wait().await;
         self.tasks.close();
         self.tasks.wait().await;
         if !alive {
@@ -178,10 +191,20 @@
         tracing::info!("node: stopping");
         self.signs.stopping.cancel();
         self.control.event(Event::Stop);
-        let stopped = self.signs.stopped.cancelled();
-        if timeout(self.drain_timeout, stopped).await.is_err() {
-            tracing::warn!("node: drain timeout reached with calls in flight");
+        if timeout(self.drain_timeout, self.finish()).await.is_ok() {
+            return;
         }
+        tracing::warn!("node: drain timeout reached with calls in flight");
+        self.signs.cut.cancel();
+        self.serving.close();
+        let _ = timeout(CUT_TIMEOUT, self.serving.wait()).await;
+    }
+
+    /// Waits until the core has nothing left and all answers are out.
+    async fn finish(&self) {
+        self.signs.stopped.cancelled().await;
+        self.serving.close();
+        self.serving.wait().await;
     }
 }
 
@@ -189,6 +212,7 @@
 struct Ports {
     control: Control,
     tasks: TaskTracker,
+    serving: TaskTracker,
     signs: Signs,
     key: SharedKey,
 }
@@ -202,14 +226,15 @@
         pool: Pool,
         reports: Reports,
     ) {
-        let calls = Calls::new(
-            settings.host.clone(),
-            self.control.clone(),
+        let calls = Calls::new(CallParts {
+            host: settings.host.clone(),
+            control: self.control.clone(),
             links,
             pool,
-            self.tasks.clone(),
-            settings.limits.clone(),
-        );
+            tasks: self.tasks.clone(),
+            cut: self.signs.cut.clone(),
+            limits: settings.limits.clone(),
+        });
         let operator = OperatorPort {
             control: self.control.clone(),
             key: self.key.clone(),
@@ -224,19 +249,21 @@
             calls: calls.clone(),
             reports,
             tasks: self.tasks.clone(),
+            serving: self.serving.clone(),
             end: self.signs.end.clone(),
         };
         let caller = CallerPort {
             calls,
             control: self.control,
             limits: settings.limits.clone(),
-            tasks: self.tasks.clone(),
+            serving: self.serving,
             stopping: self.signs.stopping,
             end: self.signs.end,
         };
         self.tasks.spawn(operator.run(listeners.operator));
         self.tasks.spawn(peer.run(listeners.peer));
-        self.tasks.spawn(caller.run(listeners.caller));
+        let serving = caller.serving.clone();
+        serving.spawn(caller.run(listeners.caller));
     }
 }
 
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -3,18 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarbank_core::call::{Failure, ServerLoad, StoredAnswer};
+use briarbank_core::call::{Failure, StoredAnswer};
 use briarbank_core::node::Event;
 use bytes::Bytes;
-use http::header::CONTENT_TYPE;
-use http::{HeaderMap, Response};
-use http_body_util::{BodyExt, Full};
+use http::{Response, StatusCode};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::pool::{Connection, Pool};
+use super::body::{StreamBody, collect};
+use super::head::{NotRun, ServerHead};
+use super::pool::{Connection, IDLE_TIMEOUT, Pool};
 use super::request;
-use super::stream::{StreamEnd, StreamReader};
+use super::stream::StreamEnd;
 use crate::call::{Answer, Inbound};
 use crate::control::{Control, Progress};
 use crate::order::Attempt;
@@ -22,8 +23,11 @@
 /// Content type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// Content type of an answer that names none.
-const DEFAULT_CONTENT_TYPE: &str = "application/octet-stream";
+/// Longest idle time of a connection for a call that may not be repeated.
+///
+/// A server may close an idle connection just when the call is sent, and then
+/// nobody knows whether it ran; servers keep idle connections for longer.
+const UNREPEATABLE_IDLE_MAX: Duration = Duration::from_secs(1);
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,16 +68,15 @@
             Ok(answered) => answered,
             Err(failure) => return AttemptEnd::Failed(failure),
         };
-        self.report_server(answered.response.headers());
-        if let Err(failure) = self.check_head(&answered.response) {
+        let head = ServerHead::read(answered.response.headers());
+        self.report_server(&head);
+        if let Err(failure) = self.check_head(&head, answered.response.status()) {
             return AttemptEnd::Failed(failure);
         }
-        let content_type = content_type(answered.response.headers());
-        let streamed = content_type.starts_with(EVENT_STREAM);
-        let end = if streamed {
-            self.stream(answered, &content_type).await
+        let end = if head.content_type.starts_with(EVENT_STREAM) {
+            self.stream(answered, &head.content_type).await
         } else {
-            self.whole(answered, content_type).await
+            self.whole(answered, head.content_type).await
         };
         if end == AttemptEnd::Failed(Failure::Silent) {
             self.purge();
@@ -87,7 +90,13 @@
         let address = self.attempt.address.ok_or(Failure::NotSent)?;
         let body = request::body(self.upstream.inbound, self.answer)?;
         let pool = self.upstream.pool;
-        let connection = pool.get(address).await.ok_or(Failure::NotSent)?;
+        let idle_max = if self.attempt.idempotent {
+            IDLE_TIMEOUT
+        } else {
+            UNREPEATABLE_IDLE_MAX
+        };
+        let connection = pool.get(address, idle_max).await;
+        let connection = connection.ok_or(Failure::NotSent)?;
         let reused = connection.reused;
         match self.send(connection, body.clone()).await {
             Ok(answered) => Ok(answered),
@@ -146,34 +155,33 @@
     }
 
     /// Tells the core what the server says of itself.
-    fn report_server(&self, headers: &HeaderMap) {
+    fn report_server(&self, head: &ServerHead) {
         let server = &self.attempt.dispatch.server;
         let control = self.upstream.control;
-        if let Some(load) = header(headers, "briarbank-load").and_then(parse_load) {
+        if let Some(load) = head.load {
             control.event(Event::Load {
                 server: server.clone(),
                 load,
             });
         }
-        if header(headers, "briarbank-server-state") == Some("leaving") {
+        if head.leaving {
             control.event(Event::ServerLeaving(server.clone()));
         }
     }
 
     /// Checks that the answer is one to this attempt, and that the call ran.
-    fn check_head(&self, response: &Response<Incoming>) -> Result<(), Failure> {
-        let headers = response.headers();
+    fn check_head(&self, head: &ServerHead, status: StatusCode) -> Result<(), Failure> {
         let attempt = self.attempt.dispatch.attempt.to_string();
-        if header(headers, "briarbank-attempt") != Some(&attempt) {
+        if head.attempt.as_deref() != Some(&*attempt) {
             metrics::counter!("briarbank_crossed_answers_total").increment(1);
             return Err(Failure::Malformed);
         }
-        match header(headers, "briarbank-not-run") {
-            Some("leaving") => return Err(Failure::Leaving),
-            Some("full") => return Err(Failure::Full),
-            _ => {}
+        match head.not_run {
+            Some(NotRun::Leaving) => return Err(Failure::Leaving),
+            Some(NotRun::Full) => return Err(Failure::Full),
+            None => {}
         }
-        if response.status().is_server_error() {
+        if status.is_server_error() {
             return Err(Failure::ServerError);
         }
         Ok(())
@@ -213,21 +221,21 @@
         } = answered;
         self.answer
             .begin_stream(response.status().as_u16(), content_type);
-        let mut reader = StreamReader::new(
-            response.into_body(),
-            self.attempt.dispatch.attempt,
-            self.answer.limit_bytes(),
-        );
+        let attempt = self.attempt.dispatch.attempt;
+        let mut body = StreamBody::new(response.into_body(), attempt, self.answer);
         let mut patience = self.attempt.patience.first;
         loop {
-            let Ok(read) = timeout(patience, reader.read(self.answer)).await else {
+            let Ok(read) = timeout(patience, body.read(self.answer)).await else {
                 return AttemptEnd::Failed(Failure::Silent);
             };
             patience = self.attempt.patience.between;
             match read.end {
                 Some(StreamEnd::Whole) => {
-                    self.upstream.pool.put(connection);
-                    return self.last_chunk(read.chunk).await;
+                    let end = self.last_chunk(read.chunk).await;
+                    if body.ends().await {
+                        self.upstream.pool.put(connection);
+                    }
+                    return end;
                 }
                 Some(StreamEnd::Failed(failure)) => {
                     let left = self.chunk(read.chunk).await;
@@ -275,49 +283,3 @@
         });
     }
 }
-
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-fn content_type(headers: &HeaderMap) -> Arc<str> {
-    let value = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
-    Arc::from(value.unwrap_or(DEFAULT_CONTENT_TYPE))
-}
-
-/// Parses `running=N,waiting=N,age_ms=N`.
-fn parse_load(text: &str) -> Option<ServerLoad> {
-    let mut load = ServerLoad::default();
-    for part in text.split(',') {
-        let (name, value) = part.trim().split_once('=')?;
-        match name {
-            "running" => load.running = value.parse().ok()?,
-            "waiting" => load.waiting = value.parse().ok()?,
-            "age_ms" => load.age_ms = value.parse().ok()?,
-            _ => {}
-        }
-    }
-    Some(load)
-}
-
-async fn collect(
-    mut body: Incoming,
-    limit_bytes: usize,
-    patience: Duration,
-) -> Result<Bytes, Failure> {
-    let mut collected = Vec::new();
-    loop {
-        let frame = timeout(patience, body.frame()).await;
-        let Some(frame) = frame.map_err(|_error| Failure::Silent)? else {
-            return Ok(collected.into());
-        };
-        let frame = frame.map_err(|_error| Failure::Broken)?;
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
-        if collected.len() + data.len() > limit_bytes {
-            return Err(Failure::Malformed);
-        }
-        collected.extend_from_slice(data);
-    }
-}
--- a/crates/node/src/server/pool.rs
+++ b/crates/node/src/server/pool.rs
@@ -18,7 +18,7 @@
 const IDLE_MAX: usize = 64;
 
 /// Time after which an idle connection isn't used again.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -60,8 +60,10 @@
     }
 
     /// An idle connection that is ready, or a fresh one; `None` when the server can't be reached.
-    pub(super) async fn get(&self, address: SocketAddr) -> Option<Connection> {
-        while let Some(mut connection) = self.pop(address) {
+    ///
+    /// A connection that was idle for `idle_max` isn't taken.
+    pub(super) async fn get(&self, address: SocketAddr, idle_max: Duration) -> Option<Connection> {
+        while let Some(mut connection) = self.pop(address, idle_max) {
             if connection.sender.ready().await.is_ok() {
                 return Some(connection);
             }
@@ -124,12 +126,12 @@
         });
     }
 
-    fn pop(&self, address: SocketAddr) -> Option<Connection> {
+    fn pop(&self, address: SocketAddr, idle_max: Duration) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
         let idle = idle.get_mut(&address)?;
         while let Some(newest) = idle.pop() {
-            let fresh = now.duration_since(newest.since) < IDLE_TIMEOUT;
+            let fresh = now.duration_since(newest.since) < idle_max;
             if fresh && !newest.connection.sender.is_closed() {
                 return Some(newest.connection);
             }
--- a/crates/node/src/server/sse.rs
+++ b/crates/node/src/server/sse.rs
@@ -20,25 +20,27 @@
 
 /// One event.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct ServerEvent {
+pub struct ServerEvent {
     /// The event as sent, with the empty line at its end.
-    pub(crate) raw: Bytes,
+    pub raw: Bytes,
     /// Value of its `event` field, empty without one.
-    pub(crate) name: String,
+    pub name: String,
     /// Its data lines.
-    pub(crate) data: String,
+    pub data: String,
 }
 
 /// Takes a byte stream in parts and gives back the events in it.
 #[derive(Debug)]
-pub(crate) struct EventReader {
+pub struct EventReader {
     buffer: BytesMut,
     searched: usize,
     limit_bytes: usize,
 }
 
 impl EventReader {
-    pub(crate) fn new(limit_bytes: usize) -> Self {
+    /// A reader of events of at most `limit_bytes`.
+    #[must_use]
+    pub fn new(limit_bytes: usize) -> Self {
         Self {
             buffer: BytesMut::new(),
             searched: 0,
@@ -47,17 +49,26 @@
     }
 
     /// Takes the next part of the stream.
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
+    pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Whether no part of an event waits for its rest.
-    pub(crate) fn is_empty(&self) -> bool {
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
     }
 
     /// The next whole event, or `None` when more bytes are needed.
-    pub(crate) fn next(&mut self) -> Result<Option<ServerEvent>, Error> {
+    ///
+    /// # Errors
+    ///
+    /// The stream can't be read any further.
+    #[expect(
+        clippy::should_implement_trait,
+        reason = "it fails, and more may follow after None"
+    )]
+    pub fn next(&mut self) -> Result<Option<ServerEvent>, Error> {
         let Some(end) = self.find_end() else {
             if self.buffer.len() > self.limit_bytes {
                 return Err(Error::TooLarge(self.limit_bytes));
--- a/crates/node/src/server/stream.rs
+++ b/crates/node/src/server/stream.rs
@@ -3,28 +3,25 @@
 use briarbank_core::call::Failure;
 use briarbank_core::ids::AttemptId;
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use super::sse::{EventReader, ServerEvent};
 use super::token::{DONE, TokenEvent};
-use crate::call::Answer;
 
 /// Event that ends a stream.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
-/// What one read of the stream gave.
-#[derive(Debug)]
-pub(super) struct Read {
+/// Events that are whole and in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
     /// Events to hand on, as the engine sent them; they come before the end.
-    pub(super) chunk: Bytes,
+    pub chunk: Bytes,
     /// How the stream ended, if it did.
-    pub(super) end: Option<StreamEnd>,
+    pub end: Option<StreamEnd>,
 }
 
 /// How a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum StreamEnd {
+pub enum StreamEnd {
     /// The answer is whole.
     Whole,
     /// The rest of the answer is missing.
@@ -41,74 +38,90 @@
     Whole,
 }
 
-/// Reads the events of one attempt.
-pub(super) struct StreamReader {
-    body: Incoming,
+/// Stream of one attempt, without input or output.
+///
+/// Only events of this attempt whose index is the next one pass; anything
+/// else ends the stream as [`Failure::Malformed`], and what follows it is
+/// dropped. Memory is bounded by one event and what was pushed last.
+///
+/// # Examples
+///
+/// ```
+/// use briarbank_core::ids::{AttemptId, Incarnation};
+/// use briarbank_node::{AnswerStream, StreamEnd};
+///
+/// let attempt = AttemptId { incarnation: Incarnation(1), number: 2 };
+/// let mut stream = AnswerStream::new(attempt, 0, 1_000);
+/// let event = r#"{"attempt":"0000000000000001-2","index":0,"choices":[{"text":"35mm.","finish_reason":"stop"}]}"#;
+/// stream.push(format!("data: {event}\n\ndata: [DONE]\n\n").as_bytes());
+/// let mut text = String::new();
+/// let part = stream.take(|token| text.push_str(token));
+/// assert_eq!(part.end, Some(StreamEnd::Whole));
+/// assert_eq!(text, "35mm.");
+/// ```
+#[derive(Debug)]
+pub struct AnswerStream {
     events: EventReader,
     attempt: String,
+    next: u32,
     finished: bool,
 }
 
-impl StreamReader {
-    pub(super) fn new(body: Incoming, attempt: AttemptId, limit_bytes: usize) -> Self {
+impl AnswerStream {
+    /// A stream whose first token has the index `next`.
+    #[must_use]
+    pub fn new(attempt: AttemptId, next: u32, limit_bytes: usize) -> Self {
         Self {
-            body,
             events: EventReader::new(limit_bytes),
             attempt: attempt.to_string(),
+            next,
             finished: false,
         }
     }
 
-    /// Reads until at least one event is whole or the stream ends.
-    ///
-    /// Dropping the future loses nothing: it waits only for bytes.
-    pub(super) async fn read(&mut self, answer: &mut Answer) -> Read {
-        loop {
-            let frame = match self.body.frame().await {
-                Some(Ok(frame)) => frame,
-                // All tokens are there: only the closing event is missing.
-                _ if self.finished && self.events.is_empty() => {
-                    return Read {
-                        chunk: Bytes::from_static(DONE_EVENT),
-                        end: Some(StreamEnd::Whole),
-                    };
-                }
-                _ => {
-                    return Read {
-                        chunk: Bytes::new(),
-                        end: Some(StreamEnd::Failed(Failure::Broken)),
-                    };
-                }
-            };
-            let Some(data) = frame.data_ref() else {
-                continue;
-            };
-            self.events.push(data);
-            let read = self.take(answer);
-            if read.end.is_some() || !read.chunk.is_empty() {
-                return read;
-            }
-        }
+    /// Takes the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.events.push(bytes);
     }
 
-    /// Takes all whole events; what follows a bad one is dropped.
-    fn take(&mut self, answer: &mut Answer) -> Read {
+    /// Takes all whole events, and hands the text of each token to `on_token`.
+    pub fn take(&mut self, mut on_token: impl FnMut(&str)) -> Part {
         let mut chunk = BytesMut::new();
         let end = loop {
-            match self.event(&mut chunk, answer) {
+            match self.event(&mut chunk, &mut on_token) {
                 Ok(Step::Token) => {}
                 Ok(Step::Wait) => break None,
                 Ok(Step::Whole) => break Some(StreamEnd::Whole),
                 Err(failure) => break Some(StreamEnd::Failed(failure)),
             }
         };
-        Read {
+        Part {
             chunk: chunk.freeze(),
             end,
         }
     }
 
-    fn event(&mut self, chunk: &mut BytesMut, answer: &mut Answer) -> Result<Step, Failure> {
+    /// What follows when the connection ends before the stream does.
+    #[must_use]
+    pub fn cut(&self) -> Part {
+        if self.finished && self.events.is_empty() {
+            // All tokens are there: only the closing event is missing.
+            return Part {
+                chunk: Bytes::from_static(DONE_EVENT),
+                end: Some(StreamEnd::Whole),
+            };
+        }
+        Part {
+            chunk: Bytes::new(),
+            end: Some(StreamEnd::Failed(Failure::Broken)),
+        }
+    }
+
+    fn event(
+        &mut self,
+        chunk: &mut BytesMut,
+        on_token: &mut impl FnMut(&str),
+    ) -> Result<Step, Failure> {
         let event = self.events.next().map_err(|_error| Failure::Malformed)?;
         let Some(event) = event else {
             return Ok(Step::Wait);
@@ -121,13 +134,17 @@
             return Ok(Step::Whole);
         }
         if !event.data.is_empty() {
-            self.token(&event, answer)?;
+            self.token(&event, on_token)?;
             chunk.extend_from_slice(&event.raw);
         }
         Ok(Step::Token)
     }
 
-    fn token(&mut self, event: &ServerEvent, answer: &mut Answer) -> Result<(), Failure> {
+    fn token(
+        &mut self,
+        event: &ServerEvent,
+        on_token: &mut impl FnMut(&str),
+    ) -> Result<(), Failure> {
         if event.name == "error" {
             return Err(Failure::ServerError);
         }
@@ -137,10 +154,11 @@
             metrics::counter!("briarbank_crossed_answers_total").increment(1);
             return Err(Failure::Malformed);
         }
-        if self.finished || token.index != answer.tokens() {
+        if self.finished || token.index != self.next {
             return Err(Failure::Malformed);
         }
-        answer.token(token.text());
+        on_token(token.text());
+        self.next = self.next.saturating_add(1);
         self.finished = token.is_last();
         Ok(())
     }
