Decide admission, choice, limits and retries in the router

Cause: the router was first come, first served, with linear look-ups. Change: one admission queue for each target with tiers, guaranteed shares by credit and weighted workspaces; deadlines from running quantiles; bounded-load rendezvous and two choices; a limiter divided among nodes; outliers, retry budgets and moves of slow streams. Each part is a public module with an example. Added: Options.zone, Router::set_zone, with_balancer, waiting, counters. Event, Action, AttemptEvent and Router::{new, handle, calls} are unchanged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,14 +5,22 @@
 //! socket, reads a clock or starts a task, so that each part can be embedded
 //! and tested on its own.
 
+pub mod balance;
+pub mod budget;
 pub mod call;
 pub mod catalog;
 pub mod conf;
+pub mod estimate;
 pub mod hosts;
 pub mod ids;
+pub mod limiter;
+pub mod load;
 pub mod member;
 pub mod node;
+pub mod outlier;
 pub mod owner;
 pub mod peer;
+pub mod quantile;
+pub mod queue;
 pub mod rendezvous;
 pub mod router;
--- /dev/null
+++ b/crates/core/src/load.rs
@@ -0,0 +1,84 @@
+//! A server's load as one node sees it.
+//!
+//! The node knows its own requests exactly. What others sent shows only in
+//! reports, which lag; their part loses weight as the report ages.
+
+use std::time::{Duration, Instant};
+
+use crate::call::ServerLoad;
+
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    others: f64,
+    measured: Instant,
+}
+
+/// Own requests and the last report; see the module's page.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use briarbank_core::call::ServerLoad;
+/// use briarbank_core::load::LoadView;
+///
+/// let now = Instant::now();
+/// let mut view = LoadView::default();
+/// view.begin();
+/// view.report(now, ServerLoad { running: 5, waiting: 0, age_ms: 0 });
+/// assert!((view.requests(now) - 5.0).abs() < 1e-9);
+/// let later = now + Duration::from_secs(2);
+/// assert!((view.requests(later) - 3.0).abs() < 1e-9);
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadView {
+    own: u32,
+    report: Option<Report>,
+}
+
+impl LoadView {
+    /// Takes note of a request sent.
+    pub fn begin(&mut self) {
+        self.own += 1;
+    }
+
+    /// Takes note of a request that ended.
+    pub fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Own requests in flight.
+    #[must_use]
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Takes a report; one measured before the last is dropped.
+    pub fn report(&mut self, now: Instant, load: ServerLoad) {
+        let age = Duration::from_millis(load.age_ms);
+        let measured = now.checked_sub(age).unwrap_or(now);
+        if self.report.is_some_and(|last| last.measured > measured) {
+            return;
+        }
+        let total = load.running.saturating_add(load.waiting);
+        let others = f64::from(total.saturating_sub(self.own));
+        self.report = Some(Report { others, measured });
+    }
+
+    /// Requests expected at the server, this node's own included.
+    #[must_use]
+    pub fn requests(&self, now: Instant) -> f64 {
+        f64::from(self.own) + self.others(now)
+    }
+
+    fn others(&self, now: Instant) -> f64 {
+        let Some(report) = self.report else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(report.measured);
+        let half_lives = age.as_secs_f64() / HALF_LIFE.as_secs_f64();
+        report.others * (-half_lives).exp2()
+    }
+}
--- /dev/null
+++ b/crates/core/src/queue/admission.rs
@@ -0,0 +1,210 @@
+//! The queue of all classes for one target.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::ids::{CallId, ProfileName, WorkspaceName};
+use crate::queue::class::{Class, ClassOptions};
+use crate::queue::flow::{Item, Position};
+
+/// Work ahead of a request that would join a class.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Wait {
+    /// Waiting work of the same tier and the tiers above.
+    pub ahead: u64,
+    /// Waiting work of the class itself.
+    pub own: u64,
+    /// Guaranteed part of the work served.
+    pub share_ratio: f64,
+}
+
+impl Wait {
+    /// Work served before the request, by its tier or by its share.
+    #[must_use]
+    pub fn work(&self) -> f64 {
+        let by_tier = self.ahead as f64;
+        if self.share_ratio <= 0.0 {
+            return by_tier;
+        }
+        by_tier.min(self.own as f64 / self.share_ratio)
+    }
+}
+
+#[derive(Debug)]
+struct Place {
+    class: ProfileName,
+    workspace: WorkspaceName,
+    position: Position,
+}
+
+/// Bounded queue with tiers, shares and weights; see the module's page.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Instant;
+/// use briarbank_core::ids::CallId;
+/// use briarbank_core::queue::{AdmissionQueue, ClassOptions, Item};
+///
+/// let class = |name: &str, tier| ClassOptions {
+///     name: name.into(), tier, share_ratio: 0.1, limit: 10,
+/// };
+/// let item = |id| Item {
+///     call: CallId(id), workspace: "w".into(), weight: 1.0,
+///     deadline: Instant::now(), cost: 1,
+/// };
+/// let mut queue = AdmissionQueue::default();
+/// queue.push(&class("drafts", 5), item(1));
+/// queue.push(&class("slips", 0), item(2));
+/// assert_eq!(queue.pop().unwrap().call, CallId(2));
+/// assert_eq!(queue.pop().unwrap().call, CallId(1));
+/// ```
+#[derive(Debug, Default)]
+pub struct AdmissionQueue {
+    classes: BTreeMap<ProfileName, Class>,
+    places: HashMap<CallId, Place>,
+    next: u64,
+}
+
+impl AdmissionQueue {
+    /// Requests that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether no request waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Requests of a class that wait.
+    #[must_use]
+    pub fn class_len(&self, name: &ProfileName) -> usize {
+        self.classes.get(name).map_or(0, |c| c.len)
+    }
+
+    /// Adds a request to its class, whose options are taken over.
+    ///
+    /// The limit of the class is enforced by [`Self::trim`], so that a request
+    /// that is served at once takes no place.
+    pub fn push(&mut self, options: &ClassOptions, item: Item) {
+        self.remove(item.call);
+        self.next += 1;
+        let place = Place {
+            class: options.name.clone(),
+            workspace: item.workspace.clone(),
+            position: (item.deadline, self.next),
+        };
+        let position = place.position;
+        self.places.insert(item.call, place);
+        self.class_mut(options).push(position, item);
+    }
+
+    /// Takes out a request that a class holds beyond its limit.
+    ///
+    /// The workspace with the most waiting work for its weight gives up the
+    /// request that is due last.
+    pub fn trim(&mut self, name: &ProfileName) -> Option<Item> {
+        let class = self.classes.get_mut(name)?;
+        if class.len <= class.options.limit {
+            return None;
+        }
+        let item = class.shed()?;
+        self.places.remove(&item.call);
+        Some(item)
+    }
+
+    /// The request to serve next.
+    #[must_use]
+    pub fn peek(&self) -> Option<&Item> {
+        self.next_class()?.first()
+    }
+
+    /// Takes out the request to serve next.
+    pub fn pop(&mut self) -> Option<Item> {
+        let name = self.next_class()?.options.name.clone();
+        let item = self.classes.get_mut(&name)?.pop()?;
+        self.places.remove(&item.call);
+        self.charge(&name, item.cost);
+        Some(item)
+    }
+
+    /// Takes out a request that need not be served any more.
+    pub fn remove(&mut self, call: CallId) -> Option<Item> {
+        let place = self.places.remove(&call)?;
+        let class = self.classes.get_mut(&place.class)?;
+        class.remove(&place.workspace, place.position)
+    }
+
+    /// Takes out a request of the lowest tier that waits.
+    pub fn shed_lowest(&mut self) -> Option<Item> {
+        let name = self.lowest_class()?.options.name.clone();
+        let item = self.classes.get_mut(&name)?.shed()?;
+        self.places.remove(&item.call);
+        Some(item)
+    }
+
+    /// The lowest tier that waits.
+    #[must_use]
+    pub fn lowest_tier(&self) -> Option<u8> {
+        Some(self.lowest_class()?.options.tier)
+    }
+
+    /// Work ahead of a request that would join the class.
+    #[must_use]
+    pub fn wait(&self, options: &ClassOptions) -> Wait {
+        let ahead = self.waiting().filter(|c| c.options.tier <= options.tier);
+        Wait {
+            ahead: ahead.map(|c| c.cost).sum(),
+            own: self.classes.get(&options.name).map_or(0, |c| c.cost),
+            share_ratio: options.share_ratio,
+        }
+    }
+
+    /// Forgets idle classes that are not named any more.
+    pub fn retain(&mut self, named: impl Fn(&ProfileName) -> bool) {
+        self.classes.retain(|name, c| c.len > 0 || named(name));
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = &Class> {
+        self.classes.values().filter(|c| c.len > 0)
+    }
+
+    fn class_mut(&mut self, options: &ClassOptions) -> &mut Class {
+        let name = options.name.clone();
+        let class = self.classes.entry(name);
+        let class = class.or_insert_with(|| Class::new(options.clone()));
+        if class.options != *options {
+            class.options = options.clone();
+        }
+        class
+    }
+
+    /// The owed class with the highest credit, else the highest tier.
+    fn next_class(&self) -> Option<&Class> {
+        let owed = self.waiting().filter(|c| c.is_owed());
+        let owed = owed.max_by(|a, b| a.credit.total_cmp(&b.credit));
+        let by_tier = |c: &&Class| (c.options.tier, c.first_deadline());
+        owed.or_else(|| self.waiting().min_by_key(by_tier))
+    }
+
+    fn lowest_class(&self) -> Option<&Class> {
+        self.waiting().max_by_key(|c| (c.options.tier, c.cost))
+    }
+
+    fn charge(&mut self, served: &ProfileName, cost: u64) {
+        let total: f64 = self.classes.values().map(Class::share).sum();
+        let scale = cost as f64 / total.max(1.0);
+        for (name, class) in &mut self.classes {
+            if name == served {
+                class.credit += class.share() * scale - cost as f64;
+            } else if class.len > 0 {
+                class.credit += class.share() * scale;
+            } else {
+                class.credit = class.credit.min(cost as f64);
+            }
+            class.credit = class.credit.max(0.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/router/admit.rs
@@ -0,0 +1,135 @@
+//! Arrivals, and calls that are refused.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use crate::call::{Call, Outcome, Reason, Refusal};
+use crate::ids::CallId;
+use crate::router::entry::Entry;
+use crate::router::event::Action;
+use crate::router::index::{Class, WorkspaceTerms};
+use crate::router::state::Router;
+
+impl Router {
+    pub(super) fn arrive(&mut self, now: Instant, call: Call, actions: &mut Vec<Action>) {
+        if self.calls.contains_key(&call.id) {
+            self.counters.dropped += 1;
+            return;
+        }
+        let id = call.id;
+        match self.admit(now, &call) {
+            Ok((class, terms)) => {
+                self.enter(now, call, class, terms);
+                self.enqueue(now, id);
+                self.serve(now, id, actions);
+            }
+            Err(reason) => {
+                let wait = self.drain_time(now, &call);
+                self.refuse(id, reason, Outcome::NotRun, wait, actions);
+            }
+        }
+    }
+
+    fn admit(&self, now: Instant, call: &Call) -> Result<(Arc<Class>, WorkspaceTerms), Reason> {
+        let index = self.index.as_ref().ok_or(Reason::NoConfiguration)?;
+        let (class, terms) = index.terms(call)?;
+        let limit = terms.in_flight_limit.div_ceil(self.nodes);
+        let in_flight = self.workspaces.get(&call.workspace).copied();
+        if in_flight.unwrap_or(0) >= limit {
+            return Err(Reason::WorkspaceLimit);
+        }
+        if !self.servers.any_stays(now, &self.options, &call.target) {
+            return Err(Reason::NoServer);
+        }
+        if self.is_hopeless(now, call, &class) {
+            return Err(Reason::Hopeless);
+        }
+        Ok((class, terms))
+    }
+
+    /// Whether the answer would be late even if the queue moves as expected.
+    fn is_hopeless(&self, now: Instant, call: &Call, class: &Class) -> bool {
+        let wait = self.wait(now, call, class);
+        let service = self.predict(class, call, 0);
+        now + wait + service > deadline(call, class)
+    }
+
+    /// Expected wait of a call that would join its class now.
+    pub(super) fn wait(&self, now: Instant, call: &Call, class: &Class) -> Duration {
+        let Some(queue) = self.queues.get(&call.target) else {
+            return Duration::ZERO;
+        };
+        if queue.is_empty() {
+            return Duration::ZERO;
+        }
+        let capacity = self.servers.capacity(now, &self.options, &call.target);
+        let work_us = queue.wait(&class.options).work();
+        Duration::from_micros((work_us / f64::from(capacity.max(1))) as u64)
+    }
+
+    pub(super) fn drain_time(&self, now: Instant, call: &Call) -> Duration {
+        let class = self.index.as_ref().and_then(|i| i.terms(call).ok());
+        class.map_or(Duration::ZERO, |(class, _)| self.wait(now, call, &class))
+    }
+
+    pub(super) fn predict(&self, class: &Class, call: &Call, done_tokens: u32) -> Duration {
+        let remaining = crate::estimate::Remaining {
+            max_tokens: call.max_tokens,
+            done_tokens,
+        };
+        self.estimator.predict(
+            &class.profile.name,
+            &call.target,
+            remaining,
+            self.options.length_quantile,
+        )
+    }
+
+    fn enter(&mut self, now: Instant, call: Call, class: Arc<Class>, terms: WorkspaceTerms) {
+        *self.workspaces.entry(call.workspace.clone()).or_default() += 1;
+        let entry = Entry {
+            deadline: deadline(&call, &class),
+            latest_start: now,
+            weight: terms.weight,
+            class,
+            dispatches: 0,
+            attempts: 0,
+            maybe_run: false,
+            running: None,
+            tokens: 0,
+            tried: Vec::new(),
+            call,
+        };
+        self.calls.insert(entry.call.id, entry);
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        call: CallId,
+        reason: Reason,
+        outcome: Outcome,
+        wait: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        match reason {
+            Reason::QueueFull => self.counters.shed += 1,
+            Reason::Hopeless => self.counters.hopeless += 1,
+            _ => {}
+        }
+        let bounds = (self.options.retry_after, self.options.retry_after_max);
+        let base = wait.clamp(bounds.0, bounds.1.max(bounds.0));
+        let spread = 1.0 + self.rng.random::<f64>() / 2.0;
+        let refusal = Refusal {
+            reason,
+            outcome,
+            retry_after: base.mul_f64(spread),
+        };
+        actions.push(Action::Refuse { call, refusal });
+    }
+}
+
+fn deadline(call: &Call, class: &Class) -> Instant {
+    call.received + Duration::from_millis(class.profile.whole_ms)
+}
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -1,10 +1,23 @@
 //! Who is served, where, when, and when to say no, within one node.
 //!
 //! A state machine without input or output: events go in with the time, and
-//! actions come out. The caller carries out the actions in their order.
+//! actions come out. The caller carries out the actions in their order and sends
+//! [`Event::Tick`] regularly. Every call that arrives gets exactly one final
+//! action, [`Action::Refuse`] or [`Action::End`].
 
+mod admit;
+mod attempt;
+mod entry;
 mod event;
+mod index;
+mod options;
+mod serve;
+mod server;
+mod servers;
 mod state;
+mod waiting;
+mod watch;
 
 pub use event::{Action, AttemptEvent, Event};
-pub use state::{Options, Router};
+pub use options::Options;
+pub use state::{Counters, Router};
--- /dev/null
+++ b/crates/core/src/router/serve.rs
@@ -0,0 +1,144 @@
+//! Dispatch: who is sent where.
+
+use std::time::Instant;
+
+use crate::call::{Dispatch, Reason};
+use crate::ids::{AttemptId, CallId, ServerName, TargetName};
+use crate::queue::Item;
+use crate::router::entry::Running;
+use crate::router::event::Action;
+use crate::router::state::Router;
+
+impl Router {
+    /// Serves the target of a call that was just put into its queue.
+    pub(super) fn serve(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
+        let Some(entry) = self.calls.get(&id) else {
+            return;
+        };
+        let target = entry.call.target.clone();
+        let class = entry.class.options.name.clone();
+        self.serve_target(now, &target, actions);
+        let given_up = self.queues.get_mut(&target).and_then(|q| q.trim(&class));
+        self.shed(now, given_up, actions);
+        if self.waiting > self.options.queue_limit {
+            let given_up = self.shed_lowest();
+            self.shed(now, given_up, actions);
+        }
+    }
+
+    /// Serves all targets, and gives up calls whose target has lost its servers.
+    pub(super) fn serve_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        let targets: Vec<TargetName> = waiting.map(|(name, _)| name.clone()).collect();
+        for target in targets {
+            self.serve_target(now, &target, actions);
+        }
+    }
+
+    /// Sends waiting calls of a target while a server has room.
+    pub(super) fn serve_target(
+        &mut self,
+        now: Instant,
+        target: &TargetName,
+        actions: &mut Vec<Action>,
+    ) {
+        while let Some(id) = self.next_call(target) {
+            if !self.servers.any_stays(now, &self.options, target) {
+                self.give_up(now, id, Reason::NoServer, actions);
+                continue;
+            }
+            if !self.servers.any_room(now, &self.options, target) {
+                return;
+            }
+            if self.is_late(now, id) {
+                self.give_up(now, id, Reason::Hopeless, actions);
+                continue;
+            }
+            let Some(server) = self.choose(now, id) else {
+                return;
+            };
+            if let Some(queue) = self.queues.get_mut(target) {
+                queue.pop();
+            }
+            self.left_queue(id);
+            self.start(now, id, server, actions);
+        }
+    }
+
+    fn next_call(&self, target: &TargetName) -> Option<CallId> {
+        Some(self.queues.get(target)?.peek()?.call)
+    }
+
+    /// Whether the answer would be late if the call started now.
+    fn is_late(&self, now: Instant, id: CallId) -> bool {
+        self.calls.get(&id).is_some_and(|entry| {
+            let service = self.predict(&entry.class, &entry.call, entry.tokens);
+            now + service > entry.deadline
+        })
+    }
+
+    fn choose(&mut self, now: Instant, id: CallId) -> Option<ServerName> {
+        let entry = self.calls.get(&id)?;
+        let call = &entry.call;
+        let candidates = self
+            .servers
+            .candidates(now, &self.options, &call.target, &entry.tried);
+        let index = self.balancer.choose(call.prefix_key, &candidates)?;
+        Some(self.servers.at(index)?.server.name.clone())
+    }
+
+    fn start(&mut self, now: Instant, id: CallId, server: ServerName, actions: &mut Vec<Action>) {
+        let Some(entry) = self.calls.get_mut(&id) else {
+            return;
+        };
+        self.next_attempt += 1;
+        let attempt = AttemptId {
+            incarnation: self.incarnation,
+            number: self.next_attempt,
+        };
+        entry.dispatches += 1;
+        entry.attempts += 1;
+        entry.running = Some(Running {
+            attempt,
+            server: server.clone(),
+            started: now,
+            last_progress: now,
+            sample: None,
+        });
+        let resume = entry.tokens > 0;
+        let first = entry.dispatches == 1;
+        let dispatch = Dispatch {
+            call: id,
+            attempt,
+            server,
+            tier: entry.class.profile.tier,
+            resume,
+        };
+        let profile = entry.call.profile.clone();
+        if let Some(server) = self.servers.get_mut(&dispatch.server) {
+            server.load.begin();
+        }
+        if first {
+            self.budget(&profile).deposit();
+        }
+        self.attempts.insert(attempt, id);
+        self.counters.dispatched += 1;
+        self.counters.resumed += u64::from(resume);
+        actions.push(Action::Dispatch(dispatch));
+    }
+
+    /// Takes a call of the lowest tier that waits anywhere out of its queue.
+    fn shed_lowest(&mut self) -> Option<Item> {
+        let queues = self.queues.values_mut();
+        let lowest = queues.max_by_key(|queue| (queue.lowest_tier(), queue.len()))?;
+        lowest.shed_lowest()
+    }
+
+    fn shed(&mut self, now: Instant, item: Option<Item>, actions: &mut Vec<Action>) {
+        let Some(item) = item else {
+            return;
+        };
+        self.left_queue(item.call);
+        self.give_up(now, item.call, Reason::QueueFull, actions);
+    }
+}
--- a/crates/core/src/router/state.rs
+++ b/crates/core/src/router/state.rs
@@ -1,265 +1,178 @@
-//! The router's state machine.
-
-use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-use crate::call::{Call, Dispatch, Failure, Outcome, Reason, Refusal};
-use crate::catalog::{Catalog, Fleet, Server, ServerState};
-use crate::ids::{AttemptId, CallId, Incarnation, ServerName};
-use crate::router::event::{Action, AttemptEvent, Event};
-
-/// Fixed choices of a router.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Most attempts for one call.
-    pub attempts_max: u32,
-    /// When refused callers are asked to come back, at the least.
-    pub retry_after: Duration,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            attempts_max: 3,
-            retry_after: Duration::from_secs(1),
-        }
-    }
-}
-
-/// One call that waits or runs.
-#[derive(Debug)]
-struct Entry {
-    call: Call,
-    attempts: u32,
-    running: Option<(AttemptId, ServerName)>,
-    tokens: u32,
+//! The router's state machine: arrivals, refusals and what is adopted.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::balance::{AffinityBalancer, Balancer};
+use crate::budget::RetryBudget;
+use crate::catalog::Catalog;
+use crate::estimate::Estimator;
+use crate::ids::{
+    AttemptId, CallId, Incarnation, ProfileName, TargetName, WorkspaceName, ZoneName,
+};
+use crate::queue::AdmissionQueue;
+use crate::router::entry::Entry;
+use crate::router::event::{Action, Event};
+use crate::router::index::Index;
+use crate::router::options::Options;
+use crate::router::servers::Servers;
+
+/// Counters of a router since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Attempts dispatched.
+    pub dispatched: u64,
+    /// Dispatches that resume a stream.
+    pub resumed: u64,
+    /// Attempts moved away from a slow server.
+    pub moved: u64,
+    /// Calls refused for a full queue.
+    pub shed: u64,
+    /// Calls refused since they could not be in time.
+    pub hopeless: u64,
+    /// Events that belong to no running attempt or call.
+    pub dropped: u64,
 }
 
 /// State machine that serves calls; see the module's page.
 #[derive(Debug)]
 pub struct Router {
-    options: Options,
-    incarnation: Incarnation,
-    catalog: Option<Arc<Catalog>>,
-    fleet: Arc<Fleet>,
-    calls: BTreeMap<CallId, Entry>,
-    attempts: BTreeMap<AttemptId, CallId>,
-    queue: VecDeque<CallId>,
-    in_flight: BTreeMap<ServerName, u32>,
-    next_attempt: u64,
+    pub(super) options: Options,
+    pub(super) incarnation: Incarnation,
+    pub(super) rng: SmallRng,
+    pub(super) balancer: Box<dyn Balancer>,
+    pub(super) index: Option<Index>,
+    pub(super) servers: Servers,
+    pub(super) estimator: Estimator,
+    pub(super) nodes: usize,
+    pub(super) calls: HashMap<CallId, Entry>,
+    pub(super) attempts: BTreeMap<AttemptId, CallId>,
+    pub(super) queues: BTreeMap<TargetName, AdmissionQueue>,
+    pub(super) waiting: usize,
+    pub(super) expiries: BTreeSet<(Instant, CallId)>,
+    pub(super) workspaces: HashMap<WorkspaceName, usize>,
+    pub(super) budgets: HashMap<ProfileName, RetryBudget>,
+    pub(super) next_attempt: u64,
+    pub(super) counters: Counters,
 }
 
 impl Router {
     /// A router without configuration; it refuses until it gets some.
     #[must_use]
-    pub fn new(options: Options, incarnation: Incarnation, _seed: u64) -> Self {
+    pub fn new(options: Options, incarnation: Incarnation, seed: u64) -> Self {
         Self {
             options,
             incarnation,
-            catalog: None,
-            fleet: Arc::new(Fleet::default()),
-            calls: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            balancer: Box::new(AffinityBalancer::new(seed.wrapping_add(1))),
+            index: None,
+            servers: Servers::default(),
+            estimator: Estimator::default(),
+            nodes: 1,
+            calls: HashMap::new(),
             attempts: BTreeMap::new(),
-            queue: VecDeque::new(),
-            in_flight: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            waiting: 0,
+            expiries: BTreeSet::new(),
+            workspaces: HashMap::new(),
+            budgets: HashMap::new(),
             next_attempt: 0,
+            counters: Counters::default(),
         }
     }
 
-    /// Number of calls that wait or run.
+    /// Replaces the choice of servers.
     #[must_use]
-    pub fn calls(&self) -> usize {
-        self.calls.len()
-    }
-
-    /// Takes one event and appends the actions that follow from it.
-    pub fn handle(&mut self, _now: Instant, event: Event, actions: &mut Vec<Action>) {
-        match event {
-            Event::Arrive(call) => self.arrive(call, actions),
-            Event::CallerGone(call) => self.caller_gone(call, actions),
-            Event::Attempt { attempt, event } => self.attempt(attempt, event, actions),
-            Event::Catalog(catalog) => self.catalog = Some(catalog),
-            Event::Fleet(fleet) => self.fleet = fleet,
-            Event::Load { .. } | Event::ServerLeaving(_) | Event::Sharing(_) | Event::Tick => {}
-        }
-        self.dispatch(actions);
+    pub fn with_balancer(mut self, balancer: Box<dyn Balancer>) -> Self {
+        self.balancer = balancer;
+        self
     }
 
-    fn arrive(&mut self, call: Call, actions: &mut Vec<Action>) {
-        let id = call.id;
-        if let Err(reason) = self.known(&call) {
-            actions.push(self.refuse(id, reason, Outcome::NotRun));
-            return;
-        }
-        self.calls.insert(
-            id,
-            Entry {
-                call,
-                attempts: 0,
-                running: None,
-                tokens: 0,
-            },
-        );
-        self.queue.push_back(id);
+    /// Sets the own availability zone.
+    pub fn set_zone(&mut self, zone: ZoneName) {
+        self.options.zone = Some(zone);
     }
 
-    fn known(&self, call: &Call) -> Result<(), Reason> {
-        let Some(catalog) = &self.catalog else {
-            return Err(Reason::NoConfiguration);
-        };
-        catalog
-            .profile(&call.profile)
-            .ok_or(Reason::UnknownProfile)?;
-        catalog
-            .workspace(&call.workspace)
-            .ok_or(Reason::UnknownWorkspace)?;
-        catalog.target(&call.target).ok_or(Reason::UnknownTarget)?;
-        Ok(())
+    /// Number of calls that wait or run.
+    #[must_use]
+    pub fn calls(&self) -> usize {
+        self.calls.len()
     }
 
-    fn refuse(&self, call: CallId, reason: Reason, outcome: Outcome) -> Action {
-        let refusal = Refusal {
-            reason,
-            outcome,
-            retry_after: self.options.retry_after,
-        };
-        Action::Refuse { call, refusal }
+    /// Number of calls that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting
     }
 
-    fn caller_gone(&mut self, call: CallId, actions: &mut Vec<Action>) {
-        let Some(entry) = self.calls.remove(&call) else {
-            return;
-        };
-        self.queue.retain(|id| *id != call);
-        let outcome = if entry.attempts == 0 {
-            Outcome::NotRun
-        } else {
-            Outcome::Unknown
-        };
-        if let Some((attempt, server)) = entry.running {
-            self.release(attempt, &server);
-            actions.push(Action::Cancel { attempt, server });
-        }
-        actions.push(Action::End { call, outcome });
+    /// Counters since the start.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        self.counters
     }
 
-    fn attempt(&mut self, attempt: AttemptId, event: AttemptEvent, actions: &mut Vec<Action>) {
-        let Some(call) = self.attempts.get(&attempt).copied() else {
-            return;
-        };
+    /// Takes one event and appends the actions that follow from it.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.expire(now, actions);
         match event {
-            AttemptEvent::Progress { tokens } => {
-                if let Some(entry) = self.calls.get_mut(&call) {
-                    entry.tokens = tokens;
+            Event::Arrive(call) => self.arrive(now, call, actions),
+            Event::CallerGone(call) => self.caller_gone(now, call, actions),
+            Event::Attempt { attempt, event } => self.attempt(now, attempt, event, actions),
+            Event::Load { server, load } => {
+                if let Some(entry) = self.servers.get_mut(&server) {
+                    entry.load.report(now, load);
                 }
             }
-            AttemptEvent::Done => {
-                self.forget(call);
-                actions.push(Action::End {
-                    call,
-                    outcome: Outcome::Completed,
-                });
+            Event::ServerLeaving(server) => self.server_leaving(now, &server, actions),
+            Event::Catalog(catalog) => self.adopt_catalog(&catalog),
+            Event::Fleet(fleet) => {
+                self.servers.adopt(now, &fleet, self.nodes);
+                self.serve_all(now, actions);
+            }
+            Event::Sharing(nodes) => {
+                self.nodes = nodes.max(1);
+                self.servers.divide(self.nodes);
+                self.serve_all(now, actions);
+            }
+            Event::Tick => {
+                self.watch(now, actions);
+                self.serve_all(now, actions);
             }
-            AttemptEvent::Failed(failure) => self.failed(call, failure, actions),
-        }
-    }
-
-    fn failed(&mut self, call: CallId, failure: Failure, actions: &mut Vec<Action>) {
-        let Some(entry) = self.calls.get_mut(&call) else {
-            return;
-        };
-        let Some((attempt, server)) = entry.running.take() else {
-            return;
-        };
-        let idempotent = self
-            .catalog
-            .as_ref()
-            .and_then(|c| c.profile(&entry.call.profile))
-            .is_some_and(|p| p.idempotent);
-        let may_repeat = idempotent || failure.proves_not_run();
-        let retry = may_repeat && entry.attempts < self.options.attempts_max;
-        self.release(attempt, &server);
-        if retry {
-            self.queue.push_front(call);
-            return;
         }
-        let proven = failure.proves_not_run() && !idempotent;
-        let outcome = if proven {
-            Outcome::NotRun
-        } else {
-            Outcome::Unknown
-        };
-        self.calls.remove(&call);
-        actions.push(self.refuse(call, Reason::ServerFailed, outcome));
     }
 
-    fn forget(&mut self, call: CallId) {
-        let Some(entry) = self.calls.remove(&call) else {
-            return;
-        };
-        if let Some((attempt, server)) = entry.running {
-            self.release(attempt, &server);
+    fn adopt_catalog(&mut self, catalog: &Catalog) {
+        let index = Index::new(catalog);
+        self.estimator
+            .retain(|p| index.has_class(p), |t| index.has_target(t));
+        self.budgets.retain(|name, _| index.has_class(name));
+        for queue in self.queues.values_mut() {
+            queue.retain(|name| index.has_class(name));
         }
+        self.queues
+            .retain(|name, queue| !queue.is_empty() || index.has_target(name));
+        self.index = Some(index);
     }
 
-    fn release(&mut self, attempt: AttemptId, server: &ServerName) {
-        self.attempts.remove(&attempt);
-        if let Some(count) = self.in_flight.get_mut(server) {
+    /// Forgets a call that neither waits nor runs.
+    pub(super) fn remove(&mut self, id: CallId) -> Option<Entry> {
+        let entry = self.calls.remove(&id)?;
+        if let Some(count) = self.workspaces.get_mut(&entry.call.workspace) {
             *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.workspaces.remove(&entry.call.workspace);
+            }
         }
+        Some(entry)
     }
 
-    fn pick(&self, call: &Call) -> Option<&Server> {
-        let load = |s: &Server| self.in_flight.get(&s.name).copied().unwrap_or(0);
-        self.fleet
-            .servers
-            .iter()
-            .filter(|s| s.state == ServerState::Live && s.targets.contains(&call.target))
-            .filter(|s| load(s) < s.slots)
-            .min_by_key(|s| load(s))
-    }
-
-    fn dispatch(&mut self, actions: &mut Vec<Action>) {
-        let waiting = std::mem::take(&mut self.queue);
-        for id in waiting {
-            let Some(entry) = self.calls.get(&id) else {
-                continue;
-            };
-            let Some(server) = self.pick(&entry.call).map(|s| s.name.clone()) else {
-                self.queue.push_back(id);
-                continue;
-            };
-            actions.push(Action::Dispatch(self.start(id, server)));
-        }
-    }
-
-    fn start(&mut self, call: CallId, server: ServerName) -> Dispatch {
-        self.next_attempt += 1;
-        let attempt = AttemptId {
-            incarnation: self.incarnation,
-            number: self.next_attempt,
-        };
-        *self.in_flight.entry(server.clone()).or_default() += 1;
-        self.attempts.insert(attempt, call);
-        let mut resume = false;
-        let mut tier = 0;
-        if let Some(entry) = self.calls.get_mut(&call) {
-            entry.attempts += 1;
-            entry.running = Some((attempt, server.clone()));
-            resume = entry.tokens > 0;
-            let profile = self
-                .catalog
-                .as_ref()
-                .and_then(|c| c.profile(&entry.call.profile));
-            tier = profile.map_or(0, |p| p.tier);
-        }
-        Dispatch {
-            call,
-            attempt,
-            server,
-            tier,
-            resume,
-        }
+    pub(super) fn budget(&mut self, profile: &ProfileName) -> &mut RetryBudget {
+        let options = self.options.budget;
+        self.budgets
+            .entry(profile.clone())
+            .or_insert_with(|| RetryBudget::new(options))
     }
 }
--- /dev/null
+++ b/crates/core/tests/router/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the router.
+
+mod bench;
+mod decisions;
