Bound silence by the kind of answer and watch the path

An answer that comes whole gets the whole answer's target as its time; a stream's first event four times its target.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -14,11 +14,11 @@
 use crate::order::{Attempt, Order, Patience};
 use crate::peer::Links;
 
-/// Longest silence before the first event, as a multiple of the target.
-const FIRST_PATIENCE_FACTOR: u64 = 8;
+/// Longest silence before a stream's first event, as a multiple of the target.
+const FIRST_PATIENCE_FACTOR: u64 = 4;
 
-/// Longest silence between events, as a multiple of the target.
-const BETWEEN_PATIENCE_FACTOR: u64 = 40;
+/// Longest silence between a stream's events, as a multiple of the target.
+const BETWEEN_PATIENCE_FACTOR: u64 = 20;
 
 /// Least patience with a server.
 const PATIENCE_MIN: Duration = Duration::from_secs(2);
@@ -178,10 +178,13 @@
     let scaled = |target_ms: u64, factor| {
         Duration::from_millis(target_ms.saturating_mul(factor)).max(PATIENCE_MIN)
     };
-    let first = profile.map_or(0, |p| p.first_token_ms);
-    let between = profile.map_or(0, |p| p.between_tokens_ms);
+    let first_ms = profile.map_or(0, |p| p.first_token_ms);
+    let between_ms = profile.map_or(0, |p| p.between_tokens_ms);
+    let whole_ms = profile.map_or(0, |p| p.whole_ms);
+    let first = scaled(first_ms, FIRST_PATIENCE_FACTOR);
     Patience {
-        first: scaled(first, FIRST_PATIENCE_FACTOR),
-        between: scaled(between, BETWEEN_PATIENCE_FACTOR),
+        first,
+        between: scaled(between_ms, BETWEEN_PATIENCE_FACTOR),
+        whole: scaled(whole_ms, 1).max(first),
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod actions;
 mod call;
 mod caller;
+mod connect;
 mod control;
 mod dump;
 mod error;
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -9,10 +9,12 @@
 /// Longest silence of a server before an attempt is given up.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Patience {
-    /// Until the answer's head and first event.
+    /// Until the first event of a stream.
     pub(crate) first: Duration,
-    /// Between two events.
+    /// Between two events of a stream.
     pub(crate) between: Duration,
+    /// Until an answer that comes whole.
+    pub(crate) whole: Duration,
 }
 
 /// One attempt, with what the transport needs.
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -17,7 +17,6 @@
 use h2::{Ping, PingPong, SendStream};
 use http::header::AUTHORIZATION;
 use http::{Method, Request};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -26,13 +25,11 @@
 use super::links::Reports;
 use super::window::write_some;
 use super::{MESSAGES_PATH, SharedKey};
+use crate::connect::connect;
 
 /// Messages and calls that wait for one link.
 const ORDERS_MAX: usize = 256;
 
-/// Time to connect.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Time between pings on a link in use.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -125,7 +122,7 @@
     }
 
     async fn serve(&mut self) {
-        let Some(stream) = self.connect().await else {
+        let Ok(stream) = connect(self.address).await else {
             tracing::debug!(host = %self.host, "peer: connect failed");
             self.lost().await;
             self.hold_off().await;
@@ -157,13 +154,6 @@
         }
     }
 
-    async fn connect(&self) -> Option<TcpStream> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
-        let stream = stream.await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        Some(stream)
-    }
-
     async fn lost(&self) {
         let _ = self.reports.send(Event::PeerLost(self.host.clone())).await;
     }
--- a/crates/node/src/platform/http.rs
+++ b/crates/node/src/platform/http.rs
@@ -11,10 +11,10 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::{Error, Platform, Query, Value};
+use crate::connect::connect;
 
 /// Largest document; the platform holds values up to a megabyte.
 const DOCUMENT_BYTES_MAX: usize = 1 << 20;
@@ -37,7 +37,7 @@
     }
 
     async fn get(&self, address: SocketAddr, query: Query) -> Result<Option<Value>, Error> {
-        let stream = TcpStream::connect(address)
+        let stream = connect(address)
             .await
             .map_err(|e| Error::Connect(address, e))?;
         let http_error = |e| Error::Http(address, e);
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -123,7 +123,7 @@
             return Err(Failure::NotSent);
         }
         let response = connection.sender.try_send_request(request);
-        match timeout(self.attempt.patience.first, response).await {
+        match timeout(self.head_patience(), response).await {
             Ok(Ok(response)) => Ok(Answered {
                 connection,
                 response,
@@ -140,6 +140,15 @@
         }
     }
 
+    /// Longest time for the answer's head.
+    fn head_patience(&self) -> Duration {
+        if self.upstream.inbound.streamed {
+            self.attempt.patience.first
+        } else {
+            self.attempt.patience.whole
+        }
+    }
+
     async fn may_send(&self) -> bool {
         let dispatch = &self.attempt.dispatch;
         self.upstream
@@ -197,7 +206,7 @@
         } = answered;
         let status = response.status().as_u16();
         let limit_bytes = self.answer.limit_bytes();
-        let patience = self.attempt.patience.first;
+        let patience = self.attempt.patience.whole;
         let body = match collect(response.into_body(), limit_bytes, patience).await {
             Ok(body) => body,
             Err(failure) => return AttemptEnd::Failed(failure),
--- a/crates/node/src/server/pool.rs
+++ b/crates/node/src/server/pool.rs
@@ -9,8 +9,6 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -20,9 +18,6 @@
 /// Time after which an idle connection isn't used again.
 pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Time to connect.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Largest head of a server's answer.
 const HEAD_BYTES_MAX: usize = 32 << 10;
 
@@ -73,9 +68,7 @@
 
     /// A fresh connection; `None` when the server can't be reached.
     pub(super) async fn connect(&self, address: SocketAddr) -> Option<Connection> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let stream = stream.await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+        let stream = crate::connect::connect(address).await.ok()?;
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_BYTES_MAX)
             .handshake(TokioIo::new(stream));
