--- a/crates/briarbank/tests/fleet/caller.rs
+++ b/crates/briarbank/tests/fleet/caller.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use briarbank_standin::{Client, answer_length, answer_word, prompt_hash};
+use briarbank_standin::{Client, ClientError, answer_length, answer_word, prompt_hash};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -98,8 +98,28 @@
         }
     }
 
+    /// Sends a call on a connection of its own; `None` when it was refused.
+    ///
+    /// # Panics
+    ///
+    /// The connection broke after the call was sent.
+    pub async fn send_on_fresh_connection(&self, call: &Call) -> Option<Answer> {
+        let client = Client::default();
+        let answer = match self.exchange(&client, call).await {
+            Ok(answer) => Some(answer),
+            Err(ClientError::Connect(..)) => None,
+            Err(error) => panic!("{} got no answer: {error}", call.path),
+        };
+        client.close().await;
+        answer
+    }
+
     /// Sends a call and reads its answer; `None` when no head came back.
     pub async fn send(&self, call: &Call) -> Option<Answer> {
+        self.exchange(&self.client, call).await.ok()
+    }
+
+    async fn exchange(&self, client: &Client, call: &Call) -> Result<Answer, ClientError> {
         let mut request = Request::builder()
             .method("POST")
             .uri(&call.path)
@@ -115,7 +135,7 @@
         }
         let body = Full::new(Bytes::from(call.body.to_string()));
         let request = request.body(body).expect("a request");
-        let mut answer = self.client.send(self.node, request).await.ok()?;
+        let mut answer = client.send(self.node, request).await?;
         let header = |name: &str| answer.header(name).map(str::to_owned);
         let mut read = Answer {
             status: answer.head.status,
@@ -129,9 +149,9 @@
                 Ok(Some(chunk)) => read.text.push_str(&String::from_utf8_lossy(&chunk)),
                 Ok(None) => {
                     read.whole = true;
-                    return Some(read);
+                    return Ok(read);
                 }
-                Err(_) => return Some(read),
+                Err(_) => return Ok(read),
             }
         }
     }
--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 mod published;
 
 use caller::ENGINE_SEED;
-pub use caller::{Call, Caller, long_prompt};
+pub use caller::{Answer, Call, Caller, long_prompt};
 pub use process::{POLL, Process};
 use published::NodeAddresses;
 pub use published::Published;
@@ -16,6 +16,7 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
@@ -183,6 +184,23 @@
         }
     }
 
+    /// Stops a node as planned, and waits for its end.
+    pub async fn stop_node(&mut self, index: usize) -> ExitStatus {
+        self.nodes[index].terminate();
+        self.published.leaving.insert(index);
+        self.publish_all().await;
+        self.nodes[index].ended().await
+    }
+
+    /// Starts a stopped node again, and waits until it is ready.
+    pub async fn restart_node(&mut self, index: usize) {
+        self.start_node(index);
+        self.published.leaving.remove(&index);
+        self.publish_all().await;
+        self.nodes[index].ready().await;
+        self.nodes[index].owning().await;
+    }
+
     /// Publishes all documents anew.
     pub async fn publish_all(&self) {
         for (key, document) in self.published.documents() {
--- a/crates/briarbank/tests/fleet/published.rs
+++ b/crates/briarbank/tests/fleet/published.rs
@@ -1,5 +1,6 @@
 //! Documents that the platform publishes.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde_json::{Value, json};
@@ -25,6 +26,8 @@
 pub struct Published {
     pub nodes: Vec<NodeAddresses>,
     pub servers: Vec<ServerEntry>,
+    /// Indices of nodes that the host list names as leaving.
+    pub leaving: BTreeSet<usize>,
 }
 
 impl Published {
@@ -54,23 +57,29 @@
     }
 
     fn hosts(&self) -> Value {
-        let hosts: Vec<Value> = self.nodes.iter().enumerate().map(host).collect();
+        let hosts = self.nodes.iter().enumerate();
+        let hosts: Vec<Value> = hosts.map(|(index, node)| self.host(index, node)).collect();
         json!({ "hosts": hosts })
     }
 
+    fn host(&self, index: usize, node: &NodeAddresses) -> Value {
+        let state = if self.leaving.contains(&index) {
+            "leaving"
+        } else {
+            "live"
+        };
+        json!({
+            "name": Self::host_name(index), "zone": "zone-a",
+            "peer_address": node.peer, "state": state,
+        })
+    }
+
     fn servers(&self) -> Value {
         let servers: Vec<Value> = self.servers.iter().map(server).collect();
         json!({ "servers": servers })
     }
 }
 
-fn host((index, addresses): (usize, &NodeAddresses)) -> Value {
-    json!({
-        "name": Published::host_name(index), "zone": "zone-a",
-        "peer_address": addresses.peer, "state": "live",
-    })
-}
-
 fn server(entry: &ServerEntry) -> Value {
     json!({
         "name": entry.name, "zone": "zone-a", "address": entry.address,
