--- /dev/null
+++ b/crates/briarbank/src/run.rs
@@ -0,0 +1,92 @@
+//! Programs that run until they are stopped.
+
+use std::io::Write;
+use std::path::Path;
+
+use briarbank_config::{EngineSettings, NodeSettings, PlatformSettings, ServiceSettings};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::Error;
+use crate::publish::{DocumentFiles, publish};
+use crate::signal::shutdown;
+
+pub(crate) fn runtime() -> Result<Runtime, Error> {
+    Ok(Builder::new_multi_thread().enable_all().build()?)
+}
+
+/// Runs a router node.
+///
+/// # Errors
+///
+/// Invalid settings, or a node that can't run.
+pub fn node(path: &Path) -> Result<(), Error> {
+    let settings: NodeSettings = briarbank_config::load(path)?;
+    runtime()?.block_on(async {
+        briarbank_node::run(settings, shutdown()?).await?;
+        Ok(())
+    })
+}
+
+/// Runs the platform stand-in, with the documents that it publishes at first.
+///
+/// # Errors
+///
+/// Invalid settings or documents, or a stand-in that can't run.
+pub fn platform(path: &Path, documents: &DocumentFiles) -> Result<(), Error> {
+    let settings: PlatformSettings = briarbank_config::load(path)?;
+    let documents = documents.read()?;
+    runtime()?.block_on(async {
+        let running = briarbank_standin::platform(settings, shutdown()?).await?;
+        for (key, body) in documents {
+            publish(running.address(), key, body).await?;
+        }
+        running.join().await;
+        Ok(())
+    })
+}
+
+/// Runs a model engine stand-in.
+///
+/// # Errors
+///
+/// Invalid settings, or a stand-in that can't run.
+pub fn engine(path: &Path) -> Result<(), Error> {
+    let settings: EngineSettings = briarbank_config::load(path)?;
+    runtime()?.block_on(async {
+        let running = briarbank_standin::engine(settings, shutdown()?).await?;
+        running.join().await;
+        Ok(())
+    })
+}
+
+/// Runs a plain service stand-in.
+///
+/// # Errors
+///
+/// Invalid settings, or a stand-in that can't run.
+pub fn service(path: &Path) -> Result<(), Error> {
+    let settings: ServiceSettings = briarbank_config::load(path)?;
+    runtime()?.block_on(async {
+        let running = briarbank_standin::service(settings, shutdown()?).await?;
+        running.join().await;
+        Ok(())
+    })
+}
+
+/// Runs stand-ins and two nodes in this process and shows some calls.
+///
+/// # Errors
+///
+/// A part that can't run, or a call that isn't answered as promised.
+pub fn demo(_out: &mut dyn Write) -> Result<(), Error> {
+    Err(Error::Missing("demo"))
+}
+
+/// Sends load and prints its result.
+///
+/// # Errors
+///
+/// An invalid plan, or output that can't be written.
+pub fn load(_plan: &Path, _json: bool, _out: &mut dyn Write) -> Result<(), Error> {
+    Err(Error::Missing("load"))
+}
