--- a/crates/briarbank/src/table.rs
+++ b/crates/briarbank/src/table.rs
@@ -5,6 +5,7 @@
 
 use serde_json::{Map, Value};
 
+const NOTHING: &str = "-";
 const COLUMN_GAP: &str = "  ";
 
 /// Renders a JSON value: scalars as a list, arrays of objects as tables, the rest as sections.
@@ -94,7 +95,9 @@
 
 fn cell(value: &Value) -> String {
     match value {
-        Value::Null => String::from("-"),
+        Value::Null => String::from(NOTHING),
+        Value::Array(elements) if elements.is_empty() => String::from(NOTHING),
+        Value::Object(fields) if fields.is_empty() => String::from(NOTHING),
         Value::String(text) => printable(text),
         Value::Array(elements) => elements.iter().map(cell).collect::<Vec<_>>().join(", "),
         other => printable(&other.to_string()),
--- a/crates/config/src/decode.rs
+++ b/crates/config/src/decode.rs
@@ -9,16 +9,13 @@
 
 use crate::de::{Mismatch, Problem};
 use crate::error::{Error, FileError};
-use crate::fault::Fault;
+use crate::fault::{FAULT_LIMIT, Fault};
 use crate::rules::{Rules, Validate};
 use crate::tree::{Kind, Tree};
 
 /// Largest text that is read, settings and published documents alike.
 pub const SIZE_LIMIT_BYTES: usize = 1 << 20;
 
-/// Most faults of one text that are reported.
-const FAULT_LIMIT: usize = 64;
-
 /// Fields whose content is never shown.
 const SECRET_FIELDS: [&str; 1] = ["shared_key"];
 
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -12,6 +12,7 @@
 
 use crate::decode::parse_bytes;
 use crate::error::Error;
+use crate::fault::shorten;
 use crate::field::FieldPath;
 use crate::rules::{Rules, Validate};
 
@@ -228,7 +229,11 @@
         rules.name(&path, target.name.as_str());
         if target.kind == TargetKind::Service && target.name.as_str().contains('/') {
             let allowed = "a name without / for a service, since it stands in a path";
-            rules.refuse(&path, format!("{:?}", target.name.as_str()), allowed);
+            rules.refuse(
+                &path,
+                format!("{:?}", shorten(target.name.as_str())),
+                allowed,
+            );
         }
     }
     rules.unique(targets.iter().map(|t| &t.name), |index| {
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -5,6 +5,11 @@
 
 use crate::field::FieldPath;
 
+/// Most faults of one text that are reported.
+pub(crate) const FAULT_LIMIT: usize = 64;
+
+const SHOWN_CHARS: usize = 60;
+
 /// Where a value is not allowed, what it is and what it may be.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -33,3 +38,11 @@
         write!(f, "field {path}: found {found}; allowed: {allowed}")
     }
 }
+
+/// Bounds a text that comes from a file.
+pub(crate) fn shorten(text: &str) -> String {
+    match text.char_indices().nth(SHOWN_CHARS) {
+        Some((end, _)) => format!("{}…", &text[..end]),
+        None => String::from(text),
+    }
+}
--- a/crates/config/src/field.rs
+++ b/crates/config/src/field.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use crate::fault::shorten;
+
 /// One step from a value to a part of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
@@ -58,8 +60,8 @@
         }
         for (position, step) in self.steps.iter().enumerate() {
             match step {
-                Step::Field(name) if position == 0 => f.write_str(name)?,
-                Step::Field(name) => write!(f, ".{name}")?,
+                Step::Field(name) if position == 0 => f.write_str(&shorten(name))?,
+                Step::Field(name) => write!(f, ".{}", shorten(name))?,
                 Step::Index(index) => write!(f, "[{index}]")?,
             }
         }
--- a/crates/config/src/rules.rs
+++ b/crates/config/src/rules.rs
@@ -7,9 +7,11 @@
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 
-use crate::fault::Fault;
+use crate::fault::{FAULT_LIMIT, Fault, shorten};
 use crate::field::FieldPath;
 
+/// Most faults that are collected; those of values with a known fault are left out later.
+const COLLECTED_LIMIT: usize = 16 * FAULT_LIMIT;
 const NAME_LIMIT_CHARS: usize = 128;
 
 /// A type whose values obey rules of their own.
@@ -39,8 +41,11 @@
         self.faults
     }
 
-    /// Adds a fault.
+    /// Adds a fault; beyond a bound, further ones are left out.
     pub fn refuse(&mut self, path: &FieldPath, found: impl Display, allowed: impl Display) {
+        if self.faults.len() >= COLLECTED_LIMIT {
+            return;
+        }
         self.faults.push(Fault {
             path: path.clone(),
             line: None,
@@ -68,8 +73,7 @@
         if name.is_empty() || name.len() > NAME_LIMIT_CHARS || !visible {
             let allowed =
                 format!("1 to {NAME_LIMIT_CHARS} visible ASCII characters without quotes");
-            let shown: String = name.chars().take(NAME_LIMIT_CHARS).collect();
-            self.refuse(path, format!("{shown:?}"), allowed);
+            self.refuse(path, format!("{:?}", shorten(name)), allowed);
         }
     }
 
@@ -93,7 +97,7 @@
         let mut seen = HashSet::new();
         for (index, value) in values.into_iter().enumerate() {
             if seen.contains(&value) {
-                let found = format!("\"{value}\" for a second time");
+                let found = format!("{:?} for a second time", shorten(&value.to_string()));
                 self.refuse(&path(index), found, "each value once");
             }
             seen.insert(value);
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -8,10 +8,9 @@
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 
 use crate::error::Error;
-use crate::fault::Fault;
+use crate::fault::{FAULT_LIMIT, Fault, shorten};
 use crate::field::{FieldPath, Step};
 
-const SHOWN_CHARS: usize = 60;
 const PARSE_OPTIONS: ParseOptions = ParseOptions {
     allow_comments: true,
     allow_loose_object_property_names: false,
@@ -52,7 +51,7 @@
             .map_err(|e| syntax(&e))?;
         let mut builder = Builder::new(text);
         let tree = match parsed.value {
-            Some(value) => builder.value(&value, &FieldPath::default()),
+            Some(value) => builder.value(&value),
             None => Self {
                 line: 1,
                 kind: Kind::Null,
@@ -128,13 +127,6 @@
     }
 }
 
-fn shorten(text: &str) -> String {
-    match text.char_indices().nth(SHOWN_CHARS) {
-        Some((end, _)) => format!("{}…", &text[..end]),
-        None => String::from(text),
-    }
-}
-
 fn syntax(error: &jsonc_parser::errors::ParseError) -> Error {
     Error::Syntax(
         error.line_display(),
@@ -143,9 +135,11 @@
     )
 }
 
+/// Builds a tree, and knows the path of the value that it is at.
 #[derive(Debug)]
 struct Builder {
     line_starts: Vec<usize>,
+    path: FieldPath,
     faults: Vec<Fault>,
 }
 
@@ -154,6 +148,7 @@
         let newlines = text.match_indices('\n').map(|(at, _)| at + 1);
         Self {
             line_starts: std::iter::once(0).chain(newlines).collect(),
+            path: FieldPath::default(),
             faults: Vec::new(),
         }
     }
@@ -162,21 +157,14 @@
         self.line_starts.partition_point(|start| *start <= at)
     }
 
-    fn value(&mut self, value: &ast::Value<'_>, path: &FieldPath) -> Tree {
+    fn value(&mut self, value: &ast::Value<'_>) -> Tree {
         let kind = match value {
             ast::Value::NullKeyword(_) => Kind::Null,
             ast::Value::BooleanLit(literal) => Kind::Bool(literal.value),
             ast::Value::NumberLit(literal) => Kind::Number(Box::from(literal.value)),
             ast::Value::StringLit(literal) => Kind::Text(Box::from(&*literal.value)),
-            ast::Value::Array(array) => {
-                let elements = array.elements.iter().enumerate();
-                Kind::Array(
-                    elements
-                        .map(|(i, e)| self.value(e, &path.index(i)))
-                        .collect(),
-                )
-            }
-            ast::Value::Object(object) => Kind::Object(self.fields(object, path)),
+            ast::Value::Array(array) => Kind::Array(self.elements(array)),
+            ast::Value::Object(object) => Kind::Object(self.fields(object)),
         };
         Tree {
             line: self.line(value.range().start),
@@ -184,24 +172,45 @@
         }
     }
 
-    fn fields(&mut self, object: &ast::Object<'_>, path: &FieldPath) -> Vec<(Box<str>, Tree)> {
+    fn below(&mut self, step: Step, value: &ast::Value<'_>) -> Tree {
+        self.path.steps.push(step);
+        let tree = self.value(value);
+        self.path.steps.pop();
+        tree
+    }
+
+    fn elements(&mut self, array: &ast::Array<'_>) -> Vec<Tree> {
+        let elements = array.elements.iter().enumerate();
+        elements
+            .map(|(index, element)| self.below(Step::Index(index), element))
+            .collect()
+    }
+
+    fn fields(&mut self, object: &ast::Object<'_>) -> Vec<(Box<str>, Tree)> {
         let mut names = HashSet::new();
         let mut fields = Vec::with_capacity(object.properties.len());
         for property in &object.properties {
             let name = property.name.as_str();
-            let field_path = path.field(name);
             if !names.insert(name) {
-                self.faults.push(Fault {
-                    line: Some(self.line(property.range.start)),
-                    path: field_path,
-                    found: Arc::from("the field for a second time"),
-                    allowed: Arc::from("each field once"),
-                });
+                self.second(name, property.range.start);
                 continue;
             }
-            let tree = self.value(&property.value, &field_path);
+            let tree = self.below(Step::Field(Arc::from(name)), &property.value);
             fields.push((Box::from(name), tree));
         }
         fields
     }
+
+    /// A field that stands twice in its object.
+    fn second(&mut self, name: &str, at: usize) {
+        if self.faults.len() >= FAULT_LIMIT {
+            return;
+        }
+        self.faults.push(Fault {
+            path: self.path.field(name),
+            line: Some(self.line(at)),
+            found: Arc::from("the field for a second time"),
+            allowed: Arc::from("each field once"),
+        });
+    }
 }
