Show a fleet in one process by the demo subcommand

Cause: a newcomer had nothing to run. Ruled out: separate processes, since the demo would have to start them; nodes on port 0, since the daemon doesn't tell its addresses. Change: demo starts the stand-ins and two nodes on free loopback ports, publishes typed documents, streams a completion, books a slip through the node that does not own its id, repeats the id through the other, compares the answers and the service's count, prints a table, stops and joins all. node runs the daemon. Logs are at warn for commands that print. Before: not in this build.

--- /dev/null
+++ b/crates/briarbank/src/demo/fleet.rs
@@ -0,0 +1,142 @@
+//! The demo's processes, all in this one.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use briarbank_config::HostsDocument;
+use briarbank_core::conf::Key;
+use briarbank_core::ids::HostName;
+use briarbank_standin::Running;
+use bytes::Bytes;
+use http::Method;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use super::documents;
+use super::ports::{NodePorts, free_ports};
+use crate::Error;
+use crate::operator::Operator;
+use crate::publish::publish;
+
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// A node of the demo.
+#[derive(Clone, Debug)]
+pub(super) struct DemoNode {
+    pub(super) host: HostName,
+    pub(super) caller: SocketAddr,
+    pub(super) operator: SocketAddr,
+}
+
+/// Stand-ins and two nodes.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    pub(super) nodes: Vec<DemoNode>,
+    pub(super) hosts: HostsDocument,
+    pub(super) service: SocketAddr,
+    standins: Vec<Running>,
+    tasks: JoinSet<Result<(), briarbank_node::Error>>,
+    stop_nodes: watch::Sender<bool>,
+    stop_standins: watch::Sender<bool>,
+}
+
+impl Fleet {
+    /// Starts the stand-ins, publishes the documents and starts the nodes.
+    pub(super) async fn start() -> Result<Self, Error> {
+        let stop_nodes = watch::Sender::new(false);
+        let stop_standins = watch::Sender::new(false);
+        let stopped = || stopped(&stop_standins);
+        let platform =
+            briarbank_standin::platform(documents::platform_settings(), stopped()).await?;
+        let engine = briarbank_standin::engine(documents::engine_settings(), stopped()).await?;
+        let service = briarbank_standin::service(documents::service_settings(), stopped()).await?;
+        let ports = free_ports()?;
+        let hosts = documents::hosts(&ports);
+        let servers = documents::servers(engine.address(), service.address());
+        publish_json(platform.address(), Key::Config, &documents::config()).await?;
+        publish_json(platform.address(), Key::Servers, &servers).await?;
+        publish_json(platform.address(), Key::Hosts, &hosts).await?;
+        let mut tasks = JoinSet::new();
+        let settings = documents::node_settings(&ports, platform.address());
+        let nodes = settings.iter().zip(&ports).map(|(s, p)| node(&s.host, p));
+        let nodes = nodes.collect();
+        for settings in settings {
+            tasks.spawn(briarbank_node::run(settings, self::stopped(&stop_nodes)));
+        }
+        Ok(Self {
+            nodes,
+            hosts,
+            service: service.address(),
+            standins: vec![platform, engine, service],
+            tasks,
+            stop_nodes,
+            stop_standins,
+        })
+    }
+
+    /// Waits until all nodes serve callers.
+    pub(super) async fn ready(&mut self) -> Result<(), Error> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        let mut waiting = self.nodes.clone();
+        while let Some(node) = waiting.last() {
+            if let Some(ended) = self.tasks.try_join_next() {
+                ended??;
+                return Err(Error::DemoEnded);
+            }
+            let operator = Operator {
+                address: node.operator,
+                settings: None,
+            };
+            match operator.call(Method::GET, "/ready", Bytes::new()).await {
+                Ok(_) => {
+                    waiting.pop();
+                }
+                Err(error) if Instant::now() > deadline => return Err(error),
+                Err(_) => sleep(READY_POLL).await,
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops the nodes as planned, then the stand-ins, and joins all.
+    pub(super) async fn stop(mut self) -> Result<(), Error> {
+        self.stop_nodes.send_replace(true);
+        let mut result = Ok(());
+        while let Some(ended) = self.tasks.join_next().await {
+            result = result.and(ended.map_err(Error::from).and_then(|r| Ok(r?)));
+        }
+        self.stop_standins.send_replace(true);
+        for standin in self.standins {
+            standin.join().await;
+        }
+        result
+    }
+}
+
+fn node(host: &HostName, ports: &NodePorts) -> DemoNode {
+    DemoNode {
+        host: host.clone(),
+        caller: ports.caller,
+        operator: ports.operator,
+    }
+}
+
+fn stopped(stop: &watch::Sender<bool>) -> impl Future<Output = ()> + Send + 'static {
+    let mut stop = stop.subscribe();
+    async move {
+        // A sender that is gone stops the process, too.
+        let _ = stop.wait_for(|stop| *stop).await;
+    }
+}
+
+async fn publish_json(
+    address: SocketAddr,
+    key: Key,
+    document: &impl Serialize,
+) -> Result<(), Error> {
+    let body = serde_json::to_vec(document).map_err(|e| Error::Json(address, e))?;
+    publish(address, key, Bytes::from(body)).await
+}
--- /dev/null
+++ b/crates/briarbank/src/demo/story.rs
@@ -0,0 +1,149 @@
+//! What the demo shows.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarbank_core::rendezvous;
+use briarbank_standin::Client;
+use bytes::Bytes;
+use http::Method;
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+use uuid::Uuid;
+
+use super::call::{Seen, chat, slip};
+use super::fleet::Fleet;
+use crate::Error;
+use crate::operator::Operator;
+use crate::table::lines;
+
+const SLIP_TIMEOUT: Duration = Duration::from_mins(1);
+const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Makes the calls and prints what callers see.
+pub(super) async fn tell(fleet: &mut Fleet, out: &mut dyn Write) -> Result<(), Error> {
+    writeln!(
+        out,
+        "A platform, a model engine, a plain service and two nodes on loopback:"
+    )?;
+    for node in &fleet.nodes {
+        writeln!(out, "  {} takes calls at {}", node.host, node.caller)?;
+    }
+    fleet.ready().await?;
+    let client = Client::default();
+    let told = calls(fleet, &client, out).await;
+    client.close().await;
+    told
+}
+
+async fn calls(fleet: &Fleet, client: &Client, out: &mut dyn Write) -> Result<(), Error> {
+    let [first, second] = &fleet.nodes[..] else {
+        return Err(Error::DemoEnded);
+    };
+    writeln!(out, "\nA streamed completion through {}:", first.host)?;
+    let completion = require(chat(client, first, out).await?)?;
+    writeln!(
+        out,
+        "\nA booking slip through {}, while {} owns its id:",
+        second.host, first.host
+    )?;
+    let (id, booked) = book(fleet, client).await?;
+    writeln!(out, "{}", String::from_utf8_lossy(&booked.body))?;
+    writeln!(out, "\nThe same id again through {}:", first.host)?;
+    let repeated = require(slip(client, first, &id, 2).await?)?;
+    writeln!(out, "{}", String::from_utf8_lossy(&repeated.body))?;
+    let runs = runs(fleet, &id).await?;
+    writeln!(out, "\nThe service ran the slip {runs} time(s).\n")?;
+    write!(
+        out,
+        "{}",
+        summary(&[completion, booked.clone(), repeated.clone()])
+    )?;
+    if runs != 1 || booked.body != repeated.body {
+        return Err(Error::DemoRuns(runs));
+    }
+    Ok(())
+}
+
+/// Sends a slip through the second node under an id that the first one owns.
+///
+/// A fleet that has just started refuses ids that are older than its records;
+/// the caller comes back with a new one, since the refused one did not run.
+async fn book(fleet: &Fleet, client: &Client) -> Result<(String, Seen), Error> {
+    let deadline = Instant::now() + SLIP_TIMEOUT;
+    loop {
+        let id = id_owned_by_first(fleet);
+        let seen = slip(client, &fleet.nodes[1], &id, 1).await?;
+        if seen.is_completed() {
+            return Ok((id, seen));
+        }
+        if !seen.is_not_run() || Instant::now() > deadline {
+            return Err(Error::DemoCall(Arc::from(refusal(&seen))));
+        }
+        sleep(seen.retry_after.unwrap_or(DEFAULT_PAUSE)).await;
+    }
+}
+
+fn id_owned_by_first(fleet: &Fleet) -> String {
+    loop {
+        let id = Uuid::now_v7().to_string();
+        let key = rendezvous::key(id.as_bytes());
+        let hosts = fleet.hosts.hosts.iter();
+        let owner = rendezvous::first(key, hosts, |h| h.name.as_str());
+        if owner.is_some_and(|h| h.name == fleet.nodes[0].host) {
+            return id;
+        }
+    }
+}
+
+fn require(seen: Seen) -> Result<Seen, Error> {
+    if seen.is_completed() {
+        return Ok(seen);
+    }
+    Err(Error::DemoCall(Arc::from(refusal(&seen))))
+}
+
+fn refusal(seen: &Seen) -> String {
+    let body = String::from_utf8_lossy(&seen.body);
+    format!(
+        "{} through {}: {} {body}",
+        seen.request, seen.host, seen.status
+    )
+}
+
+/// How often the service ran the request.
+async fn runs(fleet: &Fleet, id: &str) -> Result<u64, Error> {
+    let service = Operator {
+        address: fleet.service,
+        settings: None,
+    };
+    let body = service
+        .call(Method::GET, "/control/runs", Bytes::new())
+        .await?;
+    let runs: Value = serde_json::from_slice(&body).map_err(|e| Error::Json(fleet.service, e))?;
+    Ok(runs["runs"][id].as_u64().unwrap_or_default())
+}
+
+fn summary(calls: &[Seen]) -> String {
+    let head = [
+        "request", "node", "profile", "status", "outcome", "tokens", "first_ms", "whole_ms",
+    ];
+    let head = head.map(String::from).to_vec();
+    let rows = calls.iter().map(|seen| {
+        vec![
+            String::from(seen.request),
+            seen.host.clone(),
+            String::from(seen.profile),
+            seen.status.as_u16().to_string(),
+            seen.outcome.clone(),
+            seen.tokens.to_string(),
+            format!("{:.1}", seen.first.as_secs_f64() * 1e3),
+            format!("{:.1}", seen.whole.as_secs_f64() * 1e3),
+        ]
+    });
+    let rows: Vec<_> = std::iter::once(head).chain(rows).collect();
+    let mut text = String::new();
+    lines(&rows, &mut text);
+    text
+}
--- a/crates/briarbank/src/dump.rs
+++ b/crates/briarbank/src/dump.rs
@@ -40,7 +40,7 @@
         writeln!(out)?;
         return Ok(());
     }
-    let value = serde_json::from_slice(&body).map_err(|e| Error::Dump(operator.address, e))?;
+    let value = serde_json::from_slice(&body).map_err(|e| Error::Json(operator.address, e))?;
     write!(out, "{}", render(&value))?;
     Ok(())
 }
--- a/crates/briarbank/src/error.rs
+++ b/crates/briarbank/src/error.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use http::StatusCode;
 use quick_error::quick_error;
 
 /// Exit code of a failed run.
@@ -44,6 +45,34 @@
             display("{error}")
             from()
         }
+        /// A node can't run.
+        Node(error: briarbank_node::Error) {
+            source(error)
+            display("{error}")
+            from()
+        }
+        /// A task ended by a panic or was cancelled.
+        Task(error: tokio::task::JoinError) {
+            source(error)
+            display("a task did not end as it should: {error}")
+            from()
+        }
+        /// A signal came before the demo was over.
+        Interrupted {
+            display("stopped by a signal")
+        }
+        /// A node of the demo ended before its time.
+        DemoEnded {
+            display("a node of the demo ended before its time")
+        }
+        /// A call of the demo was not answered as promised.
+        DemoCall(answer: Arc<str>) {
+            display("a call of the demo was not answered as promised: {answer}")
+        }
+        /// The slip of the demo did not run exactly once.
+        DemoRuns(runs: u64) {
+            display("the slip ran {runs} times or its answers differ; allowed: once, with one answer")
+        }
         /// This part is not in this build.
         Missing(part: &'static str) {
             display("`briarbank {part}` is not in this build")
@@ -68,13 +97,13 @@
             display("{address} gave no answer in time")
         }
         /// An operator port answered with an error.
-        Status(address: SocketAddr, status: http::StatusCode) {
-            display("{address} answered {status}; --settings names a file with the shared key")
+        Status(address: SocketAddr, status: StatusCode) {
+            display("{address} answered {status}{}", hint(*status))
         }
-        /// A dump is not JSON.
-        Dump(address: SocketAddr, error: serde_json::Error) {
+        /// An answer or a document for an address is not JSON.
+        Json(address: SocketAddr, error: serde_json::Error) {
             source(error)
-            display("the dump of {address} is not valid JSON: {error}")
+            display("what {address} answered or is to get is not valid JSON: {error}")
         }
         /// The shared key can't stand in a header.
         Key(path: Arc<str>) {
@@ -91,7 +120,15 @@
             Self::NoCommand | Self::NothingToCheck | Self::LogFilter(_) => EXIT_USAGE,
             Self::Config(_) | Self::Invalid(_) | Self::Key(_) => EXIT_INVALID,
             Self::Call(..) | Self::Timeout(_) | Self::Status(..) => EXIT_UNREACHABLE,
-            Self::Io(_) | Self::Missing(_) | Self::Standin(_) | Self::Dump(..) => EXIT_FAILED,
+            _ => EXIT_FAILED,
         }
     }
 }
+
+fn hint(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "; --settings names a file with the shared key",
+        StatusCode::NOT_FOUND => "; is this an operator port, or a stand-in that needs --standin?",
+        _ => "",
+    }
+}
--- a/crates/briarbank/src/lib.rs
+++ b/crates/briarbank/src/lib.rs
@@ -4,6 +4,7 @@
 //! stand-ins and the decoding of settings are crates of their own.
 
 mod check;
+mod demo;
 mod dump;
 mod error;
 mod logs;
@@ -15,10 +16,11 @@
 mod table;
 
 pub use check::{Selection, check};
+pub use demo::demo;
 pub use dump::{Process, drain, dump};
 pub use error::{EXIT_FAILED, EXIT_INVALID, EXIT_UNREACHABLE, EXIT_USAGE, Error};
 pub use logs::init_logs;
 pub use operator::Operator;
 pub use publish::DocumentFiles;
-pub use run::{demo, engine, load, node, platform, service};
+pub use run::{engine, load, node, platform, service};
 pub use table::render;
--- a/crates/briarbank/src/logs.rs
+++ b/crates/briarbank/src/logs.rs
@@ -6,15 +6,13 @@
 
 use crate::Error;
 
-const DEFAULT_FILTER: &str = "info";
-
 /// Starts logging to the standard error stream.
 ///
 /// # Errors
 ///
 /// [`Error::LogFilter`] when the filter can't be parsed.
-pub fn init_logs(filter: Option<&str>, json: bool) -> Result<(), Error> {
-    let filter = EnvFilter::try_new(filter.unwrap_or(DEFAULT_FILTER)).map_err(Error::LogFilter)?;
+pub fn init_logs(filter: &str, json: bool) -> Result<(), Error> {
+    let filter = EnvFilter::try_new(filter).map_err(Error::LogFilter)?;
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(stderr)
--- a/crates/briarbank/src/main.rs
+++ b/crates/briarbank/src/main.rs
@@ -31,7 +31,11 @@
         );
         return Ok(());
     }
-    briarbank::init_logs(flags.log.as_deref(), flags.log_json)?;
+    let log = flags.log.as_deref().unwrap_or(match flags.subcommand {
+        BriarbankCmd::Node(_) | BriarbankCmd::Standin(_) => "info",
+        _ => "warn",
+    });
+    briarbank::init_logs(log, flags.log_json)?;
     match flags.subcommand {
         BriarbankCmd::Usage(_) => Err(Error::NoCommand),
         BriarbankCmd::Node(node) => briarbank::node(&node.settings),
--- a/crates/briarbank/src/run.rs
+++ b/crates/briarbank/src/run.rs
@@ -20,8 +20,11 @@
 ///
 /// Invalid settings, or a node that can't run.
 pub fn node(path: &Path) -> Result<(), Error> {
-    let _settings: NodeSettings = briarbank_config::load(path)?;
-    Err(Error::Missing("node"))
+    let settings: NodeSettings = briarbank_config::load(path)?;
+    runtime()?.block_on(async {
+        briarbank_node::run(settings, shutdown()?).await?;
+        Ok(())
+    })
 }
 
 /// Runs the platform stand-in, with the documents that it publishes at first.
@@ -70,15 +73,6 @@
     })
 }
 
-/// Runs stand-ins and two nodes in this process and shows some calls.
-///
-/// # Errors
-///
-/// A part that can't run, or a call that isn't answered as promised.
-pub fn demo(_out: &mut dyn Write) -> Result<(), Error> {
-    Err(Error::Missing("demo"))
-}
-
 /// Sends load and prints its result.
 ///
 /// # Errors
--- a/crates/briarbank/src/table.rs
+++ b/crates/briarbank/src/table.rs
@@ -117,7 +117,8 @@
         .collect()
 }
 
-fn lines(rows: &[Vec<String>], text: &mut String) {
+/// Writes rows with aligned columns.
+pub(crate) fn lines(rows: &[Vec<String>], text: &mut String) {
     let count = rows.iter().map(Vec::len).max().unwrap_or_default();
     let widths: Vec<_> = (0..count)
         .map(|column| {
