--- a/crates/briarbank/src/demo/story.rs
+++ b/crates/briarbank/src/demo/story.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarbank_core::rendezvous;
+use briarbank_core::hosts::HostView;
+use briarbank_core::ids::{RequestId, Revision};
+use briarbank_core::owner::{SlotMap, slot_of};
 use briarbank_standin::Client;
 use bytes::Bytes;
 use http::Method;
@@ -81,13 +83,14 @@
     }
 }
 
+/// A new id that the first node owns by the published host list.
 fn id_owned_by_first(fleet: &Fleet) -> String {
+    let view = HostView::new(Revision(1), fleet.hosts.hosts.clone());
+    let slots = SlotMap::new(Arc::new(view));
     loop {
         let id = Uuid::now_v7().to_string();
-        let key = rendezvous::key(id.as_bytes());
-        let hosts = fleet.hosts.hosts.iter();
-        let owner = rendezvous::first(key, hosts, |h| h.name.as_str());
-        if owner.is_some_and(|h| h.name == fleet.nodes[0].host) {
+        let owner = slots.owner(slot_of(&RequestId::new(&id)));
+        if owner == Some(&fleet.nodes[0].host) {
             return id;
         }
     }
--- a/crates/briarbank/tests/fleet/caller.rs
+++ b/crates/briarbank/tests/fleet/caller.rs
@@ -7,6 +7,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
+use uuid::Uuid;
 
 /// Calls one node.
 #[derive(Debug)]
@@ -40,16 +41,29 @@
         }
     }
 
-    /// A booking slip, which may not be repeated.
-    pub fn slip(id: &str) -> Self {
+    /// A new booking slip, which may not be repeated.
+    pub fn slip() -> Self {
         Self {
             path: "/services/slips/book".to_owned(),
             profile: "slips",
-            id: Some(id.to_owned()),
+            id: Some(Uuid::now_v7().to_string()),
             attempt: Some(1),
             body: json!({"lens": "35mm"}),
         }
     }
+
+    /// The same call again.
+    pub fn again(&self) -> Self {
+        Self {
+            attempt: Some(self.attempt.unwrap_or(1) + 1),
+            ..self.clone()
+        }
+    }
+
+    /// Id that the caller chose.
+    pub fn id(&self) -> &str {
+        self.id.as_deref().expect("an id")
+    }
 }
 
 /// An answer, read to its end.
--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -9,18 +9,24 @@
 
 pub use caller::{Call, Caller};
 pub use process::Process;
-pub use published::{NodeAddresses, Published};
+use published::NodeAddresses;
+pub use published::Published;
 
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
 
 use serde_json::{Value, json};
+use tokio::time::sleep;
 
 /// Key that the nodes share.
 pub const KEY: &str = "key-of-the-tests";
 
+/// Time after the start of an owner's records in which ids must not be born.
+const BIRTH_MARGIN: Duration = Duration::from_millis(3_100);
+
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
 /// Processes of one test; they end with it.
@@ -99,9 +105,22 @@
         for node in &fleet.nodes {
             node.ready().await;
         }
+        if size.services > 0 {
+            fleet.own_ids().await;
+        }
         fleet
     }
 
+    /// Waits until all nodes run calls that may not be repeated.
+    ///
+    /// Ids born before the records of their owner began are refused.
+    pub async fn own_ids(&self) {
+        for node in &self.nodes {
+            node.owning().await;
+        }
+        sleep(BIRTH_MARGIN).await;
+    }
+
     fn start_engine(&mut self, token_us: u64) {
         let name = format!("engine-{}", self.engines.len());
         let address = free_port(self.ip);
--- a/crates/briarbank/tests/path.rs
+++ b/crates/briarbank/tests/path.rs
@@ -18,16 +18,14 @@
     let fleet = Fleet::start(Size::default()).await;
     // Enough ids that both nodes own some; each is asked for at both.
     for number in 0..16 {
-        let id = format!("slip-{number}");
-        let first = fleet.caller(number % 2).send(&Call::slip(&id)).await;
+        let call = Call::slip();
+        let first = fleet.caller(number % 2).send(&call).await;
         let first = first.expect("an answer");
         assert_eq!(first.status, StatusCode::OK, "{}", first.text);
         assert_eq!(first.outcome.as_deref(), Some("completed"));
-        assert_eq!(first.json()["request_id"], id);
-        let mut repeat = Call::slip(&id);
-        repeat.attempt = Some(2);
-        let second = fleet.caller((number + 1) % 2).send(&repeat).await;
+        assert_eq!(first.json()["request_id"], call.id());
+        let second = fleet.caller((number + 1) % 2).send(&call.again()).await;
         assert_eq!(second.expect("an answer").text, first.text);
-        assert_eq!(fleet.runs(&id).await, 1, "{id}");
+        assert_eq!(fleet.runs(call.id()).await, 1);
     }
 }
--- a/crates/node/src/call/task.rs
+++ b/crates/node/src/call/task.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use briarbank_core::call::{Failure, StoredAnswer};
 use briarbank_core::ids::{AttemptId, HostName};
@@ -86,14 +85,11 @@
         if !attempt.idempotent {
             self.answer.keep();
         }
-        let sent = AtomicBool::new(false);
-        let idempotent = attempt.idempotent;
         let run = AttemptRun {
             upstream: Upstream {
                 control: &self.control,
                 pool: &self.pool,
                 inbound: &self.inbound,
-                sent: &sent,
                 progress: Progress::new(id),
             },
             answer: &mut self.answer,
@@ -118,10 +114,7 @@
                     },
                     () = self.gone.cancelled(), if !told_gone => {
                         told_gone = true;
-                        // What may not be repeated goes on once it is sent.
-                        if idempotent || !sent.load(Ordering::SeqCst) {
-                            self.control.event(Event::CallerGone(self.inbound.call.id));
-                        }
+                        self.control.event(Event::CallerGone(self.inbound.call.id));
                     }
                 }
             }
--- a/crates/node/src/caller/headers.rs
+++ b/crates/node/src/caller/headers.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use briarbank_core::call::Outcome;
 use briarbank_core::ids::{ProfileName, RequestId, WorkspaceName};
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
@@ -63,6 +64,17 @@
     }
 }
 
+impl CallerHeaders {
+    /// Outcome to state before the core has seen the call.
+    pub(crate) fn unproven(&self) -> Outcome {
+        if self.first_try {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        }
+    }
+}
+
 fn make_up() -> RequestId {
     RequestId::new(&Uuid::now_v7().to_string())
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -276,7 +276,7 @@
                 let _ = taken.send(());
             }
             Message::Dump(answer) => {
-                let _ = answer.send(Dump::new(&self.node, &self.actions));
+                let _ = answer.send(self.dump());
             }
         }
     }
@@ -302,6 +302,14 @@
         }
     }
 
+    fn dump(&self) -> Dump {
+        Dump {
+            node: self.node.dump(Instant::now()),
+            call_tasks: self.actions.calls(),
+            hosts: self.node.hosts().hosts.clone(),
+        }
+    }
+
     fn publish_view(&self) {
         self.publish.send_if_modified(|view| {
             let new = View::new(&self.node);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,7 @@
 mod server;
 mod view;
 
-pub use dump::{Adopted, Dump};
+pub use dump::Dump;
 pub use error::Error;
 pub use platform::{Error as PlatformError, HttpPlatform, Platform, Query, Value};
 pub use run::{run, run_with};
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt of a call at a server.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use briarbank_core::call::{Failure, ServerLoad, StoredAnswer};
@@ -42,8 +41,6 @@
     pub(crate) control: &'a Control,
     pub(crate) pool: &'a Pool,
     pub(crate) inbound: &'a Inbound,
-    /// Set when bytes may have reached the server.
-    pub(crate) sent: &'a AtomicBool,
     pub(crate) progress: Arc<Progress>,
 }
 
@@ -116,7 +113,6 @@
         if !self.attempt.idempotent && !self.may_send().await {
             return Err(Failure::NotSent);
         }
-        self.upstream.sent.store(true, Ordering::SeqCst);
         let response = connection.sender.try_send_request(request);
         match timeout(self.attempt.patience.first, response).await {
             Ok(Ok(response)) => Ok(Answered {
@@ -125,7 +121,6 @@
             }),
             Ok(Err(error)) if error.message().is_some() => {
                 // The request came back: it never reached the connection.
-                self.upstream.sent.store(false, Ordering::SeqCst);
                 Err(Failure::NotSent)
             }
             Ok(Err(_)) => Err(Failure::Broken),
