Stop the demo as operators stop a fleet

Cause: the demo ended 5 s late, since nodes wait for a host list that names them leaving. Change: it publishes such a list before it stops the nodes, and says that slips take some seconds after a start. A closed output is no fault.

--- a/crates/briarbank/src/demo/fleet.rs
+++ b/crates/briarbank/src/demo/fleet.rs
@@ -5,6 +5,7 @@
 
 use briarbank_config::HostsDocument;
 use briarbank_core::conf::Key;
+use briarbank_core::hosts::HostState;
 use briarbank_core::ids::HostName;
 use briarbank_standin::Running;
 use bytes::Bytes;
@@ -37,6 +38,7 @@
     pub(super) nodes: Vec<DemoNode>,
     pub(super) hosts: HostsDocument,
     pub(super) service: SocketAddr,
+    platform: SocketAddr,
     standins: Vec<Running>,
     tasks: JoinSet<Result<(), briarbank_node::Error>>,
     stop_nodes: watch::Sender<bool>,
@@ -70,6 +72,7 @@
             nodes,
             hosts,
             service: service.address(),
+            platform: platform.address(),
             standins: vec![platform, engine, service],
             tasks,
             stop_nodes,
@@ -102,9 +105,14 @@
     }
 
     /// Stops the nodes as planned, then the stand-ins, and joins all.
+    ///
+    /// As operators do, it marks the hosts as leaving first.
     pub(super) async fn stop(mut self) -> Result<(), Error> {
+        for host in &mut self.hosts.hosts {
+            host.state = HostState::Leaving;
+        }
+        let mut result = publish_json(self.platform, Key::Hosts, &self.hosts).await;
         self.stop_nodes.send_replace(true);
-        let mut result = Ok(());
         while let Some(ended) = self.tasks.join_next().await {
             result = result.and(ended.map_err(Error::from).and_then(|r| Ok(r?)));
         }
--- a/crates/briarbank/src/demo/story.rs
+++ b/crates/briarbank/src/demo/story.rs
@@ -50,6 +50,10 @@
         "\nA booking slip through {}, while {} owns its id:",
         second.host, first.host
     )?;
+    writeln!(
+        out,
+        "(a fleet that has just started takes slips after some seconds)"
+    )?;
     let (id, booked) = book(fleet, client).await?;
     writeln!(out, "{}", String::from_utf8_lossy(&booked.body))?;
     writeln!(out, "\nThe same id again through {}:", first.host)?;
--- a/crates/briarbank/src/error.rs
+++ b/crates/briarbank/src/error.rs
@@ -113,6 +113,12 @@
 }
 
 impl Error {
+    /// Whether the reader of the output went away, which is no fault.
+    #[must_use]
+    pub fn is_closed_output(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::BrokenPipe)
+    }
+
     /// Exit code of the process.
     #[must_use]
     pub fn exit_code(&self) -> u8 {
--- a/crates/briarbank/src/main.rs
+++ b/crates/briarbank/src/main.rs
@@ -16,6 +16,7 @@
     };
     match run(flags) {
         Ok(()) => ExitCode::SUCCESS,
+        Err(error) if error.is_closed_output() => ExitCode::SUCCESS,
         Err(error) => {
             print_line(std::io::stderr(), &format!("briarbank: {error}"));
             ExitCode::from(error.exit_code())
