Add the open-loop load tool

Cause: attainment, goodput and wasted work are to be measured over real processes, by callers who repeat calls and check their answers.

Change: a plan in JSON with comments, Poisson arrivals by a fixed seed, latencies from the intended start, repeats with the same id at the next entry host, check of each token, an audit against the counters of the stand-ins (doubled runs, not-run calls that ran), a table, a comparison. The exchange of two answers now ends as a whole: its state left a window in which a third call waited for a partner.

Ruled out: delaying arrivals at the bound in flight; they count as overrun, since a delayed arrival would hide a slow system.

--- a/crates/standin/src/backend/gate.rs
+++ b/crates/standin/src/backend/gate.rs
@@ -51,7 +51,10 @@
 
     /// The switches as they are now.
     pub(crate) fn switches(&self) -> Switches {
-        locked(&self.switches).clone()
+        Switches {
+            cross_answers: self.crossing.is_armed(),
+            ..locked(&self.switches).clone()
+        }
     }
 
     /// Waits while the server is frozen.
@@ -75,12 +78,7 @@
 
     /// Identity of the answer: the call's own unless it is crossed.
     pub(crate) async fn identity(&self, own: Identity) -> Identity {
-        if !self.switches().cross_answers {
-            return own;
-        }
-        let identity = self.crossing.exchange(own).await;
-        locked(&self.switches).cross_answers = false;
-        identity
+        self.crossing.exchange(own).await
     }
 
     /// Waits as long as answers are to be late.
@@ -164,9 +162,11 @@
         let patch = read(request.into_body()).await?;
         let switches = {
             let mut current = locked(&self.switches);
+            current.cross_answers = self.crossing.is_armed();
             *current = merge(&*current, &patch)?;
             current.clone()
         };
+        self.crossing.arm(switches.cross_answers);
         self.frozen.send_replace(switches.frozen);
         self.token_faults
             .store(switches.has_token_faults(), Ordering::Relaxed);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod error;
 mod http;
+mod load;
 mod platform;
 mod service;
 
@@ -15,5 +16,9 @@
 pub use engine::{answer_length, answer_word, engine, prompt_hash};
 pub use error::Error;
 pub use http::{Answer, Client, ClientError, Running};
+pub use load::{
+    AnswerCheck, Arrival, Arrivals, AuditResult, Burst, ClassResult, Comparison, Fault, LoadClass,
+    LoadError, LoadPlan, LoadResult, Progress, Quantiles, load,
+};
 pub use platform::{PlatformSwitches, StaleValue, platform};
 pub use service::service;
--- /dev/null
+++ b/crates/standin/src/load/audit.rs
@@ -0,0 +1,135 @@
+//! Comparison of the callers' outcomes with the stand-ins' counters.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use briarbank_core::catalog::TargetKind;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use super::error::LoadError;
+use super::outcome::{CallOutcome, CallRecord};
+use super::plan::LoadPlan;
+use super::result::AuditResult;
+use crate::http::{Client, ClientError};
+
+#[derive(Debug, Deserialize)]
+struct EngineState {
+    tokens: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct ServiceRuns {
+    runs: HashMap<Arc<str>, u32>,
+}
+
+/// Outcomes of the load, to compare with the counters at its end.
+#[derive(Debug)]
+pub(crate) struct Audit {
+    engines: Vec<SocketAddr>,
+    services: Vec<SocketAddr>,
+    tokens_before: u64,
+    tokens_in_time: u64,
+    completed: Vec<Arc<str>>,
+    not_run: Vec<Arc<str>>,
+}
+
+impl Audit {
+    /// Reads the counters before the load.
+    pub(crate) async fn begin(client: &Client, plan: &LoadPlan) -> Result<Self, LoadError> {
+        Ok(Self {
+            engines: plan.engines.clone(),
+            services: plan.services.clone(),
+            tokens_before: generated(client, &plan.engines).await?,
+            tokens_in_time: 0,
+            completed: Vec::new(),
+            not_run: Vec::new(),
+        })
+    }
+
+    /// Notes the end of a call.
+    pub(crate) fn note(&mut self, kind: TargetKind, record: &CallRecord, attained: bool) {
+        if attained {
+            self.tokens_in_time += u64::from(record.tokens);
+        }
+        if kind != TargetKind::Service {
+            return;
+        }
+        let id = Arc::clone(&record.request_id);
+        match record.outcome {
+            CallOutcome::Completed => self.completed.push(id),
+            CallOutcome::NotRun => self.not_run.push(id),
+            CallOutcome::Unknown | CallOutcome::Wrong => {}
+        }
+    }
+
+    /// Reads the counters after the load and compares.
+    pub(crate) async fn finish(self, client: &Client) -> Result<Option<AuditResult>, LoadError> {
+        if self.engines.is_empty() && self.services.is_empty() {
+            return Ok(None);
+        }
+        let generated = generated(client, &self.engines).await?;
+        let generated_tokens = generated.saturating_sub(self.tokens_before);
+        let runs = runs(client, &self.services).await?;
+        let has_run = |id: &&Arc<str>| runs.contains_key(*id);
+        let checked = !self.services.is_empty();
+        let with_run = self.completed.iter().filter(has_run).count();
+        let completed_without_run = if checked {
+            self.completed.len() - with_run
+        } else {
+            0
+        };
+        Ok(Some(AuditResult {
+            generated_tokens,
+            wasted_tokens: generated_tokens.saturating_sub(self.tokens_in_time),
+            service_runs: runs.values().map(|n| u64::from(*n)).sum(),
+            doubled_runs: runs.values().filter(|n| **n > 1).count() as u64,
+            false_not_run: self.not_run.iter().filter(has_run).count() as u64,
+            completed_without_run: completed_without_run as u64,
+        }))
+    }
+}
+
+async fn generated(client: &Client, engines: &[SocketAddr]) -> Result<u64, LoadError> {
+    let mut tokens = 0;
+    for engine in engines {
+        let state: EngineState = read(client, *engine, "/control/state").await?;
+        tokens += state.tokens;
+    }
+    Ok(tokens)
+}
+
+/// Runs by request id, over all services.
+async fn runs(
+    client: &Client,
+    services: &[SocketAddr],
+) -> Result<HashMap<Arc<str>, u32>, LoadError> {
+    let mut all: HashMap<Arc<str>, u32> = HashMap::new();
+    for service in services {
+        let state: ServiceRuns = read(client, *service, "/control/runs").await?;
+        for (id, count) in state.runs {
+            *all.entry(id).or_default() += count;
+        }
+    }
+    Ok(all)
+}
+
+async fn read<T: DeserializeOwned>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<T, LoadError> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    if let Ok(uri) = path.parse() {
+        *request.uri_mut() = uri;
+    }
+    let body = async { client.send(address, request).await?.whole().await };
+    let body = body
+        .await
+        .map_err(|e: ClientError| LoadError::Counters(address, e))?;
+    Ok(serde_json::from_slice(&body)?)
+}
--- /dev/null
+++ b/crates/standin/src/load/plan.rs
@@ -0,0 +1,232 @@
+//! What a load consists of.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarbank_core::catalog::TargetKind;
+use briarbank_core::ids::{ProfileName, TargetName, WorkspaceName};
+use serde::{Deserialize, Serialize};
+
+use super::error::LoadError;
+
+/// Longest load.
+const DURATION_LIMIT_MS: u64 = 600_000;
+/// Most calls of a load.
+const CALL_LIMIT: u64 = 5_000_000;
+/// Most calls in flight at once.
+const IN_FLIGHT_LIMIT: usize = 20_000;
+/// Largest prompt.
+const PROMPT_LIMIT_BYTES: usize = 1 << 20;
+
+/// A stretch of time in which a class sends more or less than its share.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    /// Begin, from the begin of the load.
+    pub start_ms: u64,
+    /// Length.
+    pub length_ms: u64,
+    /// Factor on the class's rate.
+    pub factor: f64,
+}
+
+/// Calls of one kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadClass {
+    /// Unique name in the result.
+    pub name: Arc<str>,
+    /// Profile that the calls name.
+    pub profile: ProfileName,
+    /// Workspaces that the calls name, one after another at random.
+    pub workspaces: Vec<WorkspaceName>,
+    /// Model or plain service.
+    pub target: TargetName,
+    /// Kind of the target.
+    pub kind: TargetKind,
+    /// Part of the whole rate, in relation to the other classes' shares.
+    pub share: f64,
+    /// Whether answers of a model are streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// Size of a prompt or of a service call's body.
+    #[serde(default = "default_prompt_bytes")]
+    pub prompt_bytes: usize,
+    /// Number of prompt beginnings that the calls share; 0 for none.
+    #[serde(default)]
+    pub shared_prefixes: u64,
+    /// Most tokens of an answer.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u32,
+    /// Target for the first token.
+    pub first_token_ms: u64,
+    /// Target for the mean time between tokens of an answer.
+    pub between_tokens_ms: u64,
+    /// Target for the whole answer.
+    pub whole_ms: u64,
+    /// Time after which a caller gives up.
+    pub give_up_ms: u64,
+    /// Most tries of one call.
+    #[serde(default = "default_tries")]
+    pub tries: u32,
+    /// Stretches with another rate.
+    #[serde(default)]
+    pub bursts: Vec<Burst>,
+}
+
+fn default_prompt_bytes() -> usize {
+    400
+}
+
+fn default_max_tokens() -> u32 {
+    256
+}
+
+fn default_tries() -> u32 {
+    3
+}
+
+/// A load: who calls whom, how often, for how long.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadPlan {
+    /// Seed of arrivals and contents.
+    pub seed: u64,
+    /// Length of the time in which calls arrive.
+    pub duration_ms: u64,
+    /// Rate of all classes together, without bursts.
+    pub rate_per_s: f64,
+    /// Most calls.
+    pub max_calls: u64,
+    /// Most calls in flight; arrivals beyond are counted as overrun.
+    #[serde(default = "default_in_flight")]
+    pub in_flight_limit: usize,
+    /// Caller ports of the entry hosts.
+    pub entries: Vec<SocketAddr>,
+    /// Engine stand-ins whose counters tell the wasted work.
+    #[serde(default)]
+    pub engines: Vec<SocketAddr>,
+    /// Service stand-ins whose runs are checked against the outcomes.
+    #[serde(default)]
+    pub services: Vec<SocketAddr>,
+    /// Classes of calls.
+    pub classes: Vec<LoadClass>,
+}
+
+fn default_in_flight() -> usize {
+    8_000
+}
+
+impl LoadPlan {
+    /// Reads a plan from JSON with comments.
+    ///
+    /// # Errors
+    ///
+    /// [`LoadError::Plan`] for its form, [`LoadError::Bounds`] and
+    /// [`LoadError::NotLoopback`] for its values.
+    pub fn parse(text: &str) -> Result<Self, LoadError> {
+        let plan: Self = briarbank_config::parse(text)?;
+        plan.validate()?;
+        Ok(plan)
+    }
+
+    /// Checks that every value is within its bounds.
+    ///
+    /// # Errors
+    ///
+    /// [`LoadError::Bounds`] or [`LoadError::NotLoopback`].
+    pub fn validate(&self) -> Result<(), LoadError> {
+        let bounds = [
+            (
+                (1..=DURATION_LIMIT_MS).contains(&self.duration_ms),
+                "duration_ms",
+                "1 to 600000",
+            ),
+            (is_positive(self.rate_per_s), "rate_per_s", "above 0"),
+            (
+                (1..=CALL_LIMIT).contains(&self.max_calls),
+                "max_calls",
+                "1 to 5000000",
+            ),
+            (
+                (1..=IN_FLIGHT_LIMIT).contains(&self.in_flight_limit),
+                "in_flight_limit",
+                "1 to 20000",
+            ),
+            (!self.entries.is_empty(), "entries", "one address or more"),
+            (!self.classes.is_empty(), "classes", "one class or more"),
+        ];
+        first_fault(&bounds)?;
+        let addresses = [&self.entries, &self.engines, &self.services];
+        for address in addresses.into_iter().flatten() {
+            if !address.ip().is_loopback() {
+                return Err(LoadError::NotLoopback(*address));
+            }
+        }
+        self.classes.iter().try_for_each(LoadClass::validate)
+    }
+
+    /// Time in which calls arrive.
+    #[must_use]
+    pub fn duration(&self) -> Duration {
+        Duration::from_millis(self.duration_ms)
+    }
+}
+
+impl LoadClass {
+    fn validate(&self) -> Result<(), LoadError> {
+        let factors = self
+            .bursts
+            .iter()
+            .all(|b| b.factor >= 0.0 && b.factor.is_finite());
+        first_fault(&[
+            (is_positive(self.share), "classes.share", "above 0"),
+            (
+                !self.workspaces.is_empty(),
+                "classes.workspaces",
+                "one name or more",
+            ),
+            (
+                self.prompt_bytes <= PROMPT_LIMIT_BYTES,
+                "classes.prompt_bytes",
+                "at most 1048576",
+            ),
+            ((1..=10).contains(&self.tries), "classes.tries", "1 to 10"),
+            (
+                (1..=DURATION_LIMIT_MS).contains(&self.give_up_ms),
+                "classes.give_up_ms",
+                "1 to 600000",
+            ),
+            (factors, "classes.bursts.factor", "0 or above"),
+        ])
+    }
+
+    /// Factor on the rate at a time.
+    #[must_use]
+    pub fn factor(&self, at: Duration) -> f64 {
+        let at_ms = at.as_millis();
+        let active = self.bursts.iter().filter(|b| {
+            let start = u128::from(b.start_ms);
+            (start..start + u128::from(b.length_ms)).contains(&at_ms)
+        });
+        active.map(|b| b.factor).product()
+    }
+
+    /// Largest factor on the rate.
+    pub(crate) fn factor_limit(&self) -> f64 {
+        // Bursts may overlap, so the bound is the product of those above 1.
+        self.bursts.iter().map(|b| b.factor.max(1.0)).product()
+    }
+}
+
+fn is_positive(number: f64) -> bool {
+    number.is_finite() && number > 0.0
+}
+
+fn first_fault(bounds: &[(bool, &'static str, &'static str)]) -> Result<(), LoadError> {
+    let fault = bounds.iter().find(|(holds, ..)| !holds);
+    fault.map_or(Ok(()), |(_, field, allowed)| {
+        Err(LoadError::Bounds(field, allowed))
+    })
+}
--- a/crates/standin/src/service/endpoint.rs
+++ b/crates/standin/src/service/endpoint.rs
@@ -65,7 +65,10 @@
 
     async fn run(&self, request: Request<Incoming>) -> Reply {
         let attempt: Arc<str> = Arc::from(header(&request, "briarbank-attempt").unwrap_or(""));
-        let id = header(&request, "briarbank-request-id").map(str::to_owned);
+        // Callers without a router in between name the request in the other header.
+        let id = header(&request, "briarbank-request-id")
+            .or_else(|| header(&request, "idempotency-key"))
+            .map(str::to_owned);
         let path = request.uri().path().to_owned();
         let body = read(request.into_body()).await?;
         let _running = RunningCall::new(&self.running);
