Test the remaining failure switches of the engine

Change: tests of queue order by tier, bounded prefix cache, a cut stream, freeze, late answers and stragglers.

--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
 
 use briarbank_standin::{Client, answer_length, answer_word, prompt_hash};
 use common::{Server, get_json, model_call, send, start_engine, switch};
@@ -114,14 +116,19 @@
     engine.stop().await;
 }
 
+/// A prompt whose answer has more than 2,000 tokens.
+fn long_prompt() -> String {
+    (0..100_000)
+        .map(|n| format!("long {n}"))
+        .find(|p| whole_answer(p, 5_000).len() > 2_000)
+        .expect("a long answer")
+}
+
 #[tokio::test]
 async fn closed_connection_cancels_the_attempt() {
     let engine = start_engine(1, 1_000).await;
     let client = Client::default();
-    let prompt = (0..100_000)
-        .map(|n| format!("long {n}"))
-        .find(|p| whole_answer(p, 5_000).len() > 2_000)
-        .expect("a long answer");
+    let prompt = long_prompt();
     let mut answer = send(
         &client,
         engine.address,
@@ -265,3 +272,100 @@
     }
     engine.stop().await;
 }
+
+#[tokio::test]
+async fn higher_tier_leaves_the_queue_first() {
+    let engine = start_engine(1, 1_000).await;
+    let client = Client::default();
+    let at = engine.address;
+    let long = model_call(&long_prompt(), true, 5_000);
+    let mut busy = send(&client, at, "POST", PATH, &[], &long)
+        .await
+        .expect("head");
+    assert!(busy.chunk().await.expect("first").is_some());
+    let order = Mutex::new(Vec::new());
+    let call = async |tier: &'static str, others: u64| {
+        while get_json(&client, at, "/control/state").await["waiting"] != others {}
+        let body = model_call("short", false, 3);
+        let headers = [("briarbank-tier", tier)];
+        let answer = send(&client, at, "POST", PATH, &headers, &body).await;
+        answer.expect("head").whole().await.expect("body");
+        order.lock().expect("order").push(tier);
+    };
+    let release = async {
+        while get_json(&client, at, "/control/state").await["waiting"] != 3 {}
+        drop(busy);
+    };
+    tokio::join!(call("5", 0), call("3", 1), call("0", 2), release);
+    assert_eq!(*order.lock().expect("order"), ["0", "3", "5"]);
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn prefix_cache_is_bounded_and_counts_hits() {
+    let (engine, client) = started().await;
+    let prompts = ["a", "b", "c", "d", "e", "e", "a"];
+    for prompt in prompts {
+        let body = model_call(prompt, false, 3);
+        let answer = send(&client, engine.address, "POST", PATH, &[], &body).await;
+        answer.expect("head").whole().await.expect("body");
+    }
+    let state = get_json(&client, engine.address, "/control/state").await;
+    // Four prefixes fit: the second "e" hits, the second "a" was dropped.
+    assert_eq!(
+        (&state["prefix_hits"], &state["cached_prefixes"]),
+        (&json!(1), &json!(4))
+    );
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn cut_breaks_one_stream_only() {
+    let (engine, client) = started().await;
+    switch(&client, engine.address, &json!({"cut_after_tokens": 2})).await;
+    let body = model_call("cut me", true, 100);
+    let whole = whole_answer("cut me", 100);
+    for expected in [&whole[..2], &whole[..]] {
+        let events = stream(&client, engine.address, &[], &body).await;
+        assert_eq!(words(&events), expected);
+    }
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn frozen_engine_answers_once_thawed() {
+    let (engine, client) = started().await;
+    let at = engine.address;
+    switch(&client, at, &json!({"frozen": true})).await;
+    let body = model_call("cold", false, 10);
+    let mut call = Box::pin(send(&client, at, "POST", PATH, &[], &body));
+    let meanwhile = async {
+        for _ in 0..20 {
+            assert_eq!(get_json(&client, at, "/control/state").await["queued"], 0);
+        }
+    };
+    tokio::select! {
+        _ = &mut call => panic!("a frozen engine answered"),
+        () = meanwhile => {}
+    }
+    switch(&client, at, &json!({"frozen": false})).await;
+    assert_eq!(call.await.expect("answer").head.status, 200);
+    engine.stop().await;
+}
+
+#[tokio::test]
+async fn late_and_straggling_engine_takes_its_time() {
+    let engine = start_engine(8, 1_000).await;
+    let client = Client::default();
+    let slow = json!({"late_ms": 30, "straggle_factor": 10.0});
+    switch(&client, engine.address, &slow).await;
+    let begin = tokio::time::Instant::now();
+    let body = model_call("slow", false, 3);
+    let answer = send(&client, engine.address, "POST", PATH, &[], &body).await;
+    answer.expect("head").whole().await.expect("body");
+    let tokens = u32::try_from(whole_answer("slow", 3).len()).expect("few");
+    // The first token comes at once, each further one after ten times 1 ms.
+    let least = Duration::from_millis(30) + Duration::from_millis(10) * (tokens - 1);
+    assert!(begin.elapsed() >= least);
+    engine.stop().await;
+}
