--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of each program, read from JSON with comments.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -44,7 +45,7 @@
 }
 
 /// Settings of `briarbank node`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Name in the published host list.
@@ -69,6 +70,22 @@
     pub limits: Limits,
 }
 
+/// Leaves the key out, so that no log can show it.
+impl fmt::Debug for NodeSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("NodeSettings")
+            .field("host", &self.host)
+            .field("zone", &self.zone)
+            .field("caller_address", &self.caller_address)
+            .field("peer_address", &self.peer_address)
+            .field("operator_address", &self.operator_address)
+            .field("platform_addresses", &self.platform_addresses)
+            .field("drain_timeout_ms", &self.drain_timeout_ms)
+            .field("limits", &self.limits)
+            .finish_non_exhaustive()
+    }
+}
+
 fn default_drain_timeout_ms() -> u64 {
     60_000
 }
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -77,6 +77,16 @@
     }
 }
 
+#[test]
+fn a_key_is_not_part_of_debug_output() {
+    let settings: NodeSettings = parse(NODE).expect("valid settings");
+    let text = format!("{settings:?}");
+    assert!(
+        text.contains("recife-1") && !text.contains("0123456789abcdef"),
+        "{text}"
+    );
+}
+
 #[test]
 fn a_field_that_stands_twice_is_a_fault() {
     let error = parse::<PlatformSettings>(
