Add the spread of published values

Cause: nodes had no way to learn published values but the platform. Change: conf::Spread chooses readers by rendezvous, sends digests to a bounded overlay and gives deltas, or whole values to nodes without a base. A starting node compares with its peers before a value comes into force. Ruled out: diffs of parsed documents (the core would need a parser); cuts after lines and list items need none.

--- a/crates/core/src/conf/log.rs
+++ b/crates/core/src/conf/log.rs
@@ -85,6 +85,24 @@
         self.refused.get(&key)
     }
 
+    /// Takes note that a peer refused a newer document.
+    ///
+    /// It only shows in the dump: a valid document of that revision is still adopted.
+    pub fn note(&mut self, key: Key, revision: Revision, error: &Arc<str>) {
+        let seen = self.refused.get(&key).map_or(Revision(0), |r| r.revision);
+        if revision > seen && revision > self.revision(key) {
+            let error = Arc::clone(error);
+            self.refused.insert(key, Refused { revision, error });
+        }
+    }
+
+    /// Newest revision seen, valid or not; what to wait for comes after it.
+    #[must_use]
+    pub fn seen(&self, key: Key) -> Revision {
+        let refused = self.refused.get(&key).map_or(Revision(0), |r| r.revision);
+        refused.max(self.revision(key))
+    }
+
     /// Adopts a value when it is newer and valid.
     pub fn offer(
         &mut self,
--- /dev/null
+++ b/crates/core/src/conf/spread.rs
@@ -0,0 +1,532 @@
+//! The state machine that reads and spreads published values.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::conf::delta::Delta;
+use crate::conf::history::History;
+use crate::conf::log::{Adopted, Documents, Log, Refused};
+use crate::conf::message::{Digest, Key, Message};
+use crate::conf::options::Options;
+use crate::conf::readers::Readers;
+use crate::conf::settling::Settling;
+use crate::conf::source::Source;
+use crate::hosts::HostView;
+use crate::ids::{HostName, Revision, ZoneName};
+use crate::overlay::Overlay;
+
+/// Most versions that a node names as bases of a delta.
+const BASES_MAX: usize = 8;
+
+/// Longest error text of a refused document sent to peers.
+const ERROR_BYTES_MAX: usize = 256;
+
+/// What the spread of published values orders.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// A value has come into force.
+    Adopted(Adopted),
+    /// Send a message to another node; it may be lost.
+    Send {
+        /// To whom.
+        to: HostName,
+        /// What.
+        message: Message,
+    },
+    /// Watch the platform's values, or stop watching.
+    Watch(bool),
+}
+
+/// Published values of one node: what is in force, and how it spreads.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+/// use std::time::{Duration, Instant};
+/// use briarbank_core::catalog::{Catalog, Fleet};
+/// use briarbank_core::conf::{Documents, Key, Options, Output, Spread};
+/// use briarbank_core::hosts::HostView;
+/// use briarbank_core::ids::Revision;
+///
+/// struct Empty;
+/// impl Documents for Empty {
+///     fn hosts(&self, revision: Revision, _: &[u8]) -> Result<HostView, Arc<str>> {
+///         Ok(HostView::new(revision, Vec::new()))
+///     }
+///     fn servers(&self, revision: Revision, _: &[u8]) -> Result<Fleet, Arc<str>> {
+///         Ok(Fleet { revision, ..Fleet::default() })
+///     }
+///     fn config(&self, revision: Revision, _: &[u8]) -> Result<Catalog, Arc<str>> {
+///         Ok(Catalog { revision, ..Catalog::default() })
+///     }
+/// }
+///
+/// let now = Instant::now();
+/// let mut spread = Spread::new("a".into(), "recife".into(), Options::default(), 1);
+/// let mut out = Vec::new();
+/// spread.tick(now, &mut out);
+/// spread.tick(now + Duration::from_secs(2), &mut out);
+/// assert!(out.contains(&Output::Watch(true)));
+/// spread.published(now, &Empty, Key::Hosts, Revision(3), &Arc::from(&b"{}"[..]), &mut out);
+/// assert_eq!(spread.revision(Key::Hosts), Revision(3));
+/// ```
+#[derive(Debug)]
+pub struct Spread {
+    host: HostName,
+    zone: ZoneName,
+    options: Options,
+    rng: SmallRng,
+    log: Log,
+    kept: [History; 3],
+    sources: [Source; 3],
+    waiting: [Option<Adopted>; 3],
+    deltas: [Option<(Revision, Revision, Arc<Delta>)>; 3],
+    settling: Option<Settling>,
+    readers: Readers,
+    overlay: Overlay,
+    hosts_revision: Option<Revision>,
+    platform_answered: Option<Instant>,
+    peer_spoke: Option<Instant>,
+    watching: bool,
+    news: bool,
+    watch_after: Option<Instant>,
+    next_push: Option<Instant>,
+    next_digest: Option<Instant>,
+    next_draw: Option<Instant>,
+    whole_values: (Option<Instant>, u32),
+}
+
+impl Spread {
+    /// A node that knows nothing published yet.
+    #[must_use]
+    pub fn new(host: HostName, zone: ZoneName, options: Options, seed: u64) -> Self {
+        Self {
+            host,
+            zone,
+            options,
+            rng: SmallRng::seed_from_u64(seed),
+            log: Log::default(),
+            kept: Default::default(),
+            sources: Default::default(),
+            waiting: [None, None, None],
+            deltas: [None, None, None],
+            settling: Some(Settling::default()),
+            readers: Readers::default(),
+            overlay: Overlay::default(),
+            hosts_revision: None,
+            platform_answered: None,
+            peer_spoke: None,
+            watching: false,
+            news: false,
+            watch_after: None,
+            next_push: None,
+            next_digest: None,
+            next_draw: None,
+            whole_values: (None, 0),
+        }
+    }
+
+    /// Revision in force, 0 before the first.
+    #[must_use]
+    pub fn revision(&self, key: Key) -> Revision {
+        if self.waiting[key.index()].is_some() {
+            return Revision(0);
+        }
+        self.log.revision(key)
+    }
+
+    /// Newest revision seen, valid or not; a watch waits for one after it.
+    #[must_use]
+    pub fn seen(&self, key: Key) -> Revision {
+        self.log.seen(key)
+    }
+
+    /// Newest document that was refused, while no newer one is in force.
+    #[must_use]
+    pub fn refused(&self, key: Key) -> Option<&Refused> {
+        let refused = self.log.refused(key)?;
+        (refused.revision > self.log.revision(key)).then_some(refused)
+    }
+
+    /// Whether the node has compared its values with its peers' since it started.
+    #[must_use]
+    pub fn settled(&self) -> bool {
+        self.settling.is_none()
+    }
+
+    /// Whether the node watches the platform.
+    #[must_use]
+    pub fn watching(&self) -> bool {
+        self.watching
+    }
+
+    /// Time since the platform last answered any node, as far as is known here.
+    #[must_use]
+    pub fn platform_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.platform_answered?))
+    }
+
+    /// The platform answered a watch without a newer value.
+    pub fn unchanged(&mut self, now: Instant) {
+        self.platform_answered = Some(now);
+    }
+
+    /// The platform answered with a value.
+    pub fn published(
+        &mut self,
+        now: Instant,
+        documents: &dyn Documents,
+        key: Key,
+        revision: Revision,
+        bytes: &Arc<[u8]>,
+        out: &mut Vec<Output>,
+    ) {
+        self.platform_answered = Some(now);
+        self.offer(now, documents, key, revision, bytes, out);
+    }
+
+    /// Takes the host list in force.
+    pub fn hosts(&mut self, now: Instant, view: &HostView) {
+        if self.hosts_revision.is_some_and(|r| r >= view.revision) {
+            return;
+        }
+        self.hosts_revision = Some(view.revision);
+        self.readers = Readers::new(view, &self.host, &self.zone, self.options.readers_per_zone);
+        self.overlay.hosts(&self.host, view);
+        self.draw(now);
+        if let Some(settling) = &mut self.settling {
+            settling.ask(now);
+            self.next_digest = None;
+        }
+    }
+
+    /// Takes a message from another node.
+    pub fn message(
+        &mut self,
+        now: Instant,
+        documents: &dyn Documents,
+        from: &HostName,
+        message: Message,
+        out: &mut Vec<Output>,
+    ) {
+        self.peer_spoke = Some(now);
+        match message {
+            Message::Digest(digest) => self.digest(now, from, &digest, out),
+            Message::Want { key, have } => self.want(now, from, key, &have, out),
+            Message::Value {
+                key,
+                revision,
+                bytes,
+            } => self.offer(now, documents, key, revision, &bytes, out),
+            Message::Delta {
+                key,
+                base,
+                revision,
+                delta,
+            } => {
+                if revision <= self.log.revision(key) {
+                    return;
+                }
+                let old = self.kept[key.index()].get(base);
+                match old.and_then(|old| delta.apply(old)) {
+                    Some(new) => {
+                        self.offer(now, documents, key, revision, &Arc::from(new), out);
+                    }
+                    None => send(out, from, Message::Want { key, have: vec![] }),
+                }
+            }
+            Message::Refused {
+                key,
+                revision,
+                error,
+            } => self.note(key, revision, &error),
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.watch_after.is_none() {
+            let jitter_ms = self.options.start_jitter.as_millis() as u64;
+            let wait = Duration::from_millis(self.rng.random_range(0..=jitter_ms));
+            self.watch_after = Some(now + wait);
+        }
+        if due(self.next_draw, now) {
+            self.draw(now);
+        }
+        for key in Key::ALL {
+            self.ask(now, key, out);
+        }
+        self.settle(now, out);
+        if self.news && due(self.next_push, now) {
+            self.push(now, out);
+        } else if due(self.next_digest, now) {
+            self.next_digest = Some(now + self.digest_pause());
+            self.send_digest(now, out);
+        }
+        self.watch(now, out);
+    }
+
+    fn draw(&mut self, now: Instant) {
+        self.next_draw = Some(now + self.options.redraw);
+        let Options {
+            ring_peers,
+            random_peers,
+            ..
+        } = self.options;
+        self.overlay
+            .draw(&mut self.rng, ring_peers, random_peers, |_| true);
+    }
+
+    /// Tells all peers of this node what it has.
+    fn push(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.news = false;
+        self.next_push = Some(now + self.options.push_interval);
+        let digest = self.own_digest(now, false);
+        for peer in self.overlay.peers() {
+            send(out, peer, Message::Digest(digest));
+        }
+    }
+
+    /// Tells one peer what this node has; a starting node asks all of its peers.
+    fn send_digest(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.settling.is_some() {
+            self.push(now, out);
+            return;
+        }
+        let count = self.overlay.peers().count();
+        if count == 0 {
+            return;
+        }
+        let index = self.rng.random_range(0..count);
+        let digest = self.own_digest(now, false);
+        if let Some(peer) = self.overlay.peers().nth(index) {
+            send(out, peer, Message::Digest(digest));
+        }
+    }
+
+    /// Time to the next digest, spread so that nodes do not fall into step.
+    fn digest_pause(&mut self) -> Duration {
+        let pause = if self.settling.is_some() {
+            self.options.want_timeout
+        } else {
+            self.options.digest_interval
+        };
+        pause.mul_f64(self.rng.random_range(0.75..1.25))
+    }
+
+    fn own_digest(&self, now: Instant, answer: bool) -> Digest {
+        let age = self.platform_age(now).unwrap_or(Duration::MAX).as_millis();
+        Digest {
+            adopted: Key::ALL.map(|key| self.log.revision(key)),
+            refused: Key::ALL.map(|key| self.refused(key).map_or(Revision(0), |r| r.revision)),
+            settled: self.settling.is_none(),
+            answer,
+            platform_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn digest(&mut self, now: Instant, from: &HostName, digest: &Digest, out: &mut Vec<Output>) {
+        self.hear_platform_age(now, digest.platform_age_ms);
+        if let Some(settling) = &mut self.settling {
+            settling.answer(from, digest.settled);
+        }
+        let mut tell = !digest.settled;
+        for key in Key::ALL {
+            let (theirs, ours) = (digest.adopted[key.index()], self.log.revision(key));
+            if digest.settled && theirs > ours {
+                self.sources[key.index()].told(from, theirs);
+                self.ask(now, key, out);
+            }
+            tell |= theirs < ours;
+            tell |= digest.refused[key.index()] > self.log.seen(key);
+            self.tell_refused(from, key, digest, out);
+        }
+        if tell && !digest.answer {
+            send(out, from, Message::Digest(self.own_digest(now, true)));
+        }
+        self.settle(now, out);
+    }
+
+    fn hear_platform_age(&mut self, now: Instant, age_ms: u32) {
+        if age_ms == u32::MAX {
+            return;
+        }
+        let answered = now.checked_sub(Duration::from_millis(age_ms.into()));
+        self.platform_answered = self.platform_answered.max(answered);
+    }
+
+    fn tell_refused(&self, from: &HostName, key: Key, digest: &Digest, out: &mut Vec<Output>) {
+        let index = key.index();
+        let known = digest.refused[index].max(digest.adopted[index]);
+        let Some(refused) = self.refused(key).filter(|r| r.revision > known) else {
+            return;
+        };
+        let message = Message::Refused {
+            key,
+            revision: refused.revision,
+            error: Arc::from(prefix(&refused.error, ERROR_BYTES_MAX)),
+        };
+        send(out, from, message);
+    }
+
+    /// Asks a peer for a newer version, if one is to be had.
+    fn ask(&mut self, now: Instant, key: Key, out: &mut Vec<Output>) {
+        let have = self.log.revision(key);
+        let timeout = self.options.want_timeout;
+        if let Some(peer) = self.sources[key.index()].ask(now, have, timeout) {
+            let have = self.kept[key.index()].revisions().take(BASES_MAX).collect();
+            send(out, &peer, Message::Want { key, have });
+        }
+    }
+
+    /// Answers a peer that asks for a value.
+    fn want(
+        &mut self,
+        now: Instant,
+        from: &HostName,
+        key: Key,
+        have: &[Revision],
+        out: &mut Vec<Output>,
+    ) {
+        let revision = self.log.revision(key);
+        let Some(bytes) = self.kept[key.index()].get(revision).cloned() else {
+            return;
+        };
+        if self.settling.is_some() || have.iter().any(|r| *r >= revision) {
+            return;
+        }
+        let message = match self.delta(key, have, revision, &bytes) {
+            Some((base, delta)) if delta.size_bytes() < bytes.len() => Message::Delta {
+                key,
+                base,
+                revision,
+                delta,
+            },
+            _ if self.may_give_whole(now) => Message::Value {
+                key,
+                revision,
+                bytes,
+            },
+            _ => return,
+        };
+        send(out, from, message);
+    }
+
+    /// Difference from the newest version that both sides have.
+    fn delta(
+        &mut self,
+        key: Key,
+        have: &[Revision],
+        revision: Revision,
+        bytes: &[u8],
+    ) -> Option<(Revision, Arc<Delta>)> {
+        let kept = &self.kept[key.index()];
+        let common = have.iter().take(BASES_MAX).copied();
+        let base = common.filter(|r| kept.get(*r).is_some()).max()?;
+        let cached = &mut self.deltas[key.index()];
+        if let Some((from, to, delta)) = cached
+            && (*from, *to) == (base, revision)
+        {
+            return Some((base, Arc::clone(delta)));
+        }
+        let delta = Arc::new(Delta::between(kept.get(base)?, bytes));
+        *cached = Some((base, revision, Arc::clone(&delta)));
+        Some((base, delta))
+    }
+
+    /// Counts a whole value against the bound of the current second.
+    fn may_give_whole(&mut self, now: Instant) -> bool {
+        let (since, given) = &mut self.whole_values;
+        if since.is_none_or(|since| now >= since + Duration::from_secs(1)) {
+            (*since, *given) = (Some(now), 0);
+        }
+        *given += 1;
+        *given <= self.options.whole_values_per_s
+    }
+
+    fn offer(
+        &mut self,
+        now: Instant,
+        documents: &dyn Documents,
+        key: Key,
+        revision: Revision,
+        bytes: &Arc<[u8]>,
+        out: &mut Vec<Output>,
+    ) {
+        let seen = self.log.seen(key);
+        let adopted = self.log.offer(documents, key, revision, bytes);
+        self.news |= self.log.seen(key) > seen;
+        if let Some(adopted) = adopted {
+            self.kept[key.index()].push(now, revision, bytes);
+            if let Adopted::Hosts(view) = &adopted {
+                self.hosts(now, &Arc::clone(view));
+            }
+            self.waiting[key.index()] = Some(adopted);
+        }
+        self.settle(now, out);
+    }
+
+    fn note(&mut self, key: Key, revision: Revision, error: &Arc<str>) {
+        let seen = self.log.seen(key);
+        self.log.note(key, revision, error);
+        self.news |= self.log.seen(key) > seen;
+    }
+
+    /// Brings waiting values into force once the node has compared with its peers.
+    fn settle(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if let Some(settling) = &self.settling {
+            let timeout = self.options.settle_timeout;
+            let behind = Key::ALL
+                .iter()
+                .any(|key| self.log.revision(*key) < self.sources[key.index()].newest());
+            if behind || !settling.done(now, timeout, self.overlay.peers()) {
+                return;
+            }
+            self.settling = None;
+            self.news = true;
+        }
+        let adopted = self.waiting.iter_mut().filter_map(Option::take);
+        out.extend(adopted.map(Output::Adopted));
+    }
+
+    fn watch(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let watch = self.watch_after.is_some_and(|at| now >= at) && self.reads(now);
+        if watch != self.watching {
+            self.watching = watch;
+            out.push(Output::Watch(watch));
+        }
+    }
+
+    /// Whether this node is to read the platform now.
+    fn reads(&self, now: Instant) -> bool {
+        if self.settling.is_some() || self.readers.reads() {
+            return true;
+        }
+        let Options { silence, turn, .. } = self.options;
+        let quiet =
+            |at: Option<Instant>| at.map_or(silence, |at| now.saturating_duration_since(at));
+        let alone = quiet(self.peer_spoke) >= silence;
+        let silent_for = quiet(self.platform_answered);
+        alone || silent_for >= silence && self.readers.turn(silent_for, turn)
+    }
+}
+
+fn due(at: Option<Instant>, now: Instant) -> bool {
+    at.is_none_or(|at| now >= at)
+}
+
+fn send(out: &mut Vec<Output>, to: &HostName, message: Message) {
+    out.push(Output::Send {
+        to: to.clone(),
+        message,
+    });
+}
+
+/// The first bytes of a text, cut at a character.
+fn prefix(text: &str, bytes_max: usize) -> &str {
+    &text[..text.floor_char_boundary(bytes_max)]
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ids;
 pub mod member;
 pub mod node;
+mod overlay;
 pub mod owner;
 pub mod peer;
 pub mod rendezvous;
--- /dev/null
+++ b/crates/core/src/overlay.rs
@@ -0,0 +1,72 @@
+//! The few peers that a node talks to of its own accord.
+//!
+//! Successors on a ring in rendezvous order keep the graph connected, and a
+//! few random peers keep its diameter logarithmic. The number of peers does
+//! not grow with the fleet.
+
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+
+use crate::hosts::HostView;
+use crate::ids::HostName;
+use crate::rendezvous;
+
+/// Key of the ring's order, the same on all nodes.
+const RING_KEY: u64 = 0x7269_6e67;
+
+/// Peers of one node.
+#[derive(Debug, Default)]
+pub(crate) struct Overlay {
+    others: Vec<HostName>,
+    ring: Vec<HostName>,
+    random: Vec<HostName>,
+}
+
+impl Overlay {
+    /// Takes the hosts of a view other than `host`, in the order of the ring.
+    pub(crate) fn hosts(&mut self, host: &HostName, view: &HostView) {
+        let mut names: Vec<(u64, &HostName)> = view
+            .hosts
+            .iter()
+            .map(|h| (rendezvous::weight(RING_KEY, h.name.as_str()), &h.name))
+            .filter(|(_, name)| *name != host)
+            .collect();
+        names.sort_unstable();
+        let own = (rendezvous::weight(RING_KEY, host.as_str()), host);
+        let start = names.partition_point(|entry| *entry < own);
+        names.rotate_left(start);
+        self.others = names.into_iter().map(|(_, name)| name.clone()).collect();
+        self.random.retain(|name| view.contains(name));
+    }
+
+    /// Draws new random peers and takes the first ring successors in use.
+    pub(crate) fn draw(
+        &mut self,
+        rng: &mut SmallRng,
+        successors: usize,
+        random: usize,
+        usable: impl Fn(&HostName) -> bool,
+    ) {
+        let usable = |name: &&HostName| usable(name);
+        self.ring = self
+            .others
+            .iter()
+            .filter(usable)
+            .take(successors)
+            .cloned()
+            .collect();
+        let next = &self.ring;
+        let rest = self.others.iter().filter(|name| !next.contains(name));
+        self.random = rest
+            .filter(usable)
+            .choose_multiple(rng, random)
+            .into_iter()
+            .cloned()
+            .collect();
+    }
+
+    /// Ring successors, then random peers.
+    pub(crate) fn peers(&self) -> impl Iterator<Item = &HostName> {
+        self.ring.iter().chain(&self.random)
+    }
+}
