Prove the spread of published values under faults

Found: the platform in the tests first hid old values from a waiting reader, so the revision check was not needed; a late replica now gives what it has.

--- a/crates/core/src/conf/options.rs
+++ b/crates/core/src/conf/options.rs
@@ -17,6 +17,8 @@
     pub push_interval: Duration,
     /// Time between two digests without news, each to one peer.
     pub digest_interval: Duration,
+    /// Time between two digests of a starting node, each to all its peers.
+    pub start_digest_interval: Duration,
     /// Time after which another peer is asked for a value.
     pub want_timeout: Duration,
     /// Longest random delay before a starting node calls the platform.
@@ -25,7 +27,7 @@
     pub settle_timeout: Duration,
     /// Time without an answer of the platform to any node after which others read in turn.
     ///
-    /// Has to be longer than two waits of a watch.
+    /// Has to be longer than a watch waits and news of its answer travels.
     pub silence: Duration,
     /// Length of a turn of reading in place of silent readers.
     pub turn: Duration,
@@ -42,10 +44,11 @@
             redraw: Duration::from_secs(30),
             push_interval: Duration::from_millis(200),
             digest_interval: Duration::from_secs(1),
+            start_digest_interval: Duration::from_millis(250),
             want_timeout: Duration::from_millis(500),
             start_jitter: Duration::from_secs(1),
-            settle_timeout: Duration::from_secs(2),
-            silence: Duration::from_secs(30),
+            settle_timeout: Duration::from_secs(3),
+            silence: Duration::from_secs(20),
             turn: Duration::from_secs(5),
             whole_values_per_s: 4,
         }
--- a/crates/core/src/conf/spread.rs
+++ b/crates/core/src/conf/spread.rs
@@ -311,7 +311,7 @@
     /// Time to the next digest, spread so that nodes do not fall into step.
     fn digest_pause(&mut self) -> Duration {
         let pause = if self.settling.is_some() {
-            self.options.want_timeout
+            self.options.start_digest_interval
         } else {
             self.options.digest_interval
         };
--- /dev/null
+++ b/crates/core/tests/recovery_fleet/documents.rs
@@ -0,0 +1,53 @@
+//! Documents of the tests.
+
+use std::sync::Arc;
+
+use briarbank_core::catalog::{Catalog, Fleet};
+use briarbank_core::conf::{Adopted, Documents, Key};
+use briarbank_core::hosts::HostView;
+use briarbank_core::ids::Revision;
+
+/// Text that makes a document invalid.
+pub(crate) const INVALID: &[u8] = b"invalid";
+
+/// Takes every document but those that begin with [`INVALID`].
+pub(crate) struct Fake;
+
+fn check(bytes: &[u8]) -> Result<(), Arc<str>> {
+    if bytes.starts_with(INVALID) {
+        return Err(Arc::from("made invalid by the test"));
+    }
+    Ok(())
+}
+
+impl Documents for Fake {
+    fn hosts(&self, revision: Revision, bytes: &[u8]) -> Result<HostView, Arc<str>> {
+        let hosts = serde_json::from_slice(bytes).map_err(|e| Arc::from(e.to_string()))?;
+        Ok(HostView::new(revision, hosts))
+    }
+
+    fn servers(&self, revision: Revision, bytes: &[u8]) -> Result<Fleet, Arc<str>> {
+        check(bytes)?;
+        Ok(Fleet {
+            revision,
+            ..Fleet::default()
+        })
+    }
+
+    fn config(&self, revision: Revision, bytes: &[u8]) -> Result<Catalog, Arc<str>> {
+        check(bytes)?;
+        Ok(Catalog {
+            revision,
+            ..Catalog::default()
+        })
+    }
+}
+
+/// Which value came into force.
+pub(crate) fn revision(adopted: &Adopted) -> (Key, Revision) {
+    match adopted {
+        Adopted::Hosts(view) => (Key::Hosts, view.revision),
+        Adopted::Servers(fleet) => (Key::Servers, fleet.revision),
+        Adopted::Config(catalog) => (Key::Config, catalog.revision),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/recovery_fleet/mod.rs
@@ -0,0 +1,321 @@
+//! Several nodes that meet over one message queue, with a platform that fails.
+
+#![expect(dead_code, reason = "each test file uses its own part")]
+
+pub(crate) mod documents;
+pub(crate) mod platform;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use briarbank_core::conf::{Adopted, Key, Options, Output, Spread};
+use briarbank_core::hosts::{Host, HostState};
+use briarbank_core::ids::{HostName, Incarnation, Revision, ZoneName};
+use briarbank_core::peer::{Envelope, Message};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use documents::Fake;
+use platform::Platform;
+
+/// Time between two ticks of a node.
+pub(crate) const TICK_MS: u64 = 100;
+
+/// Time that a watch waits at the platform.
+const WATCH_MS: u64 = 5_000;
+
+/// One router host, up or down.
+pub(crate) struct Slot {
+    pub(crate) name: HostName,
+    pub(crate) zone: ZoneName,
+    pub(crate) spread: Option<Spread>,
+    /// Hosts in different groups do not reach each other.
+    pub(crate) group: u32,
+    pub(crate) platform_cut: bool,
+    /// Revisions by which the platform replica that this host reads is late.
+    pub(crate) replica_lag: usize,
+    /// Revisions in force in this run of the process.
+    pub(crate) in_force: [Revision; 3],
+    /// Least revisions that may come into force first after the start.
+    pub(crate) floor: [Revision; 3],
+    pub(crate) starts: u64,
+    pub(crate) sent_messages: u64,
+    pub(crate) sent_bytes: u64,
+    watching: bool,
+    watch_until_ms: [u64; 3],
+}
+
+/// The nodes, the queue between them and the platform.
+pub(crate) struct Fleet {
+    pub(crate) slots: Vec<Slot>,
+    pub(crate) platform: Platform,
+    pub(crate) loss: f64,
+    pub(crate) measure: bool,
+    pub(crate) whole_values: u64,
+    pub(crate) deltas: u64,
+    pub(crate) now_ms: u64,
+    /// First value that went backwards, if any.
+    pub(crate) reverted: Option<String>,
+    options: Options,
+    epoch: Instant,
+    rng: SmallRng,
+    queue: BTreeMap<(u64, u64), (usize, usize, Message)>,
+    sequence: u64,
+}
+
+impl Fleet {
+    /// Hosts that are all down, over `zones` zones.
+    pub(crate) fn new(hosts: usize, zones: usize, seed: u64) -> Self {
+        let slots = (0..hosts).map(|i| Slot {
+            name: HostName::new(&format!("host-{i:03}")),
+            zone: ZoneName::new(&format!("zone-{}", i % zones)),
+            spread: None,
+            group: 0,
+            platform_cut: false,
+            replica_lag: 0,
+            in_force: [Revision(0); 3],
+            floor: [Revision(0); 3],
+            starts: 0,
+            sent_messages: 0,
+            sent_bytes: 0,
+            watching: false,
+            watch_until_ms: [0; 3],
+        });
+        let mut fleet = Self {
+            slots: slots.collect(),
+            platform: Platform::default(),
+            loss: 0.0,
+            measure: false,
+            whole_values: 0,
+            deltas: 0,
+            now_ms: 0,
+            reverted: None,
+            options: Options::default(),
+            epoch: Instant::now() + Duration::from_hours(1),
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            sequence: 0,
+        };
+        fleet.publish_hosts();
+        fleet
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.epoch + Duration::from_millis(self.now_ms)
+    }
+
+    /// Publishes the list of all hosts.
+    pub(crate) fn publish_hosts(&mut self) {
+        let hosts = self.slots.iter().map(|slot| Host {
+            name: slot.name.clone(),
+            zone: slot.zone.clone(),
+            peer_address: "127.0.0.1:1".parse().expect("valid address"),
+            state: HostState::Live,
+        });
+        let hosts: Vec<Host> = hosts.collect();
+        self.platform.publish(
+            Key::Hosts,
+            serde_json::to_vec(&hosts).expect("serializable"),
+        );
+    }
+
+    /// Starts a host with empty memory, whether it ran before or not.
+    pub(crate) fn start(&mut self, index: usize) {
+        let floor = Key::ALL.map(|key| self.least_settled(index, key));
+        let seed = self.rng.random();
+        let slot = &mut self.slots[index];
+        slot.floor = floor;
+        slot.starts += 1;
+        slot.watching = false;
+        slot.in_force = [Revision(0); 3];
+        let (host, zone) = (slot.name.clone(), slot.zone.clone());
+        slot.spread = Some(Spread::new(host, zone, self.options.clone(), seed));
+    }
+
+    pub(crate) fn start_all(&mut self) {
+        for index in 0..self.slots.len() {
+            self.start(index);
+        }
+    }
+
+    pub(crate) fn stop(&mut self, index: usize) {
+        self.slots[index].spread = None;
+    }
+
+    /// Moves a host to a group; a start that sees the network change proves nothing.
+    pub(crate) fn group(&mut self, index: usize, group: u32) {
+        self.slots[index].group = group;
+        for slot in &mut self.slots {
+            slot.floor = [Revision(0); 3];
+        }
+    }
+
+    /// Least revision in force at settled peers that `index` reaches.
+    fn least_settled(&self, index: usize, key: Key) -> Revision {
+        let group = self.slots[index].group;
+        let peers = self.slots.iter().enumerate();
+        let reached = peers.filter(|(i, slot)| *i != index && slot.group == group);
+        let settled = reached.filter_map(|(_, s)| s.spread.as_ref().filter(|s| s.settled()));
+        let least = settled.map(|spread| spread.revision(key)).min();
+        least.unwrap_or(Revision(0))
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        while self.now_ms < end {
+            let next = (self.now_ms / TICK_MS + 1) * TICK_MS;
+            self.deliver(next);
+            self.now_ms = next;
+            for index in 0..self.slots.len() {
+                self.watch(index);
+                self.tick(index);
+            }
+        }
+    }
+
+    /// Runs until all running nodes have `key` at `revision`, and returns the time it took.
+    pub(crate) fn run_until(&mut self, key: Key, revision: Revision, bound_ms: u64) -> Option<u64> {
+        let start = self.now_ms;
+        while self.now_ms < start + bound_ms {
+            if self.all_have(key, revision) {
+                return Some(self.now_ms - start);
+            }
+            self.run(TICK_MS);
+        }
+        self.all_have(key, revision).then(|| self.now_ms - start)
+    }
+
+    pub(crate) fn all_have(&self, key: Key, revision: Revision) -> bool {
+        let running = self.slots.iter().filter_map(|s| s.spread.as_ref());
+        running.into_iter().all(|s| s.revision(key) >= revision)
+    }
+
+    fn deliver(&mut self, until_ms: u64) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > until_ms {
+                break;
+            }
+            let ((at, _), (from, to, message)) = entry.remove_entry();
+            self.now_ms = self.now_ms.max(at);
+            self.receive(from, to, message);
+        }
+    }
+
+    fn receive(&mut self, from: usize, to: usize, message: Message) {
+        if self.slots[from].group != self.slots[to].group {
+            return;
+        }
+        let now = self.now();
+        let sender = self.slots[from].name.clone();
+        let Some(spread) = &mut self.slots[to].spread else {
+            return;
+        };
+        let mut out = Vec::new();
+        if let Message::Conf(message) = message {
+            spread.message(now, &Fake, &sender, message, &mut out);
+        }
+        self.carry_out(to, out);
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.now();
+        let Some(spread) = &mut self.slots[index].spread else {
+            return;
+        };
+        let mut out = Vec::new();
+        spread.tick(now, &mut out);
+        self.carry_out(index, out);
+    }
+
+    /// Reads the platform for a node that watches it.
+    fn watch(&mut self, index: usize) {
+        for key in Key::ALL {
+            let (now, now_ms) = (self.now(), self.now_ms);
+            let slot = &mut self.slots[index];
+            let Some(spread) = slot.spread.as_mut().filter(|_| slot.watching) else {
+                return;
+            };
+            let reached = self.platform.up && !slot.platform_cut;
+            let newest = self.platform.newest(key, slot.replica_lag);
+            let newest = newest.filter(|_| reached);
+            let newer = newest.as_ref().is_some_and(|(r, _)| *r > spread.seen(key));
+            let until_ms = &mut slot.watch_until_ms[key.index()];
+            if !newer && now_ms < *until_ms {
+                continue;
+            }
+            *until_ms = now_ms + WATCH_MS;
+            self.platform.count(now_ms);
+            let mut out = Vec::new();
+            // A late replica gives what it has, however old.
+            match newest.filter(|_| newer || slot.replica_lag > 0) {
+                Some((revision, bytes)) => {
+                    spread.published(now, &Fake, key, revision, &bytes, &mut out);
+                }
+                None if reached => spread.unchanged(now),
+                None => {}
+            }
+            self.carry_out(index, out);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Adopted(adopted) => self.adopted(index, &adopted),
+                Output::Watch(watch) => {
+                    self.slots[index].watching = watch;
+                    self.slots[index].watch_until_ms = [0; 3];
+                }
+                Output::Send { to, message } => self.send(index, &to, Message::Conf(message)),
+            }
+        }
+    }
+
+    fn adopted(&mut self, index: usize, adopted: &Adopted) {
+        let (key, revision) = documents::revision(adopted);
+        let now = self.now();
+        let slot = &mut self.slots[index];
+        let before = slot.in_force[key.index()].max(slot.floor[key.index()]);
+        if revision < before {
+            let text = format!("{} went back from {before} to {revision}", slot.name);
+            self.reverted.get_or_insert(text);
+        }
+        slot.in_force[key.index()] = revision;
+        if let (Adopted::Hosts(view), Some(spread)) = (adopted, &mut slot.spread) {
+            spread.hosts(now, view);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &HostName, message: Message) {
+        let Some(index) = self.slots.iter().position(|s| s.name == *to) else {
+            return;
+        };
+        if self.measure {
+            self.count(from, &message);
+        }
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        let at = self.now_ms + self.rng.random_range(1..=5);
+        self.sequence += 1;
+        self.queue
+            .insert((at, self.sequence), (from, index, message));
+    }
+
+    fn count(&mut self, from: usize, message: &Message) {
+        use briarbank_core::conf::Message as Conf;
+        self.whole_values += u64::from(matches!(message, Message::Conf(Conf::Value { .. })));
+        self.deltas += u64::from(matches!(message, Message::Conf(Conf::Delta { .. })));
+        let slot = &mut self.slots[from];
+        let envelope = Envelope {
+            from: slot.name.clone(),
+            incarnation: Incarnation(u64::MAX),
+            message: message.clone(),
+        };
+        let config = bincode::config::standard();
+        let bytes = bincode::serde::encode_to_vec(&envelope, config).expect("encodable");
+        slot.sent_messages += 1;
+        slot.sent_bytes += bytes.len() as u64;
+    }
+}
