Add membership by probes and bounded news

Cause: the host list lags, and nodes had no news of each other. Leaving servers travel the same way with the age of the sign. Spread and Members are split into a module for each job and share a Timer. Ruled out: probing all hosts in turn as in SWIM (peers grow with the fleet); an order of incarnations (they are random): the host's own message decides.

--- /dev/null
+++ b/crates/core/src/conf/exchange.rs
@@ -0,0 +1,164 @@
+//! Exchange of versions between two nodes.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::conf::delta::Delta;
+use crate::conf::message::{Digest, Key, Message};
+use crate::conf::spread::{Output, Spread, send};
+use crate::ids::{HostName, Revision};
+
+/// Most versions that a node names as bases of a delta.
+const BASES_MAX: usize = 8;
+
+/// Longest error text of a refused document sent to peers.
+const ERROR_BYTES_MAX: usize = 256;
+
+impl Spread {
+    pub(crate) fn own_digest(&self, now: Instant, answer: bool) -> Digest {
+        let age = self.platform_age(now).unwrap_or(Duration::MAX).as_millis();
+        Digest {
+            adopted: Key::ALL.map(|key| self.log.revision(key)),
+            refused: Key::ALL.map(|key| self.refused(key).map_or(Revision(0), |r| r.revision)),
+            settled: self.settling.is_none(),
+            answer,
+            platform_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        }
+    }
+
+    pub(crate) fn digest(
+        &mut self,
+        now: Instant,
+        from: &HostName,
+        digest: &Digest,
+        out: &mut Vec<Output>,
+    ) {
+        self.hear_platform_age(now, digest.platform_age_ms);
+        if let Some(settling) = &mut self.settling {
+            settling.answer(from, digest.settled);
+        }
+        let mut tell = !digest.settled;
+        for key in Key::ALL {
+            let (theirs, ours) = (digest.adopted[key.index()], self.log.revision(key));
+            if digest.settled && theirs > ours {
+                self.sources[key.index()].told(from, theirs);
+                self.ask(now, key, out);
+            }
+            tell |= theirs < ours;
+            tell |= digest.refused[key.index()] > self.log.seen(key);
+            self.tell_refused(from, key, digest, out);
+        }
+        if tell && !digest.answer {
+            send(out, from, Message::Digest(self.own_digest(now, true)));
+        }
+        self.settle(now, out);
+    }
+
+    pub(crate) fn hear_platform_age(&mut self, now: Instant, age_ms: u32) {
+        if age_ms == u32::MAX {
+            return;
+        }
+        let answered = now.checked_sub(Duration::from_millis(age_ms.into()));
+        self.platform_answered = self.platform_answered.max(answered);
+    }
+
+    pub(crate) fn tell_refused(
+        &self,
+        from: &HostName,
+        key: Key,
+        digest: &Digest,
+        out: &mut Vec<Output>,
+    ) {
+        let index = key.index();
+        let known = digest.refused[index].max(digest.adopted[index]);
+        let Some(refused) = self.refused(key).filter(|r| r.revision > known) else {
+            return;
+        };
+        let message = Message::Refused {
+            key,
+            revision: refused.revision,
+            error: Arc::from(prefix(&refused.error, ERROR_BYTES_MAX)),
+        };
+        send(out, from, message);
+    }
+
+    /// Asks a peer for a newer version, if one is to be had.
+    pub(crate) fn ask(&mut self, now: Instant, key: Key, out: &mut Vec<Output>) {
+        let have = self.log.revision(key);
+        let timeout = self.options.want_timeout;
+        if let Some(peer) = self.sources[key.index()].ask(now, have, timeout) {
+            let have = self.kept[key.index()].revisions().take(BASES_MAX).collect();
+            send(out, &peer, Message::Want { key, have });
+        }
+    }
+
+    /// Answers a peer that asks for a value.
+    pub(crate) fn want(
+        &mut self,
+        now: Instant,
+        from: &HostName,
+        key: Key,
+        have: &[Revision],
+        out: &mut Vec<Output>,
+    ) {
+        let revision = self.log.revision(key);
+        let Some(bytes) = self.kept[key.index()].get(revision).cloned() else {
+            return;
+        };
+        if self.settling.is_some() || have.iter().any(|r| *r >= revision) {
+            return;
+        }
+        let message = match self.delta(key, have, revision, &bytes) {
+            Some((base, delta)) if delta.size_bytes() < bytes.len() => Message::Delta {
+                key,
+                base,
+                revision,
+                delta,
+            },
+            _ if self.may_give_whole(now) => Message::Value {
+                key,
+                revision,
+                bytes,
+            },
+            _ => return,
+        };
+        send(out, from, message);
+    }
+
+    /// Difference from the newest version that both sides have.
+    pub(crate) fn delta(
+        &mut self,
+        key: Key,
+        have: &[Revision],
+        revision: Revision,
+        bytes: &[u8],
+    ) -> Option<(Revision, Arc<Delta>)> {
+        let kept = &self.kept[key.index()];
+        let common = have.iter().take(BASES_MAX).copied();
+        let base = common.filter(|r| kept.get(*r).is_some()).max()?;
+        let cached = &mut self.deltas[key.index()];
+        if let Some((from, to, delta)) = cached
+            && (*from, *to) == (base, revision)
+        {
+            return Some((base, Arc::clone(delta)));
+        }
+        let delta = Arc::new(Delta::between(kept.get(base)?, bytes));
+        *cached = Some((base, revision, Arc::clone(&delta)));
+        Some((base, delta))
+    }
+
+    /// Counts a whole value against the bound of the current second.
+    pub(crate) fn may_give_whole(&mut self, now: Instant) -> bool {
+        let (since, given) = &mut self.whole_values;
+        if since.is_none_or(|since| now >= since + Duration::from_secs(1)) {
+            (*since, *given) = (Some(now), 0);
+        }
+        *given += 1;
+        *given <= self.options.whole_values_per_s
+    }
+}
+
+/// The first bytes of a text, cut at a character.
+fn prefix(text: &str, bytes_max: usize) -> &str {
+    &text[..text.floor_char_boundary(bytes_max)]
+}
--- a/crates/core/src/conf/mod.rs
+++ b/crates/core/src/conf/mod.rs
@@ -9,6 +9,7 @@
 //! which changes travel. The caller carries messages and reads the platform.
 
 mod delta;
+mod exchange;
 mod history;
 mod log;
 mod message;
--- a/crates/core/src/conf/spread.rs
+++ b/crates/core/src/conf/spread.rs
@@ -9,7 +9,7 @@
 use crate::conf::delta::Delta;
 use crate::conf::history::History;
 use crate::conf::log::{Adopted, Documents, Log, Refused};
-use crate::conf::message::{Digest, Key, Message};
+use crate::conf::message::{Key, Message};
 use crate::conf::options::Options;
 use crate::conf::readers::Readers;
 use crate::conf::settling::Settling;
@@ -17,12 +17,7 @@
 use crate::hosts::HostView;
 use crate::ids::{HostName, Revision, ZoneName};
 use crate::overlay::Overlay;
-
-/// Most versions that a node names as bases of a delta.
-const BASES_MAX: usize = 8;
-
-/// Longest error text of a refused document sent to peers.
-const ERROR_BYTES_MAX: usize = 256;
+use crate::timer::Timer;
 
 /// What the spread of published values orders.
 #[derive(Clone, Debug, PartialEq)]
@@ -76,28 +71,28 @@
 /// ```
 #[derive(Debug)]
 pub struct Spread {
-    host: HostName,
-    zone: ZoneName,
-    options: Options,
-    rng: SmallRng,
-    log: Log,
-    kept: [History; 3],
-    sources: [Source; 3],
-    waiting: [Option<Adopted>; 3],
-    deltas: [Option<(Revision, Revision, Arc<Delta>)>; 3],
-    settling: Option<Settling>,
-    readers: Readers,
-    overlay: Overlay,
-    hosts_revision: Option<Revision>,
-    platform_answered: Option<Instant>,
-    peer_spoke: Option<Instant>,
-    watching: bool,
-    news: bool,
-    watch_after: Option<Instant>,
-    next_push: Option<Instant>,
-    next_digest: Option<Instant>,
-    next_draw: Option<Instant>,
-    whole_values: (Option<Instant>, u32),
+    pub(crate) host: HostName,
+    pub(crate) zone: ZoneName,
+    pub(crate) options: Options,
+    pub(crate) rng: SmallRng,
+    pub(crate) log: Log,
+    pub(crate) kept: [History; 3],
+    pub(crate) sources: [Source; 3],
+    pub(crate) waiting: [Option<Adopted>; 3],
+    pub(crate) deltas: [Option<(Revision, Revision, Arc<Delta>)>; 3],
+    pub(crate) settling: Option<Settling>,
+    pub(crate) readers: Readers,
+    pub(crate) overlay: Overlay,
+    pub(crate) hosts_revision: Option<Revision>,
+    pub(crate) platform_answered: Option<Instant>,
+    pub(crate) peer_spoke: Option<Instant>,
+    pub(crate) watching: bool,
+    pub(crate) news: bool,
+    pub(crate) watch_after: Option<Instant>,
+    pub(crate) next_push: Timer,
+    pub(crate) next_digest: Timer,
+    pub(crate) next_draw: Timer,
+    pub(crate) whole_values: (Option<Instant>, u32),
 }
 
 impl Spread {
@@ -123,9 +118,9 @@
             watching: false,
             news: false,
             watch_after: None,
-            next_push: None,
-            next_digest: None,
-            next_draw: None,
+            next_push: Timer::default(),
+            next_digest: Timer::default(),
+            next_draw: Timer::default(),
             whole_values: (None, 0),
         }
     }
@@ -200,7 +195,7 @@
         self.draw(now);
         if let Some(settling) = &mut self.settling {
             settling.ask(now);
-            self.next_digest = None;
+            self.next_digest.expire();
         }
     }
 
@@ -254,24 +249,25 @@
             let wait = Duration::from_millis(self.rng.random_range(0..=jitter_ms));
             self.watch_after = Some(now + wait);
         }
-        if due(self.next_draw, now) {
+        if self.next_draw.due(now) {
             self.draw(now);
         }
         for key in Key::ALL {
             self.ask(now, key, out);
         }
         self.settle(now, out);
-        if self.news && due(self.next_push, now) {
+        if self.news && self.next_push.due(now) {
             self.push(now, out);
-        } else if due(self.next_digest, now) {
-            self.next_digest = Some(now + self.digest_pause());
+        } else if self.next_digest.due(now) {
+            let pause = self.digest_pause();
+            self.next_digest.set(now, pause);
             self.send_digest(now, out);
         }
         self.watch(now, out);
     }
 
-    fn draw(&mut self, now: Instant) {
-        self.next_draw = Some(now + self.options.redraw);
+    pub(crate) fn draw(&mut self, now: Instant) {
+        self.next_draw.set(now, self.options.redraw);
         let Options {
             ring_peers,
             random_peers,
@@ -282,9 +278,9 @@
     }
 
     /// Tells all peers of this node what it has.
-    fn push(&mut self, now: Instant, out: &mut Vec<Output>) {
+    pub(crate) fn push(&mut self, now: Instant, out: &mut Vec<Output>) {
         self.news = false;
-        self.next_push = Some(now + self.options.push_interval);
+        self.next_push.set(now, self.options.push_interval);
         let digest = self.own_digest(now, false);
         for peer in self.overlay.peers() {
             send(out, peer, Message::Digest(digest));
@@ -292,7 +288,7 @@
     }
 
     /// Tells one peer what this node has; a starting node asks all of its peers.
-    fn send_digest(&mut self, now: Instant, out: &mut Vec<Output>) {
+    pub(crate) fn send_digest(&mut self, now: Instant, out: &mut Vec<Output>) {
         if self.settling.is_some() {
             self.push(now, out);
             return;
@@ -309,7 +305,7 @@
     }
 
     /// Time to the next digest, spread so that nodes do not fall into step.
-    fn digest_pause(&mut self) -> Duration {
+    pub(crate) fn digest_pause(&mut self) -> Duration {
         let pause = if self.settling.is_some() {
             self.options.start_digest_interval
         } else {
@@ -318,137 +314,7 @@
         pause.mul_f64(self.rng.random_range(0.75..1.25))
     }
 
-    fn own_digest(&self, now: Instant, answer: bool) -> Digest {
-        let age = self.platform_age(now).unwrap_or(Duration::MAX).as_millis();
-        Digest {
-            adopted: Key::ALL.map(|key| self.log.revision(key)),
-            refused: Key::ALL.map(|key| self.refused(key).map_or(Revision(0), |r| r.revision)),
-            settled: self.settling.is_none(),
-            answer,
-            platform_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-        }
-    }
-
-    fn digest(&mut self, now: Instant, from: &HostName, digest: &Digest, out: &mut Vec<Output>) {
-        self.hear_platform_age(now, digest.platform_age_ms);
-        if let Some(settling) = &mut self.settling {
-            settling.answer(from, digest.settled);
-        }
-        let mut tell = !digest.settled;
-        for key in Key::ALL {
-            let (theirs, ours) = (digest.adopted[key.index()], self.log.revision(key));
-            if digest.settled && theirs > ours {
-                self.sources[key.index()].told(from, theirs);
-                self.ask(now, key, out);
-            }
-            tell |= theirs < ours;
-            tell |= digest.refused[key.index()] > self.log.seen(key);
-            self.tell_refused(from, key, digest, out);
-        }
-        if tell && !digest.answer {
-            send(out, from, Message::Digest(self.own_digest(now, true)));
-        }
-        self.settle(now, out);
-    }
-
-    fn hear_platform_age(&mut self, now: Instant, age_ms: u32) {
-        if age_ms == u32::MAX {
-            return;
-        }
-        let answered = now.checked_sub(Duration::from_millis(age_ms.into()));
-        self.platform_answered = self.platform_answered.max(answered);
-    }
-
-    fn tell_refused(&self, from: &HostName, key: Key, digest: &Digest, out: &mut Vec<Output>) {
-        let index = key.index();
-        let known = digest.refused[index].max(digest.adopted[index]);
-        let Some(refused) = self.refused(key).filter(|r| r.revision > known) else {
-            return;
-        };
-        let message = Message::Refused {
-            key,
-            revision: refused.revision,
-            error: Arc::from(prefix(&refused.error, ERROR_BYTES_MAX)),
-        };
-        send(out, from, message);
-    }
-
-    /// Asks a peer for a newer version, if one is to be had.
-    fn ask(&mut self, now: Instant, key: Key, out: &mut Vec<Output>) {
-        let have = self.log.revision(key);
-        let timeout = self.options.want_timeout;
-        if let Some(peer) = self.sources[key.index()].ask(now, have, timeout) {
-            let have = self.kept[key.index()].revisions().take(BASES_MAX).collect();
-            send(out, &peer, Message::Want { key, have });
-        }
-    }
-
-    /// Answers a peer that asks for a value.
-    fn want(
-        &mut self,
-        now: Instant,
-        from: &HostName,
-        key: Key,
-        have: &[Revision],
-        out: &mut Vec<Output>,
-    ) {
-        let revision = self.log.revision(key);
-        let Some(bytes) = self.kept[key.index()].get(revision).cloned() else {
-            return;
-        };
-        if self.settling.is_some() || have.iter().any(|r| *r >= revision) {
-            return;
-        }
-        let message = match self.delta(key, have, revision, &bytes) {
-            Some((base, delta)) if delta.size_bytes() < bytes.len() => Message::Delta {
-                key,
-                base,
-                revision,
-                delta,
-            },
-            _ if self.may_give_whole(now) => Message::Value {
-                key,
-                revision,
-                bytes,
-            },
-            _ => return,
-        };
-        send(out, from, message);
-    }
-
-    /// Difference from the newest version that both sides have.
-    fn delta(
-        &mut self,
-        key: Key,
-        have: &[Revision],
-        revision: Revision,
-        bytes: &[u8],
-    ) -> Option<(Revision, Arc<Delta>)> {
-        let kept = &self.kept[key.index()];
-        let common = have.iter().take(BASES_MAX).copied();
-        let base = common.filter(|r| kept.get(*r).is_some()).max()?;
-        let cached = &mut self.deltas[key.index()];
-        if let Some((from, to, delta)) = cached
-            && (*from, *to) == (base, revision)
-        {
-            return Some((base, Arc::clone(delta)));
-        }
-        let delta = Arc::new(Delta::between(kept.get(base)?, bytes));
-        *cached = Some((base, revision, Arc::clone(&delta)));
-        Some((base, delta))
-    }
-
-    /// Counts a whole value against the bound of the current second.
-    fn may_give_whole(&mut self, now: Instant) -> bool {
-        let (since, given) = &mut self.whole_values;
-        if since.is_none_or(|since| now >= since + Duration::from_secs(1)) {
-            (*since, *given) = (Some(now), 0);
-        }
-        *given += 1;
-        *given <= self.options.whole_values_per_s
-    }
-
-    fn offer(
+    pub(crate) fn offer(
         &mut self,
         now: Instant,
         documents: &dyn Documents,
@@ -470,14 +336,14 @@
         self.settle(now, out);
     }
 
-    fn note(&mut self, key: Key, revision: Revision, error: &Arc<str>) {
+    pub(crate) fn note(&mut self, key: Key, revision: Revision, error: &Arc<str>) {
         let seen = self.log.seen(key);
         self.log.note(key, revision, error);
         self.news |= self.log.seen(key) > seen;
     }
 
     /// Brings waiting values into force once the node has compared with its peers.
-    fn settle(&mut self, now: Instant, out: &mut Vec<Output>) {
+    pub(crate) fn settle(&mut self, now: Instant, out: &mut Vec<Output>) {
         if let Some(settling) = &self.settling {
             let timeout = self.options.settle_timeout;
             let behind = Key::ALL
@@ -493,7 +359,7 @@
         out.extend(adopted.map(Output::Adopted));
     }
 
-    fn watch(&mut self, now: Instant, out: &mut Vec<Output>) {
+    pub(crate) fn watch(&mut self, now: Instant, out: &mut Vec<Output>) {
         let watch = self.watch_after.is_some_and(|at| now >= at) && self.reads(now);
         if watch != self.watching {
             self.watching = watch;
@@ -502,7 +368,7 @@
     }
 
     /// Whether this node is to read the platform now.
-    fn reads(&self, now: Instant) -> bool {
+    pub(crate) fn reads(&self, now: Instant) -> bool {
         if self.settling.is_some() || self.readers.reads() {
             return true;
         }
@@ -515,18 +381,9 @@
     }
 }
 
-fn due(at: Option<Instant>, now: Instant) -> bool {
-    at.is_none_or(|at| now >= at)
-}
-
-fn send(out: &mut Vec<Output>, to: &HostName, message: Message) {
+pub(crate) fn send(out: &mut Vec<Output>, to: &HostName, message: Message) {
     out.push(Output::Send {
         to: to.clone(),
         message,
     });
 }
-
-/// The first bytes of a text, cut at a character.
-fn prefix(text: &str, bytes_max: usize) -> &str {
-    &text[..text.floor_char_boundary(bytes_max)]
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod peer;
 pub mod rendezvous;
 pub mod router;
+mod timer;
--- /dev/null
+++ b/crates/core/src/member/gossip.rs
@@ -0,0 +1,157 @@
+//! Exchange of beliefs between nodes.
+
+use std::time::{Duration, Instant};
+
+use crate::ids::{HostName, Incarnation, ServerName};
+use crate::member::members::{Members, Output, send};
+use crate::member::message::{Message, News, Status};
+use crate::member::record::{Merge, Record};
+use crate::rendezvous;
+
+/// Times that one piece of news is told for each doubling of the fleet.
+const TELLS_PER_DOUBLING: u32 = 3;
+
+impl Members {
+    pub(crate) fn learn(&mut self, now: Instant, news: Vec<News>, out: &mut Vec<Output>) {
+        for item in news {
+            match item {
+                News::ServerLeaving { server, age_s } => self.depart(now, server, age_s, out),
+                News::Host {
+                    host,
+                    incarnation,
+                    round,
+                    status,
+                } if host == self.host => self.object(incarnation, round, status),
+                News::Host {
+                    host,
+                    incarnation,
+                    round,
+                    status,
+                } => {
+                    let Some(record) = self.records.get_mut(&host) else {
+                        continue;
+                    };
+                    let merge = record.merge(now, incarnation, round, status);
+                    if merge != Merge::Known {
+                        self.rumors.add(record.news(&host));
+                    }
+                    if merge == Merge::Newer {
+                        self.changed(&host, out);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Objects to what others believe of this node.
+    pub(crate) fn object(&mut self, incarnation: Incarnation, round: u32, status: Status) {
+        let accused = matches!(status, Status::Suspect | Status::Dead);
+        if incarnation == self.incarnation && accused && round >= self.round {
+            self.round = round + 1;
+            self.rumors.add(self.own_news());
+        } else if incarnation != self.incarnation {
+            self.rumors.add(self.own_news());
+        }
+    }
+
+    pub(crate) fn own_news(&self) -> News {
+        News::Host {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            round: self.round,
+            status: if self.leaving {
+                Status::Leaving
+            } else {
+                Status::Live
+            },
+        }
+    }
+
+    pub(crate) fn depart(
+        &mut self,
+        now: Instant,
+        server: ServerName,
+        age_s: u32,
+        out: &mut Vec<Output>,
+    ) {
+        let age = Duration::from_secs(age_s.into());
+        if self
+            .departures
+            .add(now, &server, age, self.options.leaving_ttl)
+        {
+            let server_name = server.clone();
+            self.rumors.add(News::ServerLeaving { server, age_s });
+            self.hash();
+            out.push(Output::ServerLeaving(server_name));
+        }
+    }
+
+    pub(crate) fn take_news(&mut self) -> Vec<News> {
+        let doublings = (self.records.len() + 2).ilog2() + 1;
+        let times_max = TELLS_PER_DOUBLING * doublings;
+        self.rumors.take(self.options.news_bytes, times_max)
+    }
+
+    /// Tells all peers fresh news, within the bound.
+    pub(crate) fn push(&mut self, out: &mut Vec<Output>) {
+        if self.pushes == 0 {
+            return;
+        }
+        self.pushes -= 1;
+        let news = self.take_news();
+        for peer in self.overlay.peers() {
+            send(out, peer, Message::News(news.clone()));
+        }
+    }
+
+    pub(crate) fn refill_pushes(&mut self, now: Instant) {
+        if self.next_push.due(now) {
+            self.next_push.set(now, self.options.push_interval);
+            self.pushes = (self.pushes + 1).min(self.options.push_burst);
+        }
+    }
+
+    /// Sends a part of all beliefs to a peer that believes otherwise.
+    pub(crate) fn compare(
+        &mut self,
+        now: Instant,
+        from: &HostName,
+        digest: u64,
+        out: &mut Vec<Output>,
+    ) {
+        if digest == self.digest || !self.next_beliefs.due(now) {
+            return;
+        }
+        self.next_beliefs.set(now, self.options.beliefs_interval);
+        let hosts = self.records.iter().filter(|(_, r)| out_of_service(r));
+        let hosts = hosts.map(|(name, r)| r.news(name));
+        let beliefs: Vec<News> = hosts.chain(self.departures.news(now)).collect();
+        if beliefs.is_empty() {
+            return;
+        }
+        let start = self.next_belief % beliefs.len();
+        let mut bytes = 0;
+        let window = beliefs.iter().cycle().skip(start).take(beliefs.len());
+        let window = window.take_while(|news| {
+            bytes += news.size_bytes();
+            bytes <= self.options.news_bytes
+        });
+        let news: Vec<News> = window.cloned().collect();
+        self.next_belief = start + news.len();
+        send(out, from, Message::News(news));
+    }
+
+    /// Computes the hash of what is believed; it does not depend on the order.
+    pub(crate) fn hash(&mut self) {
+        let hosts = self.records.iter().filter(|(_, r)| out_of_service(r));
+        let hosts = hosts
+            .map(|(name, r)| rendezvous::weight(r.incarnation.0 ^ r.status as u64, name.as_str()));
+        let servers = self.departures.names();
+        let servers = servers.map(|name| rendezvous::weight(0, name.as_str()));
+        self.digest = hosts.chain(servers).fold(0, |all, hash| all ^ hash);
+    }
+}
+
+fn out_of_service(record: &Record) -> bool {
+    matches!(record.status, Status::Dead | Status::Leaving)
+}
--- a/crates/core/src/overlay.rs
+++ b/crates/core/src/overlay.rs
@@ -65,6 +65,16 @@
             .collect();
     }
 
+    /// Next usable hosts on the ring.
+    pub(crate) fn ring(&self) -> &[HostName] {
+        &self.ring
+    }
+
+    /// Random usable hosts.
+    pub(crate) fn random(&self) -> &[HostName] {
+        &self.random
+    }
+
     /// Ring successors, then random peers.
     pub(crate) fn peers(&self) -> impl Iterator<Item = &HostName> {
         self.ring.iter().chain(&self.random)
--- /dev/null
+++ b/crates/core/src/timer.rs
@@ -0,0 +1,24 @@
+//! A point in time at which something is due.
+
+use std::time::{Duration, Instant};
+
+/// A point in time at which something is due; at first it is due at once.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Timer(Option<Instant>);
+
+impl Timer {
+    /// Whether it is due.
+    pub(crate) fn due(self, now: Instant) -> bool {
+        self.0.is_none_or(|at| now >= at)
+    }
+
+    /// Makes it due after `pause`.
+    pub(crate) fn set(&mut self, now: Instant, pause: Duration) {
+        self.0 = Some(now + pause);
+    }
+
+    /// Makes it due at once.
+    pub(crate) fn expire(&mut self) {
+        self.0 = None;
+    }
+}
