--- a/crates/core/src/member/belief.rs
+++ b/crates/core/src/member/belief.rs
@@ -33,6 +33,9 @@
             incarnation: record.incarnation,
             status: record.status,
         });
+        if record.status == Status::Suspect {
+            self.doubted.insert(host.clone());
+        }
         if !record.usable() && self.overlay.peers().any(|p| p == host) {
             self.next_draw.expire();
         }
--- a/crates/core/src/member/detect.rs
+++ b/crates/core/src/member/detect.rs
@@ -72,26 +72,36 @@
         send(out, target, message);
     }
 
-    /// Counts probes without an answer, and tries again with the help of others.
-    pub(crate) fn retry(&mut self, now: Instant, out: &mut Vec<Output>) {
+    /// Counts probes without an answer, and looks after hosts in doubt.
+    pub(crate) fn review(&mut self, now: Instant, out: &mut Vec<Output>) {
         for target in self.probes.expire(now, self.options.answer_timeout) {
             if let Some(record) = self.records.get_mut(&target) {
                 record.failures += 1;
+                self.doubted.insert(target);
             }
         }
-        let failing = self.records.iter().filter(|(name, record)| {
-            record.failures > 0 && record.status == Status::Live && !self.probes.waits_for(name)
-        });
-        let failing: Vec<(HostName, u32)> = failing
-            .map(|(name, r)| (name.clone(), r.failures))
-            .collect();
-        for (target, failures) in failing {
-            if failures >= self.options.failures_max {
-                self.believe(now, &target, Status::Suspect, out);
-            } else {
-                self.probe(now, &target, None, out);
-                self.ask_helpers(&target, out);
+        let records = &self.records;
+        self.doubted
+            .retain(|host| records.get(host).is_some_and(Record::doubted));
+        for host in self.doubted.clone() {
+            self.review_host(now, &host, out);
+        }
+    }
+
+    /// Probes a doubted host with the help of others, until it is suspected and then dead.
+    fn review_host(&mut self, now: Instant, host: &HostName, out: &mut Vec<Output>) {
+        let Some(record) = self.records.get(host) else {
+            return;
+        };
+        if record.status == Status::Suspect {
+            if now >= record.since + self.options.suspect_timeout {
+                self.believe(now, host, Status::Dead, out);
             }
+        } else if record.failures >= self.options.failures_max {
+            self.believe(now, host, Status::Suspect, out);
+        } else if !self.probes.waits_for(host) {
+            self.probe(now, host, None, out);
+            self.ask_helpers(host, out);
         }
     }
 
@@ -102,18 +112,6 @@
         }
     }
 
-    pub(crate) fn expire_suspects(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let timeout = self.options.suspect_timeout;
-        let late = self
-            .records
-            .iter()
-            .filter(|(_, r)| r.status == Status::Suspect && now >= r.since + timeout);
-        let late: Vec<HostName> = late.map(|(name, _)| name.clone()).collect();
-        for host in late {
-            self.believe(now, &host, Status::Dead, out);
-        }
-    }
-
     pub(crate) fn answered(&mut self, number: u64, out: &mut Vec<Output>) {
         let Some(probe) = self.probes.end(number) else {
             return;
--- a/crates/core/src/member/gossip.rs
+++ b/crates/core/src/member/gossip.rs
@@ -46,10 +46,12 @@
     /// Objects to what others believe of this node.
     pub(crate) fn object(&mut self, incarnation: Incarnation, round: u32, status: Status) {
         let accused = matches!(status, Status::Suspect | Status::Dead);
-        if incarnation == self.incarnation && accused && round >= self.round {
+        let same_run = incarnation == self.incarnation;
+        if same_run && accused && round >= self.round {
             self.round = round + 1;
-            self.rumors.add(self.own_news());
-        } else if incarnation != self.incarnation {
+        }
+        // Who accuses an older round or run has missed the news of this one.
+        if accused || !same_run {
             self.rumors.add(self.own_news());
         }
     }
--- a/crates/core/src/member/members.rs
+++ b/crates/core/src/member/members.rs
@@ -1,6 +1,6 @@
 //! The state machine of membership.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
@@ -81,6 +81,8 @@
     pub(crate) leaving: bool,
     pub(crate) listed: bool,
     pub(crate) records: BTreeMap<HostName, Record>,
+    /// Hosts with failed probes or under suspicion.
+    pub(crate) doubted: BTreeSet<HostName>,
     pub(crate) departures: Departures,
     pub(crate) rumors: Rumors,
     pub(crate) probes: Probes,
@@ -111,6 +113,7 @@
             leaving: false,
             listed: false,
             records: BTreeMap::new(),
+            doubted: BTreeSet::new(),
             departures: Departures::default(),
             rumors: Rumors::default(),
             probes: Probes::default(),
@@ -175,6 +178,7 @@
     pub fn lost(&mut self, _now: Instant, host: &HostName) {
         if let Some(record) = self.records.get_mut(host) {
             record.failures = record.failures.max(1);
+            self.doubted.insert(host.clone());
         }
     }
 
@@ -236,11 +240,10 @@
         if self.departures.expire(now, self.options.leaving_ttl) {
             self.hash();
         }
-        self.expire_suspects(now, out);
         if self.next_draw.due(now) {
             self.draw(now);
         }
-        self.retry(now, out);
+        self.review(now, out);
         if self.next_probe.due(now) {
             let pause = self.rng.random_range(0.75..1.25);
             self.next_probe
--- a/crates/core/src/member/record.rs
+++ b/crates/core/src/member/record.rs
@@ -63,6 +63,15 @@
         self.published == HostState::Live && matches!(self.status, Status::Live | Status::Suspect)
     }
 
+    /// Whether it failed to answer and is not yet given up.
+    pub(crate) fn doubted(&self) -> bool {
+        match self.status {
+            Status::Live => self.failures > 0,
+            Status::Suspect => true,
+            Status::Dead | Status::Leaving => false,
+        }
+    }
+
     /// Changes the belief about the current run.
     pub(crate) fn set(&mut self, now: Instant, status: Status) {
         self.status = status;
--- a/crates/core/tests/recovery_fleet/mod.rs
+++ b/crates/core/tests/recovery_fleet/mod.rs
@@ -5,12 +5,13 @@
 pub(crate) mod documents;
 pub(crate) mod platform;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use briarbank_core::conf::{Adopted, Key, Options, Output, Spread};
 use briarbank_core::hosts::{Host, HostState};
-use briarbank_core::ids::{HostName, Incarnation, Revision, ZoneName};
+use briarbank_core::ids::{HostName, Incarnation, Revision, ServerName, ZoneName};
+use briarbank_core::member::{self, Members};
 use briarbank_core::peer::{Envelope, Message};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -29,6 +30,13 @@
     pub(crate) name: HostName,
     pub(crate) zone: ZoneName,
     pub(crate) spread: Option<Spread>,
+    /// Membership, in fleets that have it.
+    pub(crate) members: Option<Members>,
+    pub(crate) incarnation: Incarnation,
+    /// A paused process does nothing; its messages wait.
+    pub(crate) paused: bool,
+    /// When each leaving server became known to this run of the process.
+    pub(crate) leaving: BTreeMap<ServerName, u64>,
     /// Hosts in different groups do not reach each other.
     pub(crate) group: u32,
     pub(crate) platform_cut: bool,
@@ -41,16 +49,29 @@
     pub(crate) starts: u64,
     pub(crate) sent_messages: u64,
     pub(crate) sent_bytes: u64,
+    inbox: Vec<Parcel>,
     watching: bool,
     watch_until_ms: [u64; 3],
 }
 
+/// One message on its way.
+pub(crate) struct Parcel {
+    from: usize,
+    incarnation: Incarnation,
+    to: usize,
+    message: Message,
+}
+
 /// The nodes, the queue between them and the platform.
 pub(crate) struct Fleet {
     pub(crate) slots: Vec<Slot>,
     pub(crate) platform: Platform,
     pub(crate) loss: f64,
     pub(crate) measure: bool,
+    /// Whether nodes that start have membership.
+    pub(crate) with_members: bool,
+    /// Pairs of hosts that do not reach each other, in this order.
+    pub(crate) blocked: BTreeSet<(usize, usize)>,
     pub(crate) whole_values: u64,
     pub(crate) deltas: u64,
     pub(crate) now_ms: u64,
@@ -59,7 +80,7 @@
     options: Options,
     epoch: Instant,
     rng: SmallRng,
-    queue: BTreeMap<(u64, u64), (usize, usize, Message)>,
+    queue: BTreeMap<(u64, u64), Parcel>,
     sequence: u64,
 }
 
@@ -70,6 +91,11 @@
             name: HostName::new(&format!("host-{i:03}")),
             zone: ZoneName::new(&format!("zone-{}", i % zones)),
             spread: None,
+            members: None,
+            incarnation: Incarnation(0),
+            paused: false,
+            leaving: BTreeMap::new(),
+            inbox: Vec::new(),
             group: 0,
             platform_cut: false,
             replica_lag: 0,
@@ -86,6 +112,8 @@
             platform: Platform::default(),
             loss: 0.0,
             measure: false,
+            with_members: false,
+            blocked: BTreeSet::new(),
             whole_values: 0,
             deltas: 0,
             now_ms: 0,
@@ -128,7 +156,15 @@
         slot.starts += 1;
         slot.watching = false;
         slot.in_force = [Revision(0); 3];
+        slot.incarnation = Incarnation(seed);
+        slot.leaving.clear();
+        slot.inbox.clear();
+        slot.paused = false;
         let (host, zone) = (slot.name.clone(), slot.zone.clone());
+        slot.members = self.with_members.then(|| {
+            let options = member::Options::default();
+            Members::new(host.clone(), slot.incarnation, options, seed)
+        });
         slot.spread = Some(Spread::new(host, zone, self.options.clone(), seed));
     }
 
@@ -140,6 +176,59 @@
 
     pub(crate) fn stop(&mut self, index: usize) {
         self.slots[index].spread = None;
+        self.slots[index].members = None;
+    }
+
+    /// Lets a paused process go on.
+    pub(crate) fn resume(&mut self, index: usize) {
+        self.slots[index].paused = false;
+        for parcel in std::mem::take(&mut self.slots[index].inbox) {
+            self.receive(parcel);
+        }
+    }
+
+    /// A server tells one node that it is leaving.
+    pub(crate) fn server_leaving(&mut self, index: usize, server: &str) {
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(members) = &mut self.slots[index].members {
+            members.server_leaving(now, server.into(), &mut out);
+        }
+        self.carry_out_members(index, out);
+    }
+
+    /// A node begins its planned stop.
+    pub(crate) fn leave(&mut self, index: usize) {
+        let now = self.now();
+        let mut out = Vec::new();
+        if let Some(members) = &mut self.slots[index].members {
+            members.leave(now, &mut out);
+        }
+        self.carry_out_members(index, out);
+    }
+
+    /// Whether all running nodes but `host` agree on whether it takes part.
+    pub(crate) fn agree(&self, host: usize, usable: bool) -> bool {
+        let name = &self.slots[host].name;
+        let others = self.slots.iter().enumerate().filter(|(i, _)| *i != host);
+        let mut members = others.filter_map(|(_, s)| s.members.as_ref());
+        members.all(|m| m.usable(name) == usable)
+    }
+
+    /// Runs until `done`, and returns the time it took.
+    pub(crate) fn run_while(
+        &mut self,
+        bound_ms: u64,
+        mut done: impl FnMut(&Self) -> bool,
+    ) -> Option<u64> {
+        let start = self.now_ms;
+        while !done(self) {
+            if self.now_ms >= start + bound_ms {
+                return None;
+            }
+            self.run(TICK_MS);
+        }
+        Some(self.now_ms - start)
     }
 
     /// Moves a host to a group; a start that sees the network change proves nothing.
@@ -176,14 +265,7 @@
 
     /// Runs until all running nodes have `key` at `revision`, and returns the time it took.
     pub(crate) fn run_until(&mut self, key: Key, revision: Revision, bound_ms: u64) -> Option<u64> {
-        let start = self.now_ms;
-        while self.now_ms < start + bound_ms {
-            if self.all_have(key, revision) {
-                return Some(self.now_ms - start);
-            }
-            self.run(TICK_MS);
-        }
-        self.all_have(key, revision).then(|| self.now_ms - start)
+        self.run_while(bound_ms, |fleet| fleet.all_have(key, revision))
     }
 
     pub(crate) fn all_have(&self, key: Key, revision: Revision) -> bool {
@@ -196,36 +278,58 @@
             if entry.key().0 > until_ms {
                 break;
             }
-            let ((at, _), (from, to, message)) = entry.remove_entry();
+            let ((at, _), parcel) = entry.remove_entry();
             self.now_ms = self.now_ms.max(at);
-            self.receive(from, to, message);
+            self.receive(parcel);
         }
     }
 
-    fn receive(&mut self, from: usize, to: usize, message: Message) {
-        if self.slots[from].group != self.slots[to].group {
+    fn receive(&mut self, parcel: Parcel) {
+        let Parcel {
+            from,
+            incarnation,
+            to,
+            ..
+        } = parcel;
+        if self.slots[from].group != self.slots[to].group || self.blocked.contains(&(from, to)) {
+            return;
+        }
+        if self.slots[to].paused {
+            self.slots[to].inbox.push(parcel);
             return;
         }
         let now = self.now();
         let sender = self.slots[from].name.clone();
-        let Some(spread) = &mut self.slots[to].spread else {
-            return;
-        };
-        let mut out = Vec::new();
-        if let Message::Conf(message) = message {
-            spread.message(now, &Fake, &sender, message, &mut out);
+        let slot = &mut self.slots[to];
+        let (mut out, mut members_out) = (Vec::new(), Vec::new());
+        match (parcel.message, &mut slot.spread, &mut slot.members) {
+            (Message::Conf(message), Some(spread), _) => {
+                spread.message(now, &Fake, &sender, message, &mut out);
+            }
+            (Message::Member(message), _, Some(members)) => {
+                members.message(now, &sender, incarnation, message, &mut members_out);
+            }
+            _ => {}
         }
         self.carry_out(to, out);
+        self.carry_out_members(to, members_out);
     }
 
     fn tick(&mut self, index: usize) {
         let now = self.now();
-        let Some(spread) = &mut self.slots[index].spread else {
+        let slot = &mut self.slots[index];
+        if slot.paused {
             return;
-        };
-        let mut out = Vec::new();
-        spread.tick(now, &mut out);
+        }
+        let (mut out, mut members_out) = (Vec::new(), Vec::new());
+        if let Some(spread) = &mut slot.spread {
+            spread.tick(now, &mut out);
+        }
+        if let Some(members) = &mut slot.members {
+            members.tick(now, &mut members_out);
+        }
         self.carry_out(index, out);
+        self.carry_out_members(index, members_out);
     }
 
     /// Reads the platform for a node that watches it.
@@ -233,7 +337,11 @@
         for key in Key::ALL {
             let (now, now_ms) = (self.now(), self.now_ms);
             let slot = &mut self.slots[index];
-            let Some(spread) = slot.spread.as_mut().filter(|_| slot.watching) else {
+            let Some(spread) = slot
+                .spread
+                .as_mut()
+                .filter(|_| slot.watching && !slot.paused)
+            else {
                 return;
             };
             let reached = self.platform.up && !slot.platform_cut;
@@ -282,9 +390,30 @@
             self.reverted.get_or_insert(text);
         }
         slot.in_force[key.index()] = revision;
-        if let (Adopted::Hosts(view), Some(spread)) = (adopted, &mut slot.spread) {
+        let Adopted::Hosts(view) = adopted else {
+            return;
+        };
+        if let Some(spread) = &mut slot.spread {
             spread.hosts(now, view);
         }
+        if let Some(members) = &mut slot.members {
+            members.hosts(now, view);
+        }
+    }
+
+    fn carry_out_members(&mut self, index: usize, out: Vec<member::Output>) {
+        for output in out {
+            match output {
+                member::Output::Send { to, message } => {
+                    self.send(index, &to, Message::Member(message));
+                }
+                member::Output::ServerLeaving(server) => {
+                    let now_ms = self.now_ms;
+                    self.slots[index].leaving.entry(server).or_insert(now_ms);
+                }
+                member::Output::Changed { .. } | member::Output::Woke(_) => {}
+            }
+        }
     }
 
     fn send(&mut self, from: usize, to: &HostName, message: Message) {
@@ -299,8 +428,13 @@
         }
         let at = self.now_ms + self.rng.random_range(1..=5);
         self.sequence += 1;
-        self.queue
-            .insert((at, self.sequence), (from, index, message));
+        let parcel = Parcel {
+            from,
+            incarnation: self.slots[from].incarnation,
+            to: index,
+            message,
+        };
+        self.queue.insert((at, self.sequence), parcel);
     }
 
     fn count(&mut self, from: usize, message: &Message) {
