--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -513,12 +513,7 @@
                 let due = Due::Message { at: to, envelope };
                 self.transmit(at, to, due);
             }
-            Action::Refuse { call, refusal } => {
-                if std::env::var("DBG").is_ok() {
-                    println!("{:?} {at} {call:?} {refusal:?}", self.now - self.start);
-                }
-                self.end(at, call, refusal.outcome)
-            }
+            Action::Refuse { call, refusal } => self.end(at, call, refusal.outcome),
             Action::End { call, outcome } => self.end(at, call, outcome),
             Action::Replay { call, answer } => {
                 if let Some(arrived) = self.places[at].calls.get(&call) {
