Compose spread and membership into the node

Cause: each node read the platform by itself, and no news of leaving servers travelled. Ruled out: leaving the composition to the daemon, which may add no decision.

--- a/crates/core/src/node/event.rs
+++ b/crates/core/src/node/event.rs
@@ -78,6 +78,8 @@
         /// Its document.
         bytes: Arc<[u8]>,
     },
+    /// The platform answered a watch without a newer value.
+    Unchanged,
     /// The node is to stop as planned.
     Stop,
     /// Time passed; to be sent every [`crate::node::Options::tick`].
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -6,14 +6,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::call::{Call, Outcome, Reason, Refusal};
-use crate::conf::{Adopted, Documents, Key, Log};
+use crate::conf::{self, Documents, Key, Spread};
 use crate::hosts::HostView;
-use crate::ids::{AttemptId, CallId, HostName, Incarnation, Revision, ZoneName};
-use crate::node::event::{Action, Event, Origin};
+use crate::ids::{AttemptId, CallId, HostName, Incarnation, Revision, ServerName, ZoneName};
+use crate::member::{self, Members};
+use crate::node::calls::Forwarded;
+use crate::node::event::{Action, Event};
 use crate::node::owned::OwnedCalls;
-use crate::owner::{self, Begin, Owner, Place};
-use crate::router::{self, AttemptEvent, Router};
+use crate::owner::{self, Owner};
+use crate::router::{self, Router};
 
 /// Who this node is, from its settings.
 #[derive(Clone, Debug)]
@@ -35,6 +36,10 @@
     pub router: router::Options,
     /// Choices of the ownership of request ids.
     pub owner: owner::Options,
+    /// Choices of the spread of published values.
+    pub spread: conf::Options,
+    /// Choices of membership.
+    pub members: member::Options,
 }
 
 impl Default for Options {
@@ -43,6 +48,8 @@
             tick: Duration::from_millis(50),
             router: router::Options::default(),
             owner: owner::Options::default(),
+            spread: conf::Options::default(),
+            members: member::Options::default(),
         }
     }
 }
@@ -68,29 +75,43 @@
     pub forwarded: usize,
     /// Ownership of request ids.
     pub owner: owner::Dump,
+    /// Hosts that take part, as far as is known here.
+    pub live_hosts: usize,
+    /// Servers known to be leaving.
+    pub leaving_servers: Vec<ServerName>,
+    /// Whether the node watches the platform.
+    pub watching: bool,
+    /// Newest documents that were refused, as key, revision and reason.
+    pub refused: Vec<RefusedDump>,
 }
 
-/// A call that another node answers.
-#[derive(Debug)]
-struct Forwarded {
-    first_try: bool,
+/// A published document that was refused, for operators.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RefusedDump {
+    /// Which value.
+    pub key: Key,
+    /// Its revision.
+    pub revision: Revision,
+    /// Why.
+    pub error: Arc<str>,
 }
 
 /// State machine of one node; see the module's page.
 pub struct Node {
-    identity: Identity,
-    documents: Box<dyn Documents>,
-    log: Log,
-    router: Router,
-    owner: Owner,
-    owned: OwnedCalls,
+    pub(crate) identity: Identity,
+    pub(crate) documents: Box<dyn Documents>,
+    pub(crate) spread: Spread,
+    pub(crate) members: Members,
+    pub(crate) router: Router,
+    pub(crate) owner: Owner,
+    pub(crate) owned: OwnedCalls,
     /// Calls in the router whose ids may have been used before.
-    repeats: BTreeSet<CallId>,
-    forwarded: BTreeMap<CallId, Forwarded>,
-    catalog: Option<Arc<crate::catalog::Catalog>>,
-    fleet: Arc<crate::catalog::Fleet>,
-    stopping: bool,
-    stopped: bool,
+    pub(crate) repeats: BTreeSet<CallId>,
+    pub(crate) forwarded: BTreeMap<CallId, Forwarded>,
+    pub(crate) catalog: Option<Arc<crate::catalog::Catalog>>,
+    pub(crate) fleet: Arc<crate::catalog::Fleet>,
+    pub(crate) stopping: bool,
+    pub(crate) stopped: bool,
 }
 
 impl std::fmt::Debug for Node {
@@ -114,18 +135,20 @@
         wall_ms: u64,
         seed: u64,
     ) -> Self {
-        let router = Router::new(options.router, identity.incarnation, seed);
-        let owner = Owner::new(
-            identity.host.clone(),
-            identity.incarnation,
-            options.owner,
-            now,
-            wall_ms,
-        );
+        let Identity {
+            host,
+            zone,
+            incarnation,
+        } = identity.clone();
+        let router = Router::new(options.router, incarnation, seed);
+        let spread = Spread::new(host.clone(), zone, options.spread, seed);
+        let members = Members::new(host.clone(), incarnation, options.members, seed);
+        let owner = Owner::new(host, incarnation, options.owner, now, wall_ms);
         Self {
             identity,
             documents,
-            log: Log::default(),
+            spread,
+            members,
             router,
             owner,
             owned: OwnedCalls::default(),
@@ -141,13 +164,13 @@
     /// Whether the node can serve callers.
     #[must_use]
     pub fn ready(&self) -> bool {
-        !self.stopping && self.catalog.is_some() && self.log.revision(Key::Servers) > Revision(0)
+        !self.stopping && self.catalog.is_some() && self.spread.revision(Key::Servers) > Revision(0)
     }
 
     /// Adopted revision of a published value, 0 before the first.
     #[must_use]
     pub fn revision(&self, key: Key) -> Revision {
-        self.log.revision(key)
+        self.spread.revision(key)
     }
 
     /// The host list in force.
@@ -191,13 +214,29 @@
             incarnation: self.identity.incarnation,
             ready: self.ready(),
             stopping: self.stopping,
-            revisions: Key::ALL.map(|key| self.log.revision(key)),
+            revisions: Key::ALL.map(|key| self.spread.revision(key)),
             calls: self.router.calls(),
             forwarded: self.forwarded.len(),
             owner: self.owner.dump(now),
+            live_hosts: self.members.live_count(),
+            leaving_servers: self.members.leaving_servers().cloned().collect(),
+            watching: self.spread.watching(),
+            refused: Key::ALL
+                .iter()
+                .filter_map(|key| self.refused(*key))
+                .collect(),
         }
     }
 
+    fn refused(&self, key: Key) -> Option<RefusedDump> {
+        let refused = self.spread.refused(key)?;
+        Some(RefusedDump {
+            key,
+            revision: refused.revision,
+            error: Arc::clone(&refused.error),
+        })
+    }
+
     /// Takes one event and returns the actions that follow from it.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -223,22 +262,20 @@
                 self.route(now, router::Event::Load { server, load }, &mut actions);
             }
             Event::ServerLeaving(server) => {
-                self.route(now, router::Event::ServerLeaving(server), &mut actions);
+                self.server_leaving(now, server, &mut actions);
             }
             Event::Peer(envelope) => self.peer(now, envelope, &mut actions),
-            Event::PeerLost(_) => {}
+            Event::PeerLost(host) => self.members.lost(now, &host),
+            Event::Unchanged => self.spread.unchanged(now),
             Event::Published {
                 key,
                 revision,
                 bytes,
             } => {
-                if let Some(adopted) = self.log.offer(&*self.documents, key, revision, &bytes) {
-                    self.adopt(now, adopted, &mut actions);
-                }
+                self.published(now, key, revision, &bytes, &mut actions);
             }
             Event::Stop => {
-                self.stopping = true;
-                self.owner.stop(now);
+                self.stop(now, &mut actions);
             }
             Event::Tick => self.tick(now, &mut actions),
         }
@@ -246,192 +283,6 @@
         actions
     }
 
-    fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        self.owner.tick(now, actions);
-        self.route(now, router::Event::Tick, actions);
-    }
-
-    fn peer(&mut self, now: Instant, envelope: crate::peer::Envelope, actions: &mut Vec<Action>) {
-        match envelope.message {
-            crate::peer::Message::Owner(message) => {
-                self.owner
-                    .message(now, &envelope.from, envelope.incarnation, message, actions);
-            }
-            crate::peer::Message::Member(_) | crate::peer::Message::Conf(_) => {}
-        }
-    }
-
-    fn adopt(&mut self, now: Instant, adopted: Adopted, actions: &mut Vec<Action>) {
-        match adopted {
-            Adopted::Hosts(view) => self.owner.adopt(now, view, actions),
-            Adopted::Servers(fleet) => {
-                self.fleet = Arc::clone(&fleet);
-                self.route(now, router::Event::Fleet(fleet), actions);
-            }
-            Adopted::Config(catalog) => {
-                self.catalog = Some(Arc::clone(&catalog));
-                self.owner.retire(catalog.retired_hosts_revision);
-                self.route(now, router::Event::Catalog(catalog), actions);
-            }
-        }
-    }
-
-    fn call(
-        &mut self,
-        now: Instant,
-        call: Call,
-        origin: &Origin,
-        content_key: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let profile = self.catalog.as_ref().and_then(|c| c.profile(&call.profile));
-        if profile.is_none_or(|p| p.idempotent) {
-            self.arrive(now, call, actions);
-            return;
-        }
-        match (self.owner.place(&call.request), origin) {
-            (Place::Here, _) => self.own(now, call, content_key, actions),
-            (Place::At(to), Origin::Caller) => {
-                self.forwarded.insert(
-                    call.id,
-                    Forwarded {
-                        first_try: call.first_try,
-                    },
-                );
-                actions.push(Action::Forward { call: call.id, to });
-            }
-            (Place::At(_) | Place::Nowhere, _) => {
-                let outcome = call.unproven();
-                self.refuse(call.id, Reason::NoOwner, outcome, actions);
-            }
-        }
-    }
-
-    fn own(&mut self, now: Instant, call: Call, content_key: u64, actions: &mut Vec<Action>) {
-        match self.owner.begin(now, &call, content_key) {
-            Begin::Run => {
-                self.owned.begin(call.id, call.request.clone());
-                self.route(now, router::Event::Arrive(call), actions);
-            }
-            Begin::Replay(answer) => actions.push(Action::Replay {
-                call: call.id,
-                answer,
-            }),
-            Begin::Refuse(reason, outcome) => self.refuse(call.id, reason, outcome, actions),
-        }
-    }
-
-    /// Passes a call that may be repeated to the router.
-    fn arrive(&mut self, now: Instant, call: Call, actions: &mut Vec<Action>) {
-        if !call.first_try {
-            self.repeats.insert(call.id);
-        }
-        self.route(now, router::Event::Arrive(call), actions);
-    }
-
-    fn forward_failed(&mut self, call: CallId, sent: bool, actions: &mut Vec<Action>) {
-        let Some(forwarded) = self.forwarded.remove(&call) else {
-            return;
-        };
-        let is_first = forwarded.first_try && !sent;
-        let outcome = if is_first {
-            Outcome::NotRun
-        } else {
-            Outcome::Unknown
-        };
-        self.refuse(call, Reason::NoOwner, outcome, actions);
-    }
-
-    /// A sent call that may not be repeated goes on without its caller.
-    fn caller_gone(&mut self, now: Instant, call: CallId, actions: &mut Vec<Action>) {
-        self.forwarded.remove(&call);
-        if self
-            .owned
-            .get(call)
-            .is_some_and(|owned| owned.sent.is_some())
-        {
-            return;
-        }
-        self.route(now, router::Event::CallerGone(call), actions);
-    }
-
-    /// Takes note of a proof that a sent attempt did not run.
-    fn take_proof(&mut self, attempt: AttemptId, event: AttemptEvent) {
-        let AttemptEvent::Failed(failure) = event else {
-            return;
-        };
-        if !failure.proves_not_run() {
-            return;
-        }
-        if let Some(request) = self.owned.unsend(attempt) {
-            self.owner.unsend(&request);
-        }
-    }
-
-    /// Passes an event to the router and takes note of how calls end.
-    fn route(&mut self, now: Instant, event: router::Event, actions: &mut Vec<Action>) {
-        let mut routed = Vec::new();
-        self.router.handle(now, event, &mut routed);
-        for action in routed {
-            let action = self.routed(now, action, actions);
-            actions.push(action);
-        }
-    }
-
-    fn routed(
-        &mut self,
-        now: Instant,
-        action: router::Action,
-        actions: &mut Vec<Action>,
-    ) -> Action {
-        match action {
-            router::Action::Dispatch(dispatch) => Action::Dispatch(dispatch),
-            router::Action::Cancel { attempt, server } => Action::Cancel { attempt, server },
-            router::Action::Refuse { call, refusal } => {
-                let outcome = self.ended(now, call, refusal.outcome, actions);
-                Action::Refuse {
-                    call,
-                    refusal: Refusal { outcome, ..refusal },
-                }
-            }
-            router::Action::End { call, outcome } => {
-                let outcome = self.ended(now, call, outcome, actions);
-                Action::End { call, outcome }
-            }
-        }
-    }
-
-    /// Records the end of a call and returns what may be said of it.
-    fn ended(
-        &mut self,
-        now: Instant,
-        call: CallId,
-        outcome: Outcome,
-        actions: &mut Vec<Action>,
-    ) -> Outcome {
-        if self.repeats.remove(&call) && outcome == Outcome::NotRun {
-            return Outcome::Unknown;
-        }
-        let ended = self.owned.end(call, outcome == Outcome::Completed);
-        let Some((request, state, outcome)) = ended else {
-            return outcome;
-        };
-        self.owner.settle(now, &request, state, actions);
-        outcome
-    }
-
-    fn refuse(&self, call: CallId, reason: Reason, outcome: Outcome, actions: &mut Vec<Action>) {
-        let retry_after = self.owner.retry_after();
-        actions.push(Action::Refuse {
-            call,
-            refusal: Refusal {
-                reason,
-                outcome,
-                retry_after,
-            },
-        });
-    }
-
     fn check_stopped(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let idle = self.router.calls() == 0 && self.forwarded.is_empty();
         let idle = idle && self.owner.may_stop(now);
@@ -441,11 +292,3 @@
         }
     }
 }
-
-impl AttemptEvent {
-    /// Whether nothing follows for the attempt.
-    #[must_use]
-    pub fn is_last(self) -> bool {
-        !matches!(self, Self::Progress { .. })
-    }
-}
--- a/crates/core/src/owner/confirm.rs
+++ b/crates/core/src/owner/confirm.rs
@@ -56,30 +56,52 @@
         let index = usize::from(slot.0);
         let settled = self.settled.get(index).copied().unwrap_or_default();
         let stint = self.stints.get(index).copied().unwrap_or_default();
-        let is_held = self.leases.get(&slot).is_some_and(|l| l.is_held(now));
-        let is_settled = is_held && settled == self.map.revision();
+        let is_settled = self.is_settled(now, slot);
         if is_settled && !is_due {
             return;
         }
-        for member in self.members(slot, settled) {
-            if member == self.host {
-                self.confirm_self(now, slot, stint, settled);
-                continue;
-            }
-            let wish = wishes.entry(member).or_default();
-            if is_settled {
-                wish.held.push(HeldSlot { slot, stint });
-            } else {
-                wish.wanted.push(SlotAsk {
+        if is_settled {
+            self.wish_held(now, HeldSlot { slot, stint }, wishes);
+        } else {
+            self.wish_wanted(
+                now,
+                &SlotAsk {
                     slot,
                     stint,
                     settled,
-                });
-            }
+                },
+                wishes,
+            );
         }
         self.evaluate(now, slot);
     }
 
+    /// Asks the slot's committee to go on confirming it.
+    fn wish_held(&mut self, now: Instant, held: HeldSlot, wishes: &mut BTreeMap<HostName, Wish>) {
+        let committee = self.map.committee(held.slot);
+        for member in committee.iter().filter(|m| **m != self.host) {
+            if let Some(wish) = wishes.get_mut(member) {
+                wish.held.push(held);
+                continue;
+            }
+            wishes.entry(member.clone()).or_default().held.push(held);
+        }
+        if committee.contains(&self.host) {
+            self.confirm_self(now, held.slot, held.stint, self.map.revision());
+        }
+    }
+
+    /// Asks all committees that have to confirm a slot that is not held yet.
+    fn wish_wanted(&mut self, now: Instant, ask: &SlotAsk, wishes: &mut BTreeMap<HostName, Wish>) {
+        for member in self.members(ask.slot, ask.settled) {
+            if member == self.host {
+                self.confirm_self(now, ask.slot, ask.stint, ask.settled);
+                continue;
+            }
+            wishes.entry(member).or_default().wanted.push(ask.clone());
+        }
+    }
+
     /// Members of all committees that have to confirm the slot.
     fn members(&self, slot: Slot, settled: Revision) -> Vec<HostName> {
         let mut members: Vec<HostName> = self.map.committee(slot).to_vec();
@@ -234,7 +256,9 @@
             if let Some(lease) = self.leases.get_mut(&slot) {
                 lease.confirm(from, confirmation);
             }
-            self.evaluate(now, slot);
+            if !self.is_settled(now, slot) {
+                self.evaluate(now, slot);
+            }
         }
     }
 
--- a/crates/core/src/owner/options.rs
+++ b/crates/core/src/owner/options.rs
@@ -35,10 +35,10 @@
         self.lease + self.lease / 20
     }
 
-    /// How much later than the start of the records an id must be born.
-    pub(crate) fn birth_margin_ms(&self) -> u64 {
-        let margin = self.caller_clock_error + 2 * self.node_clock_error;
-        u64::try_from(margin.as_millis()).unwrap_or(u64::MAX)
+    /// How much later than the start of an owner's records an id must be born to run.
+    #[must_use]
+    pub fn birth_margin(&self) -> Duration {
+        self.caller_clock_error + 2 * self.node_clock_error
     }
 }
 
--- a/crates/core/src/owner/slots.rs
+++ b/crates/core/src/owner/slots.rs
@@ -9,7 +9,7 @@
 use crate::rendezvous;
 
 /// Number of slots.
-pub const SLOT_COUNT: u16 = 256;
+pub const SLOT_COUNT: u16 = 128;
 
 /// Most hosts of a committee.
 const COMMITTEE_SIZE: usize = 7;
--- a/crates/core/src/owner/state.rs
+++ b/crates/core/src/owner/state.rs
@@ -249,7 +249,7 @@
             if birth_ms + window.as_millis() as u64 <= wall_ms {
                 return Err((Reason::IdTooOld, Outcome::Unknown));
             }
-            let first_ms = tenure.floor.wall_ms + self.options.birth_margin_ms();
+            let first_ms = tenure.floor.wall_ms + self.options.birth_margin().as_millis() as u64;
             if birth_ms <= first_ms && !is_window_over {
                 return Err((Reason::IdTooOld, unproven));
             }
@@ -371,6 +371,13 @@
         self.resend_handovers(now, actions);
     }
 
+    /// Whether the slot is held and was confirmed under the host list in force.
+    pub(crate) fn is_settled(&self, now: Instant, slot: Slot) -> bool {
+        let settled = self.settled.get(usize::from(slot.0));
+        let is_held = self.leases.get(&slot).is_some_and(|l| l.is_held(now));
+        is_held && settled == Some(&self.map.revision())
+    }
+
     /// Draws the conclusions for one slot.
     pub(crate) fn evaluate(&mut self, now: Instant, slot: Slot) {
         let index = usize::from(slot.0);
--- a/crates/node/src/platform/watch.rs
+++ b/crates/node/src/platform/watch.rs
@@ -67,6 +67,7 @@
             Ok(Some(value)) => self.take(value),
             Ok(None) => {
                 self.failures = 0;
+                self.control.event(Event::Unchanged);
                 self.rotate();
                 if self.revision == Revision(0) {
                     sleep(RETRY_PAUSE).await;
