--- a/crates/briarbank/tests/fleet/process.rs
+++ b/crates/briarbank/tests/fleet/process.rs
@@ -50,8 +50,22 @@
 
     /// Asks for a planned stop, as an init system does.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Makes the process stand still.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status();
+        let status = Command::new("kill").args([signal, &id]).status();
         assert!(status.expect("kill runs").success());
     }
 
