Measure calls and prove the decoders at the node's borders

Metrics by class: answers in time and late, refusals by reason, outcomes, retries, wasted calls and tokens, queue, first token, between tokens and whole.

--- a/crates/briarbank/tests/fleet/process.rs
+++ b/crates/briarbank/tests/fleet/process.rs
@@ -129,11 +129,28 @@
 
     /// One call of its port.
     pub async fn call(&self, method: Method, path: &str, body: Bytes) -> (StatusCode, Bytes) {
+        self.call_with_key(method, path, body, KEY).await
+    }
+
+    /// Status of a call with another key.
+    pub async fn status_without_key(&self, path: &str) -> StatusCode {
+        let other = "another key";
+        let answer = self.call_with_key(Method::GET, path, Bytes::new(), other);
+        answer.await.0
+    }
+
+    async fn call_with_key(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        key: &str,
+    ) -> (StatusCode, Bytes) {
         let request = Request::builder()
             .method(method)
             .uri(path)
             .header("host", self.address.to_string())
-            .header("authorization", format!("Bearer {KEY}"))
+            .header("authorization", format!("Bearer {key}"))
             .body(Full::new(body))
             .expect("a request");
         let client = Client::default();
--- a/crates/briarbank/tests/path.rs
+++ b/crates/briarbank/tests/path.rs
@@ -29,3 +29,29 @@
         assert_eq!(fleet.runs(call.id()).await, 1);
     }
 }
+
+#[tokio::test]
+async fn operator_port_tells_metrics_and_needs_the_key() {
+    let fleet = Fleet::start(Size {
+        nodes: 1,
+        services: 0,
+        ..Size::default()
+    })
+    .await;
+    let node = &fleet.nodes[0];
+    let answer = fleet.caller(0).send(&Call::stream("measured", 50)).await;
+    let tokens = answer.expect("an answer").assert_stream_of("measured");
+    assert!(tokens > 0);
+    let in_time = node.metric("briarbank_answers_in_time_total").await;
+    assert!((in_time - 1.0).abs() < f64::EPSILON, "{in_time}");
+    let first = node.metric("briarbank_first_token_seconds_count").await;
+    assert!((first - 1.0).abs() < f64::EPSILON, "{first}");
+    for path in ["/metrics", "/dump"] {
+        assert_eq!(
+            node.status_without_key(path).await,
+            StatusCode::UNAUTHORIZED
+        );
+    }
+    assert_eq!(node.status_without_key("/live").await, StatusCode::OK);
+    assert_eq!(node.status_without_key("/ready").await, StatusCode::OK);
+}
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::order::{Attempt, Order, Patience};
+use crate::order::{Attempt, Order, Patience, Targets};
 use crate::peer::Links;
 
 /// Longest silence before a stream's first event, as a multiple of the target.
@@ -111,6 +111,7 @@
             address,
             idempotent: profile.is_some_and(|p| p.idempotent),
             patience: patience(profile),
+            targets: profile.map(targets),
             dispatch,
         };
         let id = attempt.dispatch.attempt;
@@ -174,6 +175,14 @@
     }
 }
 
+fn targets(profile: &Profile) -> Targets {
+    Targets {
+        first: Duration::from_millis(profile.first_token_ms),
+        between: Duration::from_millis(profile.between_tokens_ms),
+        whole: Duration::from_millis(profile.whole_ms),
+    }
+}
+
 fn patience(profile: Option<&Profile>) -> Patience {
     let scaled = |target_ms: u64, factor| {
         Duration::from_millis(target_ms.saturating_mul(factor)).max(PATIENCE_MIN)
--- a/crates/node/src/call/calls.rs
+++ b/crates/node/src/call/calls.rs
@@ -12,7 +12,7 @@
 
 use super::reply;
 use super::task::CallTask;
-use super::{Answer, Inbound, Reply};
+use super::{Answer, Inbound, Meter, Reply};
 use crate::control::Control;
 use crate::peer::Links;
 use crate::server::Pool;
@@ -84,6 +84,8 @@
             links: parts.links.clone(),
             pool: parts.pool.clone(),
             answer: Answer::new(sender, parts.limits.answer_bytes),
+            meter: Meter::new(&inbound.call),
+            told_gone: false,
             inbound,
             orders,
             gone,
--- a/crates/node/src/call/task.rs
+++ b/crates/node/src/call/task.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use super::{Answer, Inbound, Reply, ReplyAnswer, ReplyBody};
+use super::{Answer, Inbound, Meter, Reply, ReplyAnswer, ReplyBody};
 use crate::control::{Control, Progress};
 use crate::order::{Attempt, Order};
 use crate::peer::{Forwarded, Links, NotForwarded, forward};
@@ -27,6 +28,18 @@
 /// Time for the last word to a caller whose call is cut.
 const CUT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How an attempt's work ended.
+enum Worked {
+    /// By itself.
+    Ended(AttemptEnd),
+    /// By order.
+    Cancelled,
+    /// By an order that takes its place.
+    Ordered(Order),
+    /// No orders come any more.
+    ControlEnded,
+}
+
 /// One call and its answer.
 pub(super) struct CallTask {
     pub(super) host: HostName,
@@ -34,6 +47,8 @@
     pub(super) links: Links,
     pub(super) pool: Pool,
     pub(super) answer: Answer,
+    pub(super) meter: Meter,
+    pub(super) told_gone: bool,
     pub(super) inbound: Inbound,
     pub(super) orders: mpsc::Receiver<Order>,
     pub(super) gone: CancellationToken,
@@ -57,13 +72,11 @@
 
     /// Follows the orders until the call is over.
     async fn follow(&mut self) {
-        let mut told_gone = false;
         loop {
             let order = tokio::select! {
                 order = self.orders.recv() => order,
-                () = self.gone.cancelled(), if !told_gone => {
-                    told_gone = true;
-                    self.control.event(Event::CallerGone(self.inbound.call.id));
+                () = self.gone.cancelled(), if !self.told_gone => {
+                    self.tell_gone();
                     continue;
                 }
             };
@@ -76,12 +89,18 @@
         }
     }
 
+    fn tell_gone(&mut self) {
+        self.told_gone = true;
+        self.control.event(Event::CallerGone(self.inbound.call.id));
+    }
+
     async fn carry_out(&mut self, order: Order) -> ControlFlow<()> {
         match order {
             Order::Dispatch(attempt) => return self.attempt(*attempt).await,
             Order::Cancel(_) => return ControlFlow::Continue(()),
-            Order::End => {}
+            Order::End => self.meter.abandoned(),
             Order::Refuse(refusal) => {
+                self.meter.refused(refusal.reason, refusal.outcome);
                 tracing::debug!(
                     request = %self.inbound.call.request,
                     reason = refusal.reason.as_str(),
@@ -102,12 +121,23 @@
             .whole(stored.status, Arc::clone(&stored.content_type), body);
     }
 
-    /// Runs one attempt, and takes orders meanwhile.
     async fn attempt(&mut self, attempt: Attempt) -> ControlFlow<()> {
         let id = attempt.dispatch.attempt;
         if !attempt.idempotent {
             self.answer.keep();
         }
+        self.meter.attempt(attempt.targets);
+        match self.work(attempt).await {
+            Worked::Ended(end) => self.report(id, end),
+            Worked::Cancelled => ControlFlow::Continue(()),
+            Worked::Ordered(order) => Box::pin(self.carry_out(order)).await,
+            Worked::ControlEnded => ControlFlow::Break(()),
+        }
+    }
+
+    /// Runs one attempt, and takes orders meanwhile.
+    async fn work(&mut self, attempt: Attempt) -> Worked {
+        let id = attempt.dispatch.attempt;
         let run = AttemptRun {
             upstream: Upstream {
                 control: &self.control,
@@ -116,53 +146,43 @@
                 progress: Progress::new(id),
             },
             answer: &mut self.answer,
+            meter: &mut self.meter,
             attempt,
         };
-        let mut told_gone = false;
-        let mut last = None;
-        let end = {
-            let work = run.run();
-            tokio::pin!(work);
-            loop {
-                tokio::select! {
-                    biased;
-                    end = &mut work => break Some(end),
-                    order = self.orders.recv() => match order {
-                        Some(Order::Cancel(cancelled)) if cancelled == id => break None,
-                        Some(Order::Cancel(_)) => {}
-                        order => {
-                            last = order;
-                            break None;
-                        }
-                    },
-                    () = self.gone.cancelled(), if !told_gone => {
-                        told_gone = true;
-                        self.control.event(Event::CallerGone(self.inbound.call.id));
-                    }
+        let mut work = pin!(run.run());
+        loop {
+            tokio::select! {
+                biased;
+                end = &mut work => return Worked::Ended(end),
+                order = self.orders.recv() => match order {
+                    None => return Worked::ControlEnded,
+                    Some(Order::Cancel(cancelled)) if cancelled == id => return Worked::Cancelled,
+                    Some(Order::Cancel(_)) => {}
+                    Some(order) => return Worked::Ordered(order),
+                },
+                () = self.gone.cancelled(), if !self.told_gone => {
+                    self.told_gone = true;
+                    self.control.event(Event::CallerGone(self.inbound.call.id));
                 }
             }
-        };
-        if let Some(order) = last {
-            return Box::pin(self.carry_out(order)).await;
         }
-        let Some(end) = end else {
-            return ControlFlow::Continue(());
-        };
-        self.report(id, end)
     }
 
     fn report(&mut self, attempt: AttemptId, end: AttemptEnd) -> ControlFlow<()> {
         match end {
             AttemptEnd::Done => {
+                self.meter.completed();
                 self.control.attempt(attempt, AttemptEvent::Done);
                 ControlFlow::Break(())
             }
             AttemptEnd::CallerLeft => {
-                self.control.event(Event::CallerGone(self.inbound.call.id));
+                self.tell_gone();
                 ControlFlow::Continue(())
             }
             AttemptEnd::Failed(failure) => {
                 self.log_failure(attempt, failure);
+                // A caller that left during the attempt may count now.
+                self.told_gone = false;
                 self.control.attempt(attempt, AttemptEvent::Failed(failure));
                 ControlFlow::Continue(())
             }
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -17,6 +17,17 @@
     pub(crate) whole: Duration,
 }
 
+/// Targets of a call's profile.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Targets {
+    /// For the first token.
+    pub(crate) first: Duration,
+    /// For the time between tokens.
+    pub(crate) between: Duration,
+    /// For the whole answer.
+    pub(crate) whole: Duration,
+}
+
 /// One attempt, with what the transport needs.
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
@@ -28,6 +39,8 @@
     pub(crate) idempotent: bool,
     /// Longest silence.
     pub(crate) patience: Patience,
+    /// Targets; `None` when the profile is no longer known.
+    pub(crate) targets: Option<Targets>,
 }
 
 /// Order for one call's task.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -8,6 +8,7 @@
 use briarbank_core::conf::Key;
 use briarbank_core::ids::Incarnation;
 use briarbank_core::node::{Event, Identity, Node, Options};
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -29,8 +30,8 @@
 /// Reports of peers that wait for the control actor.
 const REPORTS_MAX: usize = 256;
 
-/// Time between two sweeps of idle connections.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two sweeps of idle connections and recorded times.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for the last word to callers whose calls are cut.
 const CUT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -277,7 +278,7 @@
 impl Background {
     fn start(&self, tick: Duration, pool: Pool, reports: mpsc::Receiver<Event>) {
         self.spawn(tick_forever(self.control.clone(), tick));
-        self.spawn(sweep_forever(pool));
+        self.spawn(sweep_forever(pool, recorder::install()));
         self.spawn(report_forever(self.control.clone(), reports));
     }
 
@@ -330,11 +331,13 @@
     }
 }
 
-async fn sweep_forever(pool: Pool) {
+async fn sweep_forever(pool: Pool, metrics: PrometheusHandle) {
     let mut ticks = interval(SWEEP_INTERVAL);
     loop {
         ticks.tick().await;
         pool.sweep();
+        // Recorded times wait in memory until this.
+        metrics.run_upkeep();
     }
 }
 
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -16,7 +16,7 @@
 use super::pool::{Connection, IDLE_TIMEOUT, Pool};
 use super::request;
 use super::stream::StreamEnd;
-use crate::call::{Answer, Inbound};
+use crate::call::{Answer, Inbound, Meter};
 use crate::control::{Control, Progress};
 use crate::order::Attempt;
 
@@ -52,6 +52,7 @@
 pub(crate) struct AttemptRun<'a> {
     pub(crate) upstream: Upstream<'a>,
     pub(crate) answer: &'a mut Answer,
+    pub(crate) meter: &'a mut Meter,
     pub(crate) attempt: Attempt,
 }
 
@@ -114,7 +115,7 @@
         self.attempt.idempotent && matches!(failure, Failure::NotSent | Failure::Broken)
     }
 
-    async fn send(&self, mut connection: Connection, body: Bytes) -> Result<Answered, Failure> {
+    async fn send(&mut self, mut connection: Connection, body: Bytes) -> Result<Answered, Failure> {
         let address = self.attempt.address.ok_or(Failure::NotSent)?;
         let resume_tokens = self.answer.tokens();
         let request = request::head(self.upstream.inbound, &self.attempt, address, resume_tokens);
@@ -122,6 +123,7 @@
         if !self.attempt.idempotent && !self.may_send().await {
             return Err(Failure::NotSent);
         }
+        self.meter.sent();
         let response = connection.sender.try_send_request(request);
         match timeout(self.head_patience(), response).await {
             Ok(Ok(response)) => Ok(Answered {
@@ -265,9 +267,9 @@
         if self.answer.chunk(&chunk).await.is_err() && self.attempt.idempotent {
             return Some(AttemptEnd::CallerLeft);
         }
-        self.upstream
-            .control
-            .progress(&self.upstream.progress, tokens);
+        self.meter.tokens(tokens);
+        let control = self.upstream.control;
+        control.progress(&self.upstream.progress, tokens);
         None
     }
 
@@ -279,7 +281,9 @@
         {
             self.store(stored);
         }
-        match self.answer.flush().await {
+        let flushed = self.answer.flush().await;
+        self.meter.tokens(self.answer.tokens());
+        match flushed {
             Err(_) if self.attempt.idempotent => AttemptEnd::CallerLeft,
             _ => AttemptEnd::Done,
         }
--- /dev/null
+++ b/crates/node/tests/decoders.rs
@@ -0,0 +1,266 @@
+//! Decoding of what callers and servers send: bounded, typed, never a panic.
+
+use briarbank_core::call::Failure;
+use briarbank_core::ids::{AttemptId, Incarnation};
+use briarbank_node::{
+    AnswerStream, CallerHeaders, EventError, EventReader, ModelCall, Part, ServerHead, StreamEnd,
+};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// Cases of each property.
+const CASES: u32 = 10_000;
+
+/// Seed of the cases.
+const SEED: [u8; 32] = [11; 32];
+
+/// Bound of an event in these tests.
+const LIMIT_BYTES: usize = 200;
+
+const ATTEMPT: AttemptId = AttemptId {
+    incarnation: Incarnation(1),
+    number: 2,
+};
+
+fn check<S: Strategy>(strategy: &S, test: impl Fn(S::Value) -> Result<(), TestCaseError>) {
+    println!("cases {CASES}, seed {SEED:?}");
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    TestRunner::new_with_rng(config, rng)
+        .run(strategy, test)
+        .expect("the property holds");
+}
+
+fn token(attempt: &str, index: u32, text: &str, last: bool) -> String {
+    let finish = if last { "\"stop\"" } else { "null" };
+    format!(
+        "data: {{\"attempt\":\"{attempt}\",\"index\":{index},\"choices\":[{{\"index\":0,\"text\":\"{text}\",\"finish_reason\":{finish}}}]}}\n\n"
+    )
+}
+
+/// A whole stream of tokens from `first` on.
+fn stream(first: u32, count: u32) -> String {
+    let id = ATTEMPT.to_string();
+    let tokens = (first..first + count).map(|i| token(&id, i, "t ", i + 1 == first + count));
+    tokens.chain(["data: [DONE]\n\n".to_owned()]).collect()
+}
+
+/// Reads a stream in parts; what passed, the tokens in it, and its end.
+fn read(bytes: &[u8], first: u32, size: usize) -> (Vec<u8>, u32, Option<StreamEnd>) {
+    let mut stream = AnswerStream::new(ATTEMPT, first, LIMIT_BYTES);
+    let mut passed = Vec::new();
+    let mut tokens = 0;
+    for part in bytes.chunks(size) {
+        stream.push(part);
+        let Part { chunk, end } = stream.take(|_| tokens += 1);
+        passed.extend_from_slice(&chunk);
+        if end.is_some() {
+            return (passed, tokens, end);
+        }
+    }
+    (passed, tokens, None)
+}
+
+#[test]
+fn whole_streams_pass_unchanged_in_any_cuts() {
+    check(
+        &(0..1_000_u32, 1..20_u32, 1..200_usize),
+        |(first, count, size)| {
+            let sent = stream(first, count);
+            let (passed, tokens, end) = read(sent.as_bytes(), first, size);
+            prop_assert_eq!(String::from_utf8(passed).unwrap(), sent);
+            prop_assert_eq!((tokens, end), (count, Some(StreamEnd::Whole)));
+            Ok(())
+        },
+    );
+}
+
+/// Whatever is damaged, callers get a prefix of the true events, and only
+/// an undamaged stream counts as whole.
+#[test]
+fn damaged_streams_pass_as_a_prefix_only() {
+    let damage = (
+        1..12_u32,
+        any::<prop::sample::Index>(),
+        any::<u8>(),
+        1..100_usize,
+    );
+    check(&damage, |(count, at, byte, size)| {
+        let sent = stream(0, count);
+        let mut damaged = sent.clone().into_bytes();
+        let at = at.index(damaged.len());
+        let changed = damaged[at] != byte;
+        damaged[at] = byte;
+        let (passed, tokens, end) = read(&damaged, 0, size);
+        prop_assert!(tokens <= count);
+        if changed && end == Some(StreamEnd::Whole) {
+            // Text, or what the router doesn't check, was damaged.
+            prop_assert_eq!(tokens, count);
+        }
+        let events = |bytes: &[u8]| bytes.windows(2).filter(|w| w == b"\n\n").count();
+        prop_assert!(events(&passed) <= events(sent.as_bytes()) + 1);
+        Ok(())
+    });
+}
+
+#[test]
+fn events_out_of_order_end_the_stream() {
+    let indices = proptest::collection::vec(0..6_u32, 1..10);
+    check(&indices, |indices| {
+        let id = ATTEMPT.to_string();
+        let sent: String = indices.iter().map(|i| token(&id, *i, "t", false)).collect();
+        let (_, tokens, end) = read(sent.as_bytes(), 0, 64);
+        let in_order = (0..).zip(&indices).take_while(|(n, i)| n == *i).count();
+        prop_assert_eq!(tokens as usize, in_order);
+        let failed = end == Some(StreamEnd::Failed(Failure::Malformed));
+        prop_assert_eq!(failed, in_order < indices.len());
+        Ok(())
+    });
+}
+
+#[test]
+fn events_of_another_attempt_never_pass() {
+    check(&(any::<u64>(), any::<u64>()), |(incarnation, number)| {
+        let other = AttemptId {
+            incarnation: Incarnation(incarnation),
+            number,
+        };
+        prop_assume!(other != ATTEMPT);
+        let sent = token(&other.to_string(), 0, "t", true);
+        let (passed, tokens, end) = read(sent.as_bytes(), 0, 64);
+        prop_assert!(passed.is_empty() && tokens == 0);
+        prop_assert_eq!(end, Some(StreamEnd::Failed(Failure::Malformed)));
+        Ok(())
+    });
+}
+
+#[test]
+fn any_bytes_are_events_or_fail_with_a_type() {
+    let parts = proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..80), 0..12);
+    check(&parts, |parts| {
+        let mut reader = EventReader::new(LIMIT_BYTES);
+        for part in parts {
+            reader.push(&part);
+            loop {
+                match reader.next() {
+                    Ok(Some(event)) => prop_assert!(event.raw.len() <= LIMIT_BYTES),
+                    Ok(None) => break,
+                    Err(EventError::TooLarge(_) | EventError::NotText) => return Ok(()),
+                }
+            }
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn nearly_valid_streams_never_panic() {
+    let pieces = prop::sample::select(vec![
+        "data: ",
+        "data:",
+        "event: error\n",
+        "\n",
+        "\n\n",
+        "\r\n",
+        "\r\n\r\n",
+        ":",
+        "{",
+        "}",
+        "[DONE]",
+        "{\"attempt\":\"0000000000000001-2\",\"index\":0,\"choices\":[]}",
+        "{\"attempt\":\"0000000000000001-2\",\"index\":4294967295,\"choices\":[{}]}",
+        "{\"index\":0}",
+        "null",
+        "é",
+        "\u{0}",
+    ]);
+    let pieces = proptest::collection::vec(pieces, 0..20);
+    check(&(pieces, 1..30_usize), |(pieces, size)| {
+        read(pieces.concat().as_bytes(), 0, size);
+        Ok(())
+    });
+}
+
+#[test]
+fn event_without_end_is_bounded() {
+    let mut stream = AnswerStream::new(ATTEMPT, 0, LIMIT_BYTES);
+    stream.push(&vec![b'x'; LIMIT_BYTES + 1]);
+    let part = stream.take(|_| {});
+    assert_eq!(part.end, Some(StreamEnd::Failed(Failure::Malformed)));
+}
+
+#[test]
+fn stream_that_lacks_only_its_closing_event_is_whole() {
+    let mut stream = AnswerStream::new(ATTEMPT, 0, LIMIT_BYTES);
+    stream.push(token(&ATTEMPT.to_string(), 0, "t", true).as_bytes());
+    assert_eq!(stream.take(|_| {}).end, None);
+    assert_eq!(stream.cut().end, Some(StreamEnd::Whole));
+    let open = AnswerStream::new(ATTEMPT, 0, LIMIT_BYTES);
+    assert_eq!(open.cut().end, Some(StreamEnd::Failed(Failure::Broken)));
+}
+
+#[test]
+fn any_headers_are_read_or_refused() {
+    let names = prop::sample::select(vec![
+        "briarbank-workspace",
+        "briarbank-profile",
+        "idempotency-key",
+        "briarbank-try",
+        "content-type",
+        "briarbank-attempt",
+        "briarbank-load",
+        "briarbank-not-run",
+        "briarbank-server-state",
+    ]);
+    let values = prop_oneof![
+        proptest::collection::vec(any::<u8>(), 0..300),
+        "(running|waiting|age_ms|x)=[0-9]{0,25}(,[a-z=]{0,9})?".prop_map(String::into_bytes),
+        "[0-9-]{0,12}".prop_map(String::into_bytes),
+    ];
+    let headers = proptest::collection::vec((names, values), 0..9);
+    check(&headers, |headers| {
+        let mut map = HeaderMap::new();
+        for (name, value) in headers {
+            if let Ok(value) = HeaderValue::from_bytes(&value) {
+                map.append(HeaderName::from_static(name), value);
+            }
+        }
+        if let Ok(read) = CallerHeaders::read(&map) {
+            prop_assert!((1..=256).contains(&read.request.as_str().len()));
+            prop_assert!((1..=256).contains(&read.profile.as_str().len()));
+        }
+        let _ = ServerHead::read(&map);
+        Ok(())
+    });
+}
+
+#[test]
+fn any_body_is_a_model_call_or_refused() {
+    let bodies = prop_oneof![
+        proptest::collection::vec(any::<u8>(), 0..200),
+        "\\{\"model\":\"[a-z]{0,9}\",\"(prompt|messages|stream|max_tokens)\":(null|true|\"é{0,600}\"|[0-9]{1,12}|\\[\\]|\\{\"content\":\"x\"\\})\\}"
+            .prop_map(String::into_bytes),
+    ];
+    check(&bodies, |body| {
+        let _ = ModelCall::read(&body);
+        Ok(())
+    });
+}
+
+#[test]
+fn headers_without_a_try_count_as_a_repeat() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [("briarbank-workspace", "w"), ("briarbank-profile", "p")] {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    assert!(CallerHeaders::read(&headers).unwrap().first_try);
+    headers.insert("idempotency-key", HeaderValue::from_static("id"));
+    assert!(!CallerHeaders::read(&headers).unwrap().first_try);
+    headers.insert("briarbank-try", HeaderValue::from_static("1"));
+    assert!(CallerHeaders::read(&headers).unwrap().first_try);
+}
