--- a/crates/briarbank/src/lib.rs
+++ b/crates/briarbank/src/lib.rs
@@ -4,8 +4,10 @@
 //! stand-ins and the decoding of settings are crates of their own.
 
 mod check;
+mod demo;
 mod dump;
 mod error;
+mod load;
 mod logs;
 mod operator;
 mod publish;
@@ -15,10 +17,12 @@
 mod table;
 
 pub use check::{Selection, check};
+pub use demo::demo;
 pub use dump::{Process, drain, dump};
 pub use error::{EXIT_FAILED, EXIT_INVALID, EXIT_UNREACHABLE, EXIT_USAGE, Error};
+pub use load::{compare, load};
 pub use logs::init_logs;
 pub use operator::Operator;
 pub use publish::DocumentFiles;
-pub use run::{demo, engine, load, node, platform, service};
+pub use run::{engine, node, platform, service};
 pub use table::render;
--- a/crates/briarbank/src/main.rs
+++ b/crates/briarbank/src/main.rs
@@ -7,7 +7,7 @@
 
 use briarbank::Error;
 
-use crate::flags::{Briarbank, BriarbankCmd, StandinCmd};
+use crate::flags::{Briarbank, BriarbankCmd, LoadCmd, StandinCmd};
 
 fn main() -> ExitCode {
     let flags = match Briarbank::from_env() {
@@ -16,6 +16,7 @@
     };
     match run(flags) {
         Ok(()) => ExitCode::SUCCESS,
+        Err(error) if error.is_closed_output() => ExitCode::SUCCESS,
         Err(error) => {
             print_line(std::io::stderr(), &format!("briarbank: {error}"));
             ExitCode::from(error.exit_code())
@@ -31,7 +32,11 @@
         );
         return Ok(());
     }
-    briarbank::init_logs(flags.log.as_deref(), flags.log_json)?;
+    let log = flags.log.as_deref().unwrap_or(match flags.subcommand {
+        BriarbankCmd::Node(_) | BriarbankCmd::Standin(_) => "info",
+        _ => "warn",
+    });
+    briarbank::init_logs(log, flags.log_json)?;
     match flags.subcommand {
         BriarbankCmd::Usage(_) => Err(Error::NoCommand),
         BriarbankCmd::Node(node) => briarbank::node(&node.settings),
@@ -42,7 +47,15 @@
         }
         BriarbankCmd::Drain(drain) => briarbank::drain(&drain.operator(), &mut std::io::stdout()),
         BriarbankCmd::Demo(_) => briarbank::demo(&mut std::io::stdout()),
-        BriarbankCmd::Load(load) => briarbank::load(&load.plan, load.json, &mut std::io::stdout()),
+        BriarbankCmd::Load(load) => match load.subcommand {
+            LoadCmd::Run(run) => {
+                let (mut out, mut progress) = (std::io::stdout(), std::io::stderr());
+                briarbank::load(&run.plan, run.json, &mut out, &mut progress)
+            }
+            LoadCmd::Compare(files) => {
+                briarbank::compare(&files.before, &files.after, &mut std::io::stdout())
+            }
+        },
         BriarbankCmd::Standin(standin) => match standin.subcommand {
             StandinCmd::Platform(platform) => {
                 briarbank::platform(&platform.settings, &platform.documents())
