Let the tests' callers come back as real ones do

A slip refused as not run was taken for a failure: seen once under load, when an owner's lease had lapsed and its records had begun anew (id-too-old, not-run). The test now sends a new slip after a proven refusal and repeats an id until it is answered; the bound of one run for each id stays.

--- a/crates/briarbank/tests/fleet/caller.rs
+++ b/crates/briarbank/tests/fleet/caller.rs
@@ -7,8 +7,11 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
+use tokio::time::sleep;
 use uuid::Uuid;
 
+use super::POLL;
+
 /// Seed of the engines' answer lengths.
 pub const ENGINE_SEED: u64 = 7;
 
@@ -119,6 +122,39 @@
         self.exchange(&self.client, call).await.ok()
     }
 
+    /// Sends a new slip until one is answered; a refused one was not run.
+    ///
+    /// # Panics
+    ///
+    /// A slip is refused without the proof that it was not run.
+    pub async fn insist_on_slip(&self) -> (Call, Answer) {
+        loop {
+            let call = Call::slip();
+            let answer = self.send(&call).await.expect("an answer");
+            if answer.status == StatusCode::OK {
+                return (call, answer);
+            }
+            assert_eq!(
+                answer.outcome.as_deref(),
+                Some("not-run"),
+                "{}",
+                answer.text
+            );
+            sleep(POLL).await;
+        }
+    }
+
+    /// Repeats a call with its id until it is answered.
+    pub async fn insist_on_repeat(&self, call: &Call) -> Answer {
+        loop {
+            let answer = self.send(&call.again()).await.expect("an answer");
+            if answer.status == StatusCode::OK {
+                return answer;
+            }
+            sleep(POLL).await;
+        }
+    }
+
     async fn exchange(&self, client: &Client, call: &Call) -> Result<Answer, ClientError> {
         let mut request = Request::builder()
             .method("POST")
