--- a/crates/briarbank/tests/fleet/caller.rs
+++ b/crates/briarbank/tests/fleet/caller.rs
@@ -94,6 +94,11 @@
 }
 
 impl Caller {
+    /// Port of the node that it calls.
+    pub fn node(&self) -> SocketAddr {
+        self.node
+    }
+
     pub(super) fn new(node: SocketAddr) -> Self {
         Self {
             node,
--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -20,15 +20,13 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
+use briarbank_core::owner;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
 /// Key that the nodes share.
 pub const KEY: &str = "key-of-the-tests";
 
-/// Time after the start of an owner's records in which ids must not be born.
-const BIRTH_MARGIN: Duration = Duration::from_millis(3_100);
-
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
 /// Processes of one test; they end with it.
@@ -36,6 +34,7 @@
 pub struct Fleet {
     ip: IpAddr,
     folder: PathBuf,
+    limits: Value,
     pub published: Published,
     pub platform: Process,
     pub engines: Vec<Process>,
@@ -70,6 +69,11 @@
 impl Fleet {
     /// Starts all processes and waits until the nodes are ready.
     pub async fn start(size: Size) -> Self {
+        Self::start_with(size, json!({})).await
+    }
+
+    /// Starts all processes, with bounds of the nodes that differ from the usual ones.
+    pub async fn start_with(size: Size, limits: Value) -> Self {
         let ip = own_address();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{ip}"));
         fs::create_dir_all(&folder).expect("a scratch folder");
@@ -84,6 +88,7 @@
         let mut fleet = Self {
             ip,
             folder,
+            limits,
             published: Published::default(),
             platform,
             engines: Vec::new(),
@@ -120,7 +125,7 @@
         for node in &self.nodes {
             node.owning().await;
         }
-        sleep(BIRTH_MARGIN).await;
+        sleep(birth_margin()).await;
     }
 
     fn start_engine(&mut self, token_us: u64) {
@@ -169,6 +174,7 @@
             "operator_address": addresses.operator,
             "platform_addresses": [self.platform.address],
             "shared_key": KEY,
+            "limits": self.limits,
         });
         let process = Process::start(
             &self.folder,
@@ -230,6 +236,13 @@
     }
 }
 
+/// Time after the start of an owner's records in which ids must not be born.
+fn birth_margin() -> Duration {
+    let options = owner::Options::default();
+    // One tick more, for what is rounded.
+    options.caller_clock_error + 3 * options.node_clock_error
+}
+
 /// A loopback address that no other test of any process uses.
 fn own_address() -> IpAddr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
--- a/crates/briarbank/tests/fleet/process.rs
+++ b/crates/briarbank/tests/fleet/process.rs
@@ -50,8 +50,14 @@
 
     /// Asks for a planned stop, as an init system does.
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends a signal to this process.
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status();
+        let signal = format!("-{name}");
+        let status = Command::new("kill").args([&signal, &id]).status();
         assert!(status.expect("kill runs").success());
     }
 
--- /dev/null
+++ b/crates/briarbank/tests/limits.rs
@@ -0,0 +1,181 @@
+//! Bounds of the caller port, each with a clear answer.
+
+mod fleet;
+
+use fleet::{Answer, Call, Fleet, Size};
+use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const SIZE: Size = Size {
+    nodes: 1,
+    engines: 1,
+    services: 1,
+    token_us: 2_000,
+    call_us: 0,
+};
+
+/// A refusal in the form of the protocol page.
+fn assert_refused(answer: &Answer, status: StatusCode, kind: &str) {
+    assert_eq!(answer.status, status, "{}", answer.text);
+    let error = &answer.json()["error"];
+    assert_eq!(error["type"], kind, "{}", answer.text);
+    assert_eq!(error["outcome"].as_str(), answer.outcome.as_deref());
+    assert_eq!(error["retry_after_ms"].as_u64(), answer.retry_after_ms);
+    assert!(answer.retry_after_ms.is_some());
+}
+
+/// Sends bytes and returns everything that comes back until the node closes.
+async fn exchange(fleet: &Fleet, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(fleet.caller(0).node())
+        .await
+        .expect("a connection");
+    stream.write_all(bytes).await.expect("it is sent");
+    let mut answer = Vec::new();
+    // A reset after the answer loses nothing that was read.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn calls_that_name_unknown_things_are_refused() {
+    let fleet = Fleet::start(SIZE).await;
+    let caller = fleet.caller(0);
+    let mut call = Call::stream("x", 5);
+    call.body["model"] = json!("no-model");
+    let answer = caller.send(&call).await.expect("an answer");
+    assert_refused(&answer, StatusCode::NOT_FOUND, "unknown-target");
+    assert_eq!(answer.outcome.as_deref(), Some("not-run"));
+    let mut call = Call::stream("x", 5);
+    call.profile = "no-profile";
+    let answer = caller.send(&call).await.expect("an answer");
+    assert_refused(&answer, StatusCode::BAD_REQUEST, "unknown-profile");
+    let mut call = Call::stream("x", 5);
+    call.path = "/v2/none".to_owned();
+    let answer = caller.send(&call).await.expect("an answer");
+    assert_refused(&answer, StatusCode::NOT_FOUND, "unknown-path");
+    let mut call = Call::stream("x", 5);
+    call.body = json!("no model call");
+    let answer = caller.send(&call).await.expect("an answer");
+    assert_refused(&answer, StatusCode::BAD_REQUEST, "invalid-body");
+    let mut call = Call::stream("x", 5);
+    call.body["model"] = json!("slips");
+    let answer = caller.send(&call).await.expect("an answer");
+    assert_refused(&answer, StatusCode::NOT_FOUND, "unknown-target");
+    let mut call = Call::slip();
+    call.id = None;
+    let answer = caller.send(&call).await.expect("an answer");
+    assert_refused(&answer, StatusCode::BAD_REQUEST, "missing-idempotency-key");
+}
+
+#[tokio::test]
+async fn missing_headers_are_named_and_nothing_is_claimed() {
+    let fleet = Fleet::start(SIZE).await;
+    let answer = exchange(
+        &fleet,
+        b"POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\nbriarbank-workspace: w\r\ncontent-length: 0\r\n\r\n",
+    )
+    .await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("briarbank-profile"), "{answer}");
+    assert!(answer.contains("briarbank-outcome: unknown"), "{answer}");
+}
+
+#[tokio::test]
+async fn models_of_the_configuration_are_listed() {
+    let fleet = Fleet::start(SIZE).await;
+    let answer = exchange(
+        &fleet,
+        b"GET /v1/models HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
+    )
+    .await;
+    let (_, body) = answer.split_once("\r\n\r\n").expect("a body");
+    let list: Value = serde_json::from_str(body).expect("JSON");
+    assert_eq!(
+        list["data"],
+        json!([{"id": "lens-model", "object": "model"}])
+    );
+}
+
+#[tokio::test]
+async fn large_bodies_are_refused() {
+    let fleet = Fleet::start_with(SIZE, json!({"body_bytes": 1_000})).await;
+    let call = Call::stream(&"x".repeat(2_000), 5);
+    let answer = fleet.caller(0).send(&call).await.expect("an answer");
+    assert_refused(&answer, StatusCode::PAYLOAD_TOO_LARGE, "body-too-large");
+    assert_eq!(answer.outcome.as_deref(), Some("not-run"));
+}
+
+#[tokio::test]
+async fn large_heads_are_refused() {
+    let fleet = Fleet::start_with(SIZE, json!({"header_bytes": 8_192})).await;
+    let head = format!(
+        "GET /v1/models HTTP/1.1\r\nx: {}\r\n\r\n",
+        "x".repeat(20_000)
+    );
+    let answer = exchange(&fleet, head.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+}
+
+#[tokio::test]
+async fn slow_heads_and_bodies_are_refused() {
+    let limits = json!({"header_timeout_ms": 200, "body_timeout_ms": 200});
+    let fleet = Fleet::start_with(SIZE, limits).await;
+    let answer = exchange(&fleet, b"POST /v1/completions HTTP/1.1\r\nhost:").await;
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 408"),
+        "{answer}"
+    );
+    let slow_body = b"POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\nbriarbank-workspace: w\r\nbriarbank-profile: lists\r\ncontent-length: 100\r\n\r\n{";
+    let answer = exchange(&fleet, slow_body).await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("body-timeout"), "{answer}");
+}
+
+#[tokio::test]
+async fn connections_beyond_the_bound_are_refused() {
+    let fleet = Fleet::start_with(SIZE, json!({"connections": 2})).await;
+    let address = fleet.caller(0).node();
+    let first = TcpStream::connect(address).await.expect("a connection");
+    let second = TcpStream::connect(address).await.expect("a connection");
+    let answer = fleet.caller(0).send(&Call::stream("x", 5)).await;
+    assert_refused(
+        &answer.expect("an answer"),
+        StatusCode::SERVICE_UNAVAILABLE,
+        "too-many-connections",
+    );
+    drop((first, second));
+}
+
+#[tokio::test]
+async fn calls_beyond_the_bound_are_refused_at_once() {
+    let fleet = Fleet::start_with(SIZE, json!({"calls": 1})).await;
+    let prompt = fleet::long_prompt(400);
+    let first = Call::stream(&prompt, 600);
+    let (caller, other) = (fleet.caller(0), fleet.caller(0));
+    let (first, refused) = tokio::join!(caller.send(&first), async {
+        while fleet.nodes[0].get("/dump").await["calls"] == 0 {
+            tokio::time::sleep(fleet::POLL).await;
+        }
+        other.send(&Call::stream("x", 5)).await
+    });
+    first.expect("an answer").assert_stream_of(&prompt);
+    assert_refused(
+        &refused.expect("an answer"),
+        StatusCode::TOO_MANY_REQUESTS,
+        "queue-full",
+    );
+}
+
+#[tokio::test]
+async fn large_answers_of_servers_are_not_kept_in_memory() {
+    let fleet = Fleet::start_with(SIZE, json!({"answer_bytes": 64})).await;
+    let answer = fleet
+        .caller(0)
+        .send(&Call::slip())
+        .await
+        .expect("an answer");
+    assert_refused(&answer, StatusCode::BAD_GATEWAY, "server-failed");
+    assert_eq!(answer.outcome.as_deref(), Some("unknown"));
+}
