--- a/crates/briarbank/tests/owners.rs
+++ b/crates/briarbank/tests/owners.rs
@@ -151,9 +151,9 @@
     let storm = Storm::start(&fleet);
     for index in 0..SIZE.nodes {
         sleep(Duration::from_millis(700)).await;
-        fleet.nodes[index].freeze();
+        fleet.nodes[index].signal("STOP");
         sleep(LONGER_THAN_LEASE).await;
-        fleet.nodes[index].thaw();
+        fleet.nodes[index].signal("CONT");
     }
     sleep(Duration::from_secs(2)).await;
     storm.check(&fleet).await;
