Refuse classes without a share and split large files

Cause: a profile with share_ratio 0 was valid, and its class would wait as long as higher tiers have work; settings.rs and de.rs had grown past one noun each. Change: share_ratio is 0.001 to 1; settings are split into those of the node and of the stand-ins, mismatches leave the deserializer's file. Seen: the new test fails on the former range.

--- a/crates/config/src/decode.rs
+++ b/crates/config/src/decode.rs
@@ -8,10 +8,10 @@
 
 use serde::de::DeserializeOwned;
 
-use crate::de::{Mismatch, Problem};
 use crate::error::{Error, FileError};
 use crate::fault::{FAULT_LIMIT, Fault};
 use crate::field::Step;
+use crate::mismatch::{Mismatch, Problem};
 use crate::rules::{Rules, Validate};
 use crate::tree::{Kind, Tree};
 
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -22,6 +22,8 @@
 const IN_FLIGHT_MAX: usize = 10_000_000;
 const WEIGHT_MIN: f64 = 0.001;
 const WEIGHT_MAX: f64 = 1_000.0;
+/// A class without a share would starve while higher tiers have work.
+const SHARE_MIN: f64 = 0.001;
 /// Rounding that a sum of shares may show.
 const SHARE_TOLERANCE: f64 = 1e-9;
 
@@ -183,7 +185,11 @@
 fn check_profile(profile: &Profile, path: &FieldPath, rules: &mut Rules) {
     rules.name(&path.field("name"), profile.name.as_str());
     rules.within(&path.field("tier"), profile.tier, 0..=TIER_COUNT - 1);
-    rules.within(&path.field("share_ratio"), profile.share_ratio, 0.0..=1.0);
+    rules.within(
+        &path.field("share_ratio"),
+        profile.share_ratio,
+        SHARE_MIN..=1.0,
+    );
     rules.within(
         &path.field("queue_limit"),
         profile.queue_limit,
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -6,8 +6,8 @@
 
 use crate::document::{ConfigDocument, HostsDocument, ServersDocument};
 use crate::field::FieldPath;
+use crate::node::NodeSettings;
 use crate::rules::Rules;
-use crate::settings::NodeSettings;
 
 /// Checks that servers run only declared targets.
 ///
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/node.rs
@@ -1,15 +1,24 @@
-//! Settings of each program, read from JSON with comments.
+//! Settings of a router node.
 
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use briarbank_core::ids::{HostName, ServerName, TargetName, ZoneName};
+use briarbank_core::ids::{HostName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::field::FieldPath;
 use crate::rules::{Rules, Validate};
 
+const KEY_MIN_CHARS: usize = 16;
+const KEY_MAX_CHARS: usize = 256;
+const REPLICAS_MAX: usize = 16;
+const COUNT_MAX: usize = 1_000_000;
+const BODY_MAX_BYTES: usize = 64 << 20;
+const HEADER_MIN_BYTES: usize = 1 << 10;
+const HEADER_MAX_BYTES: usize = 1 << 20;
+const TIMEOUT_MAX_MS: u64 = 600_000;
+
 /// Bounds of the caller port.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -90,64 +99,6 @@
     60_000
 }
 
-/// Settings of `briarbank standin platform`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PlatformSettings {
-    /// Address to listen on.
-    pub address: SocketAddr,
-    /// Most calls a second; more are refused.
-    pub rate_per_s: u32,
-}
-
-/// Settings of `briarbank standin engine`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct EngineSettings {
-    /// Name in the published server list.
-    pub server: ServerName,
-    /// Address to listen on.
-    pub address: SocketAddr,
-    /// Requests in the batch at once.
-    pub slots: u32,
-    /// Time for one token with a batch of one.
-    pub token_us: u64,
-    /// Added time for each further request in the batch.
-    pub batch_token_us: u64,
-    /// Time to read 1,000 prompt tokens that are not in the prefix cache.
-    pub prompt_us: u64,
-    /// Prefixes that the cache holds.
-    pub cached_prefixes: usize,
-    /// Age of the load reports.
-    pub load_lag_ms: u64,
-    /// Seed of the output lengths.
-    pub seed: u64,
-}
-
-/// Settings of `briarbank standin service`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ServiceSettings {
-    /// Name in the published server list.
-    pub server: ServerName,
-    /// Name of the plain service.
-    pub service: TargetName,
-    /// Address to listen on.
-    pub address: SocketAddr,
-    /// Time for one call.
-    pub call_us: u64,
-}
-
-const KEY_MIN_CHARS: usize = 16;
-const KEY_MAX_CHARS: usize = 256;
-const REPLICAS_MAX: usize = 16;
-const COUNT_MAX: usize = 1_000_000;
-const BODY_MAX_BYTES: usize = 64 << 20;
-const HEADER_MIN_BYTES: usize = 1 << 10;
-const HEADER_MAX_BYTES: usize = 1 << 20;
-const TIMEOUT_MAX_MS: u64 = 600_000;
-const CALL_MAX_US: u64 = 600_000_000;
-
 impl Validate for NodeSettings {
     fn validate(&self, rules: &mut Rules) {
         let root = FieldPath::default();
@@ -241,45 +192,3 @@
         }
     }
 }
-
-impl Validate for PlatformSettings {
-    fn validate(&self, rules: &mut Rules) {
-        let path = FieldPath::default().field("rate_per_s");
-        rules.within(&path, self.rate_per_s, 1..=u32::MAX);
-    }
-}
-
-impl Validate for EngineSettings {
-    fn validate(&self, rules: &mut Rules) {
-        let root = FieldPath::default();
-        rules.name(&root.field("server"), self.server.as_str());
-        rules.within(&root.field("slots"), self.slots, 1..=u32::MAX);
-        let times = [
-            ("token_us", self.token_us),
-            ("batch_token_us", self.batch_token_us),
-            ("prompt_us", self.prompt_us),
-        ];
-        for (field, value) in times {
-            rules.within(&root.field(field), value, 0..=CALL_MAX_US);
-        }
-        rules.within(
-            &root.field("cached_prefixes"),
-            self.cached_prefixes,
-            0..=COUNT_MAX,
-        );
-        rules.within(
-            &root.field("load_lag_ms"),
-            self.load_lag_ms,
-            0..=TIMEOUT_MAX_MS,
-        );
-    }
-}
-
-impl Validate for ServiceSettings {
-    fn validate(&self, rules: &mut Rules) {
-        let root = FieldPath::default();
-        rules.name(&root.field("server"), self.server.as_str());
-        rules.name(&root.field("service"), self.service.as_str());
-        rules.within(&root.field("call_us"), self.call_us, 0..=CALL_MAX_US);
-    }
-}
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -168,6 +168,17 @@
     assert_eq!(faults(&error), expected);
 }
 
+#[test]
+fn a_class_without_a_share_is_refused() {
+    let text = format!(
+        r#"{{"profiles": [{{"name": "drafts", "tier": 5, "share_ratio": 0, "first_token_ms": 1, "whole_ms": 1000, {PROFILE}}}],
+        "workspaces": [], "targets": []}}"#
+    );
+    let error = parse::<ConfigDocument>(&text).expect_err("a class that starves");
+    let expected = "line 1: field profiles[0].share_ratio: found 0; allowed: 0.001 to 1";
+    assert_eq!(faults(&error), [expected]);
+}
+
 #[test]
 fn rules_between_files_are_checked() {
     let servers: ServersDocument = parse(
