--- a/crates/briarbank/src/demo/fleet.rs
+++ b/crates/briarbank/src/demo/fleet.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::documents;
+use super::error::DemoError;
 use super::ports::{NodePorts, free_ports};
 use crate::Error;
 use crate::operator::Operator;
@@ -87,7 +88,7 @@
         while let Some(node) = waiting.last() {
             if let Some(ended) = self.tasks.try_join_next() {
                 ended??;
-                return Err(Error::DemoEnded);
+                return Err(DemoError::Ended.into());
             }
             let operator = Operator {
                 address: node.operator,
--- a/crates/briarbank/src/demo/mod.rs
+++ b/crates/briarbank/src/demo/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod documents;
+mod error;
 mod fleet;
 mod ports;
 mod story;
@@ -11,6 +12,7 @@
 use crate::Error;
 use crate::run::runtime;
 use crate::signal::shutdown;
+pub use error::DemoError;
 use fleet::Fleet;
 
 /// Runs stand-ins and two nodes in this process and shows some calls.
@@ -26,7 +28,7 @@
         let mut fleet = Fleet::start().await?;
         let told = tokio::select! {
             told = story::tell(&mut fleet, out) => told,
-            () = shutdown => Err(Error::Interrupted),
+            () = shutdown => Err(DemoError::Interrupted.into()),
         };
         let stopped = fleet.stop().await;
         told.and(stopped)
--- a/crates/briarbank/src/demo/story.rs
+++ b/crates/briarbank/src/demo/story.rs
@@ -15,6 +15,7 @@
 use uuid::Uuid;
 
 use super::call::{Seen, chat, slip};
+use super::error::DemoError;
 use super::fleet::Fleet;
 use crate::Error;
 use crate::operator::Operator;
@@ -41,7 +42,7 @@
 
 async fn calls(fleet: &Fleet, client: &Client, out: &mut dyn Write) -> Result<(), Error> {
     let [first, second] = &fleet.nodes[..] else {
-        return Err(Error::DemoEnded);
+        return Err(DemoError::Ended.into());
     };
     writeln!(out, "\nA streamed completion through {}:", first.host)?;
     let completion = require(chat(client, first, out).await?)?;
@@ -61,7 +62,7 @@
     writeln!(out, "{}", String::from_utf8_lossy(&repeated.body))?;
     let runs = runs(fleet, &id).await?;
     if runs != 1 || booked.body != repeated.body {
-        return Err(Error::DemoRuns(runs));
+        return Err(DemoError::Runs(runs).into());
     }
     writeln!(out, "\nThe service ran the slip once.\n")?;
     write!(out, "{}", summary(&[completion, booked, repeated]))?;
@@ -81,7 +82,7 @@
             return Ok((id, seen));
         }
         if !seen.is_not_run() || Instant::now() > deadline {
-            return Err(Error::DemoCall(Arc::from(refusal(&seen))));
+            return Err(DemoError::Call(Arc::from(refusal(&seen))).into());
         }
         sleep(seen.retry_after.unwrap_or(DEFAULT_PAUSE)).await;
     }
@@ -104,7 +105,7 @@
     if seen.is_completed() {
         return Ok(seen);
     }
-    Err(Error::DemoCall(Arc::from(refusal(&seen))))
+    Err(DemoError::Call(Arc::from(refusal(&seen))).into())
 }
 
 fn refusal(seen: &Seen) -> String {
--- a/crates/briarbank/src/error.rs
+++ b/crates/briarbank/src/error.rs
@@ -58,21 +58,11 @@
             display("a task did not end as it should: {error}")
             from()
         }
-        /// A signal came before the demo was over.
-        Interrupted {
-            display("stopped by a signal")
-        }
-        /// A node of the demo ended before its time.
-        DemoEnded {
-            display("a node of the demo ended before its time")
-        }
-        /// A call of the demo was not answered as promised.
-        DemoCall(answer: Arc<str>) {
-            display("a call of the demo was not answered as promised: {answer}")
-        }
-        /// The slip of the demo did not run exactly once.
-        DemoRuns(runs: u64) {
-            display("the slip ran {runs} times or its answers differ; allowed: once, with one answer")
+        /// The demo did not show what it should.
+        Demo(error: crate::demo::DemoError) {
+            source(error)
+            display("{error}")
+            from()
         }
         /// A load can't be run.
         Load(error: briarbank_standin::LoadError) {
--- a/crates/briarbank/src/lib.rs
+++ b/crates/briarbank/src/lib.rs
@@ -13,11 +13,10 @@
 mod publish;
 mod run;
 mod signal;
-
 mod table;
 
 pub use check::{Selection, check};
-pub use demo::demo;
+pub use demo::{DemoError, demo};
 pub use dump::{Process, drain, dump};
 pub use error::{EXIT_FAILED, EXIT_INVALID, EXIT_UNREACHABLE, EXIT_USAGE, Error};
 pub use load::{compare, load};
--- a/crates/briarbank/src/run.rs
+++ b/crates/briarbank/src/run.rs
@@ -39,6 +39,7 @@
         for (key, body) in documents {
             publish(running.address(), key, body).await?;
         }
+        tracing::info!(address = %running.address(), "platform: listening");
         running.join().await;
         Ok(())
     })
@@ -53,6 +54,7 @@
     let settings: EngineSettings = briarbank_config::load(path)?;
     runtime()?.block_on(async {
         let running = briarbank_standin::engine(settings, shutdown()?).await?;
+        tracing::info!(address = %running.address(), "engine: listening");
         running.join().await;
         Ok(())
     })
@@ -67,6 +69,7 @@
     let settings: ServiceSettings = briarbank_config::load(path)?;
     runtime()?.block_on(async {
         let running = briarbank_standin::service(settings, shutdown()?).await?;
+        tracing::info!(address = %running.address(), "service: listening");
         running.join().await;
         Ok(())
     })
