--- a/crates/briarbank/src/demo/mod.rs
+++ b/crates/briarbank/src/demo/mod.rs
@@ -5,7 +5,7 @@
 mod error;
 mod fleet;
 mod ports;
-mod story;
+mod scenario;
 
 use std::io::Write;
 
@@ -26,11 +26,11 @@
     runtime()?.block_on(async {
         let shutdown = shutdown()?;
         let mut fleet = Fleet::start().await?;
-        let told = tokio::select! {
-            told = story::tell(&mut fleet, out) => told,
+        let shown = tokio::select! {
+            shown = scenario::run(&mut fleet, out) => shown,
             () = shutdown => Err(DemoError::Interrupted.into()),
         };
         let stopped = fleet.stop().await;
-        told.and(stopped)
+        shown.and(stopped)
     })
 }
--- a/crates/briarbank/src/demo/story.rs
+++ b/crates/briarbank/src/demo/scenario.rs
@@ -1,4 +1,4 @@
-//! What the demo shows.
+//! The calls that the demo makes and shows.
 
 use std::io::Write;
 use std::sync::Arc;
@@ -25,7 +25,7 @@
 const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
 
 /// Makes the calls and prints what callers see.
-pub(super) async fn tell(fleet: &mut Fleet, out: &mut dyn Write) -> Result<(), Error> {
+pub(super) async fn run(fleet: &mut Fleet, out: &mut dyn Write) -> Result<(), Error> {
     writeln!(
         out,
         "A platform, a model engine, a plain service and two nodes on loopback:"
@@ -35,9 +35,9 @@
     }
     fleet.ready().await?;
     let client = Client::default();
-    let told = calls(fleet, &client, out).await;
+    let shown = calls(fleet, &client, out).await;
     client.close().await;
-    told
+    shown
 }
 
 async fn calls(fleet: &Fleet, client: &Client, out: &mut dyn Write) -> Result<(), Error> {
--- a/crates/config/src/de.rs
+++ b/crates/config/src/de.rs
@@ -10,21 +10,21 @@
 use crate::mismatch::Mismatch;
 use crate::tree::{Kind, Tree};
 
-/// Stands for any text in a hole; valid as a name and as an address.
-const HOLE_TEXT: &str = "127.0.0.1:1";
+/// Stands for any text in a placeholder; valid as a name and as an address.
+const PLACEHOLDER_TEXT: &str = "127.0.0.1:1";
 
 impl<'de> Tree<'de> {
     fn number<V: Visitor<'de>>(&'de self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
             Kind::Number(text) => visit_number(text, visitor),
-            Kind::Hole => visitor.visit_u64(1),
+            Kind::Placeholder => visitor.visit_u64(1),
             _ => de::Deserializer::deserialize_any(self, visitor),
         }
     }
 
     fn text<V: Visitor<'de>>(&'de self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_borrowed_str(HOLE_TEXT),
+            Kind::Placeholder => visitor.visit_borrowed_str(PLACEHOLDER_TEXT),
             _ => de::Deserializer::deserialize_any(self, visitor),
         }
     }
@@ -48,7 +48,7 @@
 
     fn deserialize_any<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Null | Kind::Hole => visitor.visit_unit(),
+            Kind::Null | Kind::Placeholder => visitor.visit_unit(),
             Kind::Bool(value) => visitor.visit_bool(*value),
             Kind::Number(text) => visit_number(text, visitor),
             Kind::Text(text) => visitor.visit_borrowed_str(text),
@@ -59,7 +59,7 @@
 
     fn deserialize_bool<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_bool(false),
+            Kind::Placeholder => visitor.visit_bool(false),
             _ => self.deserialize_any(visitor),
         }
     }
@@ -94,7 +94,7 @@
 
     fn deserialize_option<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Null | Kind::Hole => visitor.visit_none(),
+            Kind::Null | Kind::Placeholder => visitor.visit_none(),
             _ => visitor.visit_some(self),
         }
     }
@@ -109,14 +109,14 @@
 
     fn deserialize_seq<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_seq(Elements::new(&[])),
+            Kind::Placeholder => visitor.visit_seq(Elements::new(&[])),
             _ => self.deserialize_any(visitor),
         }
     }
 
     fn deserialize_map<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_map(Fields::new(&[])),
+            Kind::Placeholder => visitor.visit_map(Fields::new(&[])),
             _ => self.deserialize_any(visitor),
         }
     }
@@ -128,7 +128,10 @@
         visitor: V,
     ) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_map(HoleFields { fields, hole: self }),
+            Kind::Placeholder => visitor.visit_map(PlaceholderFields {
+                fields,
+                value: self,
+            }),
             Kind::Object(fields) => visitor.visit_map(Fields::new(fields)),
             _ => Err(de::Error::custom("an object")),
         }
@@ -145,7 +148,7 @@
             Kind::Object(fields) => {
                 visitor.visit_enum(MapAccessDeserializer::new(Fields::new(fields)))
             }
-            Kind::Hole => {
+            Kind::Placeholder => {
                 let first = variants.first().copied().unwrap_or_default();
                 visitor.visit_enum(BorrowedStrDeserializer::new(first))
             }
@@ -229,13 +232,13 @@
     }
 }
 
-/// All fields of a struct, each a hole.
-struct HoleFields<'de> {
+/// All fields of a struct, each a placeholder.
+struct PlaceholderFields<'de> {
     fields: &'static [&'static str],
-    hole: &'de Tree<'de>,
+    value: &'de Tree<'de>,
 }
 
-impl<'de> de::MapAccess<'de> for HoleFields<'de> {
+impl<'de> de::MapAccess<'de> for PlaceholderFields<'de> {
     type Error = Mismatch;
 
     fn next_key_seed<K: DeserializeSeed<'de>>(
@@ -251,6 +254,6 @@
     }
 
     fn next_value_seed<V: DeserializeSeed<'de>>(&mut self, seed: V) -> Result<V::Value, Mismatch> {
-        seed.deserialize(self.hole)
+        seed.deserialize(self.value)
     }
 }
--- a/crates/config/src/decode.rs
+++ b/crates/config/src/decode.rs
@@ -94,7 +94,7 @@
     parse_bytes(&bytes).map_err(|e| FileError::Invalid(path.to_path_buf(), e))
 }
 
-/// Deserializes the tree; each fault becomes a hole, so that the rest is seen too.
+/// Deserializes the tree; each fault becomes a placeholder, so that the rest is seen too.
 fn build<T: DeserializeOwned>(tree: &mut Tree<'_>, faults: &mut Vec<Fault>) -> Option<T> {
     while faults.len() < FAULT_LIMIT {
         let mismatch = match T::deserialize(&*tree) {
@@ -113,10 +113,14 @@
     let mut rules = Rules::default();
     value.validate(&mut rules);
     let found = rules.into_faults().into_iter();
-    faults.extend(found.filter(|f| !tree.is_hole(&f.path)).map(|f| Fault {
-        line: Some(tree.line(&f.path)),
-        ..f
-    }));
+    faults.extend(
+        found
+            .filter(|f| !tree.is_placeholder(&f.path))
+            .map(|f| Fault {
+                line: Some(tree.line(&f.path)),
+                ..f
+            }),
+    );
 }
 
 fn fault(mismatch: &Mismatch, tree: &Tree<'_>) -> Fault {
@@ -159,20 +163,20 @@
     let line = target.line;
     match (&mismatch.problem, &mut target.kind) {
         (Problem::Missing(field), Kind::Object(fields)) => {
-            let hole = Tree {
+            let placeholder = Tree {
                 line,
-                kind: Kind::Hole,
+                kind: Kind::Placeholder,
             };
-            fields.push((Cow::Borrowed(*field), hole));
+            fields.push((Cow::Borrowed(*field), placeholder));
             true
         }
         (Problem::Unknown(field, _), Kind::Object(fields)) => {
             fields.retain(|(name, _)| **name != **field);
             true
         }
-        (Problem::Value(_), Kind::Hole) => false,
+        (Problem::Value(_), Kind::Placeholder) => false,
         (Problem::Value(_), kind) => {
-            *kind = Kind::Hole;
+            *kind = Kind::Placeholder;
             true
         }
         _ => false,
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -44,7 +44,7 @@
     Array(Vec<Tree<'t>>),
     Object(Vec<(Cow<'t, str>, Tree<'t>)>),
     /// Stands for a value with a fault that is already known.
-    Hole,
+    Placeholder,
 }
 
 impl<'t> Tree<'t> {
@@ -107,13 +107,13 @@
     }
 
     /// Whether the path leads to or through a value with a known fault.
-    pub(crate) fn is_hole(&self, path: &FieldPath) -> bool {
+    pub(crate) fn is_placeholder(&self, path: &FieldPath) -> bool {
         let mut tree = self;
         for step in &path.steps {
             let Some(child) = tree.child(step) else { break };
             tree = child;
         }
-        matches!(tree.kind, Kind::Hole)
+        matches!(tree.kind, Kind::Placeholder)
     }
 
     /// The value in words, shortened.
@@ -125,7 +125,7 @@
             Kind::Text(text) => format!("{:?}", shorten(text)),
             Kind::Array(_) => String::from("an array"),
             Kind::Object(_) => String::from("an object"),
-            Kind::Hole => String::from("a faulty value"),
+            Kind::Placeholder => String::from("a faulty value"),
         }
     }
 }
