--- a/crates/briarbank/src/error.rs
+++ b/crates/briarbank/src/error.rs
@@ -82,7 +82,7 @@
         }
         /// `check` found invalid files and printed why.
         Invalid(files: usize) {
-            display("{files} of the files are invalid")
+            display("invalid files: {files}")
         }
         /// Output could not be written, or the runtime could not start.
         Io(error: io::Error) {
