--- a/crates/briarbank/src/demo/fleet.rs
+++ b/crates/briarbank/src/demo/fleet.rs
@@ -20,7 +20,7 @@
 use super::ports::{NodePorts, free_ports};
 use crate::Error;
 use crate::operator::Operator;
-use crate::publish::publish;
+use crate::publish::{Document, publish};
 
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const READY_POLL: Duration = Duration::from_millis(50);
@@ -147,5 +147,6 @@
     document: &impl Serialize,
 ) -> Result<(), Error> {
     let body = serde_json::to_vec(document).map_err(|e| Error::Json(address, e))?;
-    publish(address, key, Bytes::from(body)).await
+    let body = Bytes::from(body);
+    publish(address, Document { key, body }).await
 }
--- a/crates/briarbank/src/publish.rs
+++ b/crates/briarbank/src/publish.rs
@@ -23,37 +23,44 @@
     pub config: Option<PathBuf>,
 }
 
+/// A document that is valid for its key.
+#[derive(Clone, Debug)]
+pub(crate) struct Document {
+    pub(crate) key: Key,
+    pub(crate) body: Bytes,
+}
+
 impl DocumentFiles {
     /// Reads and validates the files.
-    pub(crate) fn read(&self) -> Result<Vec<(Key, Bytes)>, Error> {
+    pub(crate) fn read(&self) -> Result<Vec<Document>, Error> {
         let documents = [
-            (Key::Config, read::<ConfigDocument>(self.config.as_deref())?),
-            (
-                Key::Servers,
-                read::<ServersDocument>(self.servers.as_deref())?,
-            ),
-            (Key::Hosts, read::<HostsDocument>(self.hosts.as_deref())?),
+            read::<ConfigDocument>(Key::Config, self.config.as_deref())?,
+            read::<ServersDocument>(Key::Servers, self.servers.as_deref())?,
+            read::<HostsDocument>(Key::Hosts, self.hosts.as_deref())?,
         ];
-        let given = documents.into_iter();
-        Ok(given.filter_map(|(key, body)| Some((key, body?))).collect())
+        Ok(documents.into_iter().flatten().collect())
     }
 }
 
-fn read<T: DeserializeOwned + Validate>(path: Option<&Path>) -> Result<Option<Bytes>, Error> {
+fn read<T: DeserializeOwned + Validate>(
+    key: Key,
+    path: Option<&Path>,
+) -> Result<Option<Document>, Error> {
     let Some(path) = path else {
         return Ok(None);
     };
     load::<T>(path)?;
-    Ok(Some(Bytes::from(std::fs::read(path)?)))
+    let body = Bytes::from(std::fs::read(path)?);
+    Ok(Some(Document { key, body }))
 }
 
 /// Publishes a document at a platform stand-in.
-pub(crate) async fn publish(address: SocketAddr, key: Key, body: Bytes) -> Result<(), Error> {
+pub(crate) async fn publish(address: SocketAddr, document: Document) -> Result<(), Error> {
     let platform = Operator {
         address,
         settings: None,
     };
-    let path = format!("/control/values/{}", key.as_str());
-    platform.call(Method::PUT, &path, body).await?;
+    let path = format!("/control/values/{}", document.key.as_str());
+    platform.call(Method::PUT, &path, document.body).await?;
     Ok(())
 }
--- a/crates/briarbank/src/run.rs
+++ b/crates/briarbank/src/run.rs
@@ -36,8 +36,8 @@
     let documents = documents.read()?;
     runtime()?.block_on(async {
         let running = briarbank_standin::platform(settings, shutdown()?).await?;
-        for (key, body) in documents {
-            publish(running.address(), key, body).await?;
+        for document in documents {
+            publish(running.address(), document).await?;
         }
         tracing::info!(address = %running.address(), "platform: listening");
         running.join().await;
--- a/crates/config/src/de.rs
+++ b/crates/config/src/de.rs
@@ -8,7 +8,7 @@
 
 use crate::field::Step;
 use crate::mismatch::Mismatch;
-use crate::tree::{Kind, Tree};
+use crate::tree::{Field, Kind, Tree};
 
 /// Stands for any text in a placeholder; valid as a name and as an address.
 const PLACEHOLDER_TEXT: &str = "127.0.0.1:1";
@@ -195,15 +195,15 @@
 }
 
 struct Fields<'de> {
-    fields: std::slice::Iter<'de, (Cow<'de, str>, Tree<'de>)>,
-    value: Option<(&'de str, &'de Tree<'de>)>,
+    fields: std::slice::Iter<'de, Field<'de>>,
+    current: Option<&'de Field<'de>>,
 }
 
 impl<'de> Fields<'de> {
-    fn new(fields: &'de [(Cow<'de, str>, Tree<'de>)]) -> Self {
+    fn new(fields: &'de [Field<'de>]) -> Self {
         Self {
             fields: fields.iter(),
-            value: None,
+            current: None,
         }
     }
 }
@@ -215,20 +215,20 @@
         &mut self,
         seed: K,
     ) -> Result<Option<K::Value>, Mismatch> {
-        let Some((name, tree)) = self.fields.next() else {
+        let Some(field) = self.fields.next() else {
             return Ok(None);
         };
-        self.value = Some((name, tree));
-        seed.deserialize(BorrowedStrDeserializer::new(name))
+        self.current = Some(field);
+        seed.deserialize(BorrowedStrDeserializer::new(&field.name))
             .map(Some)
     }
 
     fn next_value_seed<V: DeserializeSeed<'de>>(&mut self, seed: V) -> Result<V::Value, Mismatch> {
-        let Some((name, tree)) = self.value.take() else {
+        let Some(field) = self.current.take() else {
             return Err(de::Error::custom("a field name before its value"));
         };
-        seed.deserialize(tree)
-            .map_err(|e| e.below(Step::Field(Cow::Owned(name.to_owned()))))
+        seed.deserialize(&field.value)
+            .map_err(|e| e.below(Step::Field(Cow::Owned(field.name.to_string()))))
     }
 }
 
--- a/crates/config/src/decode.rs
+++ b/crates/config/src/decode.rs
@@ -13,7 +13,7 @@
 use crate::field::Step;
 use crate::mismatch::{Mismatch, Problem};
 use crate::rules::{Rules, Validate};
-use crate::tree::{Kind, Tree};
+use crate::tree::{Field, Kind, Tree};
 
 /// Largest text that is read, settings and published documents alike.
 pub const SIZE_LIMIT_BYTES: usize = 1 << 20;
@@ -163,15 +163,14 @@
     let line = target.line;
     match (&mismatch.problem, &mut target.kind) {
         (Problem::Missing(field), Kind::Object(fields)) => {
-            let placeholder = Tree {
-                line,
-                kind: Kind::Placeholder,
-            };
-            fields.push((Cow::Borrowed(*field), placeholder));
+            let name = Cow::Borrowed(*field);
+            let kind = Kind::Placeholder;
+            let value = Tree { line, kind };
+            fields.push(Field { name, value });
             true
         }
         (Problem::Unknown(field, _), Kind::Object(fields)) => {
-            fields.retain(|(name, _)| **name != **field);
+            fields.retain(|f| *f.name != **field);
             true
         }
         (Problem::Value(_), Kind::Placeholder) => false,
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -42,11 +42,18 @@
     Number(&'t str),
     Text(Cow<'t, str>),
     Array(Vec<Tree<'t>>),
-    Object(Vec<(Cow<'t, str>, Tree<'t>)>),
+    Object(Vec<Field<'t>>),
     /// Stands for a value with a fault that is already known.
     Placeholder,
 }
 
+/// Field of an object.
+#[derive(Debug)]
+pub(crate) struct Field<'t> {
+    pub(crate) name: Cow<'t, str>,
+    pub(crate) value: Tree<'t>,
+}
+
 impl<'t> Tree<'t> {
     /// Parses a text; fields that stand twice in an object are faults.
     pub(crate) fn parse(text: &'t str) -> Result<(Self, Vec<Fault>), Error> {
@@ -66,7 +73,7 @@
     fn child(&self, step: &Step) -> Option<&Self> {
         match (&self.kind, step) {
             (Kind::Object(fields), Step::Field(name)) => {
-                fields.iter().find(|(n, _)| **n == *name).map(|(_, t)| t)
+                fields.iter().find(|f| f.name == *name).map(|f| &f.value)
             }
             (Kind::Array(elements), Step::Index(index)) => elements.get(*index),
             _ => None,
@@ -77,8 +84,8 @@
         match (&mut self.kind, step) {
             (Kind::Object(fields), Step::Field(name)) => fields
                 .iter_mut()
-                .find(|(n, _)| **n == *name)
-                .map(|(_, t)| t),
+                .find(|f| f.name == *name)
+                .map(|f| &mut f.value),
             (Kind::Array(elements), Step::Index(index)) => elements.get_mut(*index),
             _ => None,
         }
@@ -191,7 +198,7 @@
         trees.collect()
     }
 
-    fn fields(&mut self, object: ast::Object<'t>) -> Vec<(Cow<'t, str>, Tree<'t>)> {
+    fn fields(&mut self, object: ast::Object<'t>) -> Vec<Field<'t>> {
         let seconds = seconds(&object.properties);
         let mut fields = Vec::with_capacity(object.properties.len());
         for (index, property) in object.properties.into_iter().enumerate() {
@@ -204,9 +211,9 @@
                 continue;
             }
             self.path.push(Below::Field(name));
-            let tree = self.value(property.value);
+            let value = self.value(property.value);
             if let Some(Below::Field(name)) = self.path.pop() {
-                fields.push((name, tree));
+                fields.push(Field { name, value });
             }
         }
         fields
