--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -20,13 +20,15 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use briarbank_core::owner;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
 /// Key that the nodes share.
 pub const KEY: &str = "key-of-the-tests";
 
+/// Time between the look at a node's slots and the start of its records, at most.
+const LOOK_DELAY: Duration = Duration::from_millis(100);
+
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
 /// Processes of one test; they end with it.
@@ -125,7 +127,8 @@
         for node in &self.nodes {
             node.owning().await;
         }
-        sleep(birth_margin()).await;
+        let margin = briarbank_core::owner::Options::default().birth_margin();
+        sleep(margin + LOOK_DELAY).await;
     }
 
     fn start_engine(&mut self, token_us: u64) {
@@ -236,13 +239,6 @@
     }
 }
 
-/// Time after the start of an owner's records in which ids must not be born.
-fn birth_margin() -> Duration {
-    let options = owner::Options::default();
-    // One tick more, for what is rounded.
-    options.caller_clock_error + 3 * options.node_clock_error
-}
-
 /// A loopback address that no other test of any process uses.
 fn own_address() -> IpAddr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
