--- a/crates/config/src/de.rs
+++ b/crates/config/src/de.rs
@@ -1,106 +1,30 @@
 //! Deserializer from a tree, with errors that can be repaired.
 
-use std::fmt;
+use std::borrow::Cow;
 
 use serde::de::value::{BorrowedStrDeserializer, MapAccessDeserializer};
-use serde::de::{self, DeserializeSeed, Expected, Unexpected, Visitor};
+use serde::de::{self, DeserializeSeed, Visitor};
 use serde::forward_to_deserialize_any;
 
-use crate::field::{FieldPath, Step};
-use crate::tree::{Kind, Tree};
-
-/// Stands for any text in a hole; valid as a name and as an address.
-const HOLE_TEXT: &str = "127.0.0.1:1";
-
-/// What does not fit at a place.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Problem {
-    /// The object lacks this field.
-    Missing(&'static str),
-    /// The object has this field, which its type doesn't know.
-    Unknown(Box<str>, &'static [&'static str]),
-    /// The value has the wrong type or content; what is allowed.
-    Value(Box<str>),
-}
-
-/// A problem and its place; the steps are in reverse order while it is passed up.
-#[derive(Debug)]
-pub(crate) struct Mismatch {
-    reversed: Vec<Step>,
-    pub(crate) problem: Problem,
-}
-
-impl Mismatch {
-    fn new(problem: Problem) -> Self {
-        Self {
-            reversed: Vec::new(),
-            problem,
-        }
-    }
-
-    fn below(mut self, step: Step) -> Self {
-        self.reversed.push(step);
-        self
-    }
-
-    /// Place of the object or value with the problem.
-    pub(crate) fn path(&self) -> FieldPath {
-        FieldPath {
-            steps: self.reversed.iter().rev().cloned().collect(),
-        }
-    }
-}
-
-impl fmt::Display for Mismatch {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?} at {}", self.problem, self.path())
-    }
-}
+use crate::field::Step;
+use crate::mismatch::Mismatch;
+use crate::tree::{Field, Kind, Tree};
 
-impl std::error::Error for Mismatch {}
-
-impl de::Error for Mismatch {
-    fn custom<T: fmt::Display>(text: T) -> Self {
-        Self::new(Problem::Value(Box::from(text.to_string())))
-    }
-
-    fn invalid_type(_found: Unexpected<'_>, expected: &dyn Expected) -> Self {
-        Self::custom(expected)
-    }
-
-    fn invalid_value(_found: Unexpected<'_>, expected: &dyn Expected) -> Self {
-        Self::custom(expected)
-    }
-
-    fn invalid_length(_found: usize, expected: &dyn Expected) -> Self {
-        Self::custom(expected)
-    }
-
-    fn unknown_variant(_found: &str, expected: &'static [&'static str]) -> Self {
-        Self::custom(format!("one of {}", expected.join(", ")))
-    }
-
-    fn unknown_field(field: &str, expected: &'static [&'static str]) -> Self {
-        Self::new(Problem::Unknown(Box::from(field), expected))
-    }
-
-    fn missing_field(field: &'static str) -> Self {
-        Self::new(Problem::Missing(field))
-    }
-}
+/// Stands for any text in a placeholder; valid as a name and as an address.
+const PLACEHOLDER_TEXT: &str = "127.0.0.1:1";
 
-impl<'de> Tree {
+impl<'de> Tree<'de> {
     fn number<V: Visitor<'de>>(&'de self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
             Kind::Number(text) => visit_number(text, visitor),
-            Kind::Hole => visitor.visit_u64(1),
+            Kind::Placeholder => visitor.visit_u64(1),
             _ => de::Deserializer::deserialize_any(self, visitor),
         }
     }
 
     fn text<V: Visitor<'de>>(&'de self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_borrowed_str(HOLE_TEXT),
+            Kind::Placeholder => visitor.visit_borrowed_str(PLACEHOLDER_TEXT),
             _ => de::Deserializer::deserialize_any(self, visitor),
         }
     }
@@ -119,12 +43,12 @@
     }
 }
 
-impl<'de> de::Deserializer<'de> for &'de Tree {
+impl<'de> de::Deserializer<'de> for &'de Tree<'de> {
     type Error = Mismatch;
 
     fn deserialize_any<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Null | Kind::Hole => visitor.visit_unit(),
+            Kind::Null | Kind::Placeholder => visitor.visit_unit(),
             Kind::Bool(value) => visitor.visit_bool(*value),
             Kind::Number(text) => visit_number(text, visitor),
             Kind::Text(text) => visitor.visit_borrowed_str(text),
@@ -135,7 +59,7 @@
 
     fn deserialize_bool<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_bool(false),
+            Kind::Placeholder => visitor.visit_bool(false),
             _ => self.deserialize_any(visitor),
         }
     }
@@ -170,7 +94,7 @@
 
     fn deserialize_option<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Null | Kind::Hole => visitor.visit_none(),
+            Kind::Null | Kind::Placeholder => visitor.visit_none(),
             _ => visitor.visit_some(self),
         }
     }
@@ -185,14 +109,14 @@
 
     fn deserialize_seq<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_seq(Elements::new(&[])),
+            Kind::Placeholder => visitor.visit_seq(Elements::new(&[])),
             _ => self.deserialize_any(visitor),
         }
     }
 
     fn deserialize_map<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_map(Fields::new(&[])),
+            Kind::Placeholder => visitor.visit_map(Fields::new(&[])),
             _ => self.deserialize_any(visitor),
         }
     }
@@ -204,7 +128,10 @@
         visitor: V,
     ) -> Result<V::Value, Mismatch> {
         match &self.kind {
-            Kind::Hole => visitor.visit_map(HoleFields { fields, hole: self }),
+            Kind::Placeholder => visitor.visit_map(PlaceholderFields {
+                fields,
+                value: self,
+            }),
             Kind::Object(fields) => visitor.visit_map(Fields::new(fields)),
             _ => Err(de::Error::custom("an object")),
         }
@@ -221,7 +148,7 @@
             Kind::Object(fields) => {
                 visitor.visit_enum(MapAccessDeserializer::new(Fields::new(fields)))
             }
-            Kind::Hole => {
+            Kind::Placeholder => {
                 let first = variants.first().copied().unwrap_or_default();
                 visitor.visit_enum(BorrowedStrDeserializer::new(first))
             }
@@ -240,11 +167,11 @@
 }
 
 struct Elements<'de> {
-    elements: std::iter::Enumerate<std::slice::Iter<'de, Tree>>,
+    elements: std::iter::Enumerate<std::slice::Iter<'de, Tree<'de>>>,
 }
 
 impl<'de> Elements<'de> {
-    fn new(elements: &'de [Tree]) -> Self {
+    fn new(elements: &'de [Tree<'de>]) -> Self {
         Self {
             elements: elements.iter().enumerate(),
         }
@@ -268,15 +195,15 @@
 }
 
 struct Fields<'de> {
-    fields: std::slice::Iter<'de, (Box<str>, Tree)>,
-    value: Option<(&'de str, &'de Tree)>,
+    fields: std::slice::Iter<'de, Field<'de>>,
+    current: Option<&'de Field<'de>>,
 }
 
 impl<'de> Fields<'de> {
-    fn new(fields: &'de [(Box<str>, Tree)]) -> Self {
+    fn new(fields: &'de [Field<'de>]) -> Self {
         Self {
             fields: fields.iter(),
-            value: None,
+            current: None,
         }
     }
 }
@@ -288,30 +215,30 @@
         &mut self,
         seed: K,
     ) -> Result<Option<K::Value>, Mismatch> {
-        let Some((name, tree)) = self.fields.next() else {
+        let Some(field) = self.fields.next() else {
             return Ok(None);
         };
-        self.value = Some((name, tree));
-        seed.deserialize(BorrowedStrDeserializer::new(name))
+        self.current = Some(field);
+        seed.deserialize(BorrowedStrDeserializer::new(&field.name))
             .map(Some)
     }
 
     fn next_value_seed<V: DeserializeSeed<'de>>(&mut self, seed: V) -> Result<V::Value, Mismatch> {
-        let Some((name, tree)) = self.value.take() else {
+        let Some(field) = self.current.take() else {
             return Err(de::Error::custom("a field name before its value"));
         };
-        seed.deserialize(tree)
-            .map_err(|e| e.below(Step::Field(name.into())))
+        seed.deserialize(&field.value)
+            .map_err(|e| e.below(Step::Field(Cow::Owned(field.name.to_string()))))
     }
 }
 
-/// All fields of a struct, each a hole.
-struct HoleFields<'de> {
+/// All fields of a struct, each a placeholder.
+struct PlaceholderFields<'de> {
     fields: &'static [&'static str],
-    hole: &'de Tree,
+    value: &'de Tree<'de>,
 }
 
-impl<'de> de::MapAccess<'de> for HoleFields<'de> {
+impl<'de> de::MapAccess<'de> for PlaceholderFields<'de> {
     type Error = Mismatch;
 
     fn next_key_seed<K: DeserializeSeed<'de>>(
@@ -327,6 +254,6 @@
     }
 
     fn next_value_seed<V: DeserializeSeed<'de>>(&mut self, seed: V) -> Result<V::Value, Mismatch> {
-        seed.deserialize(self.hole)
+        seed.deserialize(self.value)
     }
 }
