Divide limits by computation and give nodes subsets of servers

Cause: nodes need shares of limits and bounded connections without shared counters. Change: division::Division (exact sum; only the larger side of a partition takes over parts) and subset::Subsets (rendezvous with bounds on both sides, all servers up to twice the wanted subset).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod catalog;
 pub mod conf;
+pub mod division;
 pub mod hosts;
 pub mod ids;
 pub mod member;
@@ -17,4 +18,5 @@
 pub mod peer;
 pub mod rendezvous;
 pub mod router;
+pub mod subset;
 mod timer;
