--- /dev/null
+++ b/crates/config/src/rules.rs
@@ -0,0 +1,106 @@
+//! Rules that go beyond the types, with all of their faults collected.
+
+use std::collections::HashSet;
+use std::fmt::Display;
+use std::hash::Hash;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+
+use crate::fault::{FAULT_LIMIT, Fault, shorten};
+use crate::field::FieldPath;
+
+/// Most faults that are collected; those of values with a known fault are left out later.
+const COLLECTED_LIMIT: usize = 16 * FAULT_LIMIT;
+const NAME_LIMIT_CHARS: usize = 128;
+
+/// A type whose values obey rules of their own.
+pub trait Validate {
+    /// Adds each fault of the value.
+    fn validate(&self, rules: &mut Rules);
+}
+
+/// Collects the faults of one value.
+///
+/// ```
+/// use briarbank_config::{FieldPath, Rules};
+///
+/// let mut rules = Rules::default();
+/// rules.within(&FieldPath::default().field("tier"), 7, 0..=5);
+/// assert_eq!(rules.into_faults().len(), 1);
+/// ```
+#[derive(Debug, Default)]
+pub struct Rules {
+    faults: Vec<Fault>,
+}
+
+impl Rules {
+    /// The faults so far, without lines.
+    #[must_use]
+    pub fn into_faults(self) -> Vec<Fault> {
+        self.faults
+    }
+
+    /// Adds a fault; beyond a bound, further ones are left out.
+    pub fn refuse(&mut self, path: &FieldPath, found: impl Display, allowed: impl Display) {
+        if self.faults.len() >= COLLECTED_LIMIT {
+            return;
+        }
+        self.faults.push(Fault {
+            path: path.clone(),
+            line: None,
+            found: Arc::from(found.to_string()),
+            allowed: Arc::from(allowed.to_string()),
+        });
+    }
+
+    /// Requires a number in a range.
+    pub fn within<T: PartialOrd + Display>(
+        &mut self,
+        path: &FieldPath,
+        value: T,
+        range: RangeInclusive<T>,
+    ) {
+        if !range.contains(&value) {
+            let allowed = format!("{} to {}", range.start(), range.end());
+            self.refuse(path, value, allowed);
+        }
+    }
+
+    /// Requires a name that can stand in a header.
+    pub fn name(&mut self, path: &FieldPath, name: &str) {
+        let visible = name.bytes().all(|b| b.is_ascii_graphic() && b != b'"');
+        if name.is_empty() || name.len() > NAME_LIMIT_CHARS || !visible {
+            let allowed =
+                format!("1 to {NAME_LIMIT_CHARS} visible ASCII characters without quotes");
+            self.refuse(path, format!("{:?}", shorten(name)), allowed);
+        }
+    }
+
+    /// Requires an address that others can reach.
+    pub fn reachable(&mut self, path: &FieldPath, address: SocketAddr) {
+        if address.port() == 0 || address.ip().is_unspecified() {
+            self.refuse(
+                path,
+                address,
+                "the IP address of one host and a port above 0",
+            );
+        }
+    }
+
+    /// Requires values that differ from each other; the path leads from an index to its value.
+    pub fn unique<T: Eq + Hash + Display>(
+        &mut self,
+        values: impl IntoIterator<Item = T>,
+        path: impl Fn(usize) -> FieldPath,
+    ) {
+        let mut seen = HashSet::new();
+        for (index, value) in values.into_iter().enumerate() {
+            if seen.contains(&value) {
+                let found = format!("{:?} for a second time", shorten(&value.to_string()));
+                self.refuse(&path(index), found, "each value once");
+            }
+            seen.insert(value);
+        }
+    }
+}
