--- a/crates/core/src/member/gossip.rs
+++ b/crates/core/src/member/gossip.rs
@@ -35,8 +35,10 @@
                     if merge != Merge::Known {
                         self.rumors.add(record.news(&host));
                     }
-                    if merge == Merge::Newer {
-                        self.changed(&host, out);
+                    match merge {
+                        Merge::Newer => self.changed(&host, out),
+                        Merge::Doubt => _ = self.doubted.insert(host),
+                        Merge::Known | Merge::Older => {}
                     }
                 }
             }
@@ -88,10 +90,13 @@
         }
     }
 
+    /// News for one message.
     pub(crate) fn take_news(&mut self) -> Vec<News> {
         let doublings = (self.records.len() + 2).ilog2() + 1;
         let times_max = TELLS_PER_DOUBLING * doublings;
-        self.rumors.take(self.options.news_bytes, times_max)
+        let mut news = Vec::from_iter(self.leaving.then(|| self.own_news()));
+        news.extend(self.rumors.take(self.options.news_bytes, times_max));
+        news
     }
 
     /// Tells all peers fresh news, within the bound.
--- a/crates/core/src/member/record.rs
+++ b/crates/core/src/member/record.rs
@@ -19,6 +19,8 @@
     Known,
     /// The sender is behind.
     Older,
+    /// It is about another run; the host itself has to be asked.
+    Doubt,
 }
 
 /// What is known of one host.
@@ -82,8 +84,9 @@
     /// Takes what another node believes.
     ///
     /// Within one run a planned stop is final, then the higher round wins,
-    /// then the worse belief. Of two runs the one that was not known before
-    /// is taken for the newer.
+    /// then the worse belief. Runs have no order: a live run replaces another,
+    /// and bad news of another run only brings the host into doubt, so that
+    /// its own answer decides.
     pub(crate) fn merge(
         &mut self,
         now: Instant,
@@ -100,6 +103,9 @@
             }
         } else if incarnation == UNHEARD || incarnation == self.former {
             return Merge::Older;
+        } else if self.contradicts(status) {
+            self.failures = self.failures.max(1);
+            return Merge::Doubt;
         } else {
             let first = self.incarnation == UNHEARD && self.status == Status::Live;
             self.run(incarnation);
@@ -112,6 +118,12 @@
         Merge::Newer
     }
 
+    /// Whether bad news of another run speaks against a run that is heard to be up.
+    fn contradicts(&self, status: Status) -> bool {
+        let up = |status: Status| matches!(status, Status::Live | Status::Suspect);
+        self.incarnation != UNHEARD && up(self.status) && status != Status::Live
+    }
+
     /// Takes a message from the host itself; returns whether that is news.
     ///
     /// The first run that is heard of a live host is none.
