Measure what control and routing cost at several sizes

Cause: docs/CAPACITY.md needs slopes that one command gives again. The fleet of the tests counts bytes and processor time.

--- /dev/null
+++ b/crates/core/examples/capacity/main.rs
@@ -0,0 +1,21 @@
+//! Measures what control and routing cost at several sizes, and prints the tables.
+//!
+//! `cargo run --release -p briarbank-core --example capacity`
+
+mod control;
+mod documents;
+mod entry;
+mod fit;
+mod memory;
+mod owner;
+#[path = "../../tests/recovery_fleet/mod.rs"]
+mod recovery_fleet;
+
+fn main() {
+    memory::print();
+    control::print_idle();
+    control::print_changes();
+    owner::print();
+    documents::print();
+    entry::print();
+}
--- a/crates/core/tests/recovery_fleet/mod.rs
+++ b/crates/core/tests/recovery_fleet/mod.rs
@@ -49,6 +49,8 @@
     pub(crate) starts: u64,
     pub(crate) sent_messages: u64,
     pub(crate) sent_bytes: u64,
+    /// Part of the sent bytes that is membership.
+    pub(crate) sent_member_bytes: u64,
     inbox: Vec<Parcel>,
     watching: bool,
     watch_until_ms: [u64; 3],
@@ -77,6 +79,9 @@
     pub(crate) now_ms: u64,
     /// First value that went backwards, if any.
     pub(crate) reverted: Option<String>,
+    /// Processor time of the spread of values and of membership, over all nodes.
+    pub(crate) spread_time: Duration,
+    pub(crate) members_time: Duration,
     options: Options,
     epoch: Instant,
     rng: SmallRng,
@@ -104,6 +109,7 @@
             starts: 0,
             sent_messages: 0,
             sent_bytes: 0,
+            sent_member_bytes: 0,
             watching: false,
             watch_until_ms: [0; 3],
         });
@@ -118,6 +124,8 @@
             deltas: 0,
             now_ms: 0,
             reverted: None,
+            spread_time: Duration::ZERO,
+            members_time: Duration::ZERO,
             options: Options::default(),
             epoch: Instant::now() + Duration::from_hours(1),
             rng: SmallRng::seed_from_u64(seed),
@@ -302,12 +310,15 @@
         let sender = self.slots[from].name.clone();
         let slot = &mut self.slots[to];
         let (mut out, mut members_out) = (Vec::new(), Vec::new());
+        let begun = Instant::now();
         match (parcel.message, &mut slot.spread, &mut slot.members) {
             (Message::Conf(message), Some(spread), _) => {
                 spread.message(now, &Fake, &sender, message, &mut out);
+                self.spread_time += begun.elapsed();
             }
             (Message::Member(message), _, Some(members)) => {
                 members.message(now, &sender, incarnation, message, &mut members_out);
+                self.members_time += begun.elapsed();
             }
             _ => {}
         }
@@ -322,12 +333,16 @@
             return;
         }
         let (mut out, mut members_out) = (Vec::new(), Vec::new());
+        let begun = Instant::now();
         if let Some(spread) = &mut slot.spread {
             spread.tick(now, &mut out);
         }
+        let between = Instant::now();
         if let Some(members) = &mut slot.members {
             members.tick(now, &mut members_out);
         }
+        self.spread_time += between - begun;
+        self.members_time += between.elapsed();
         self.carry_out(index, out);
         self.carry_out_members(index, members_out);
     }
@@ -451,5 +466,8 @@
         let bytes = bincode::serde::encode_to_vec(&envelope, config).expect("encodable");
         slot.sent_messages += 1;
         slot.sent_bytes += bytes.len() as u64;
+        if matches!(envelope.message, Message::Member(_)) {
+            slot.sent_member_bytes += bytes.len() as u64;
+        }
     }
 }
