Let leaving and unlisted hosts read when nobody else does

Readers were taken from live hosts only: with all hosts of a zone leaving nobody read until the silence bound (20 s); a host that the list does not name was told nothing by others and read nothing either. Change: leaving hosts read when the zone has no live one, and a host that is not listed reads by itself.

--- a/crates/core/src/conf/readers.rs
+++ b/crates/core/src/conf/readers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::hosts::HostView;
+use crate::hosts::{Host, HostView};
 use crate::ids::{HostName, ZoneName};
 use crate::rendezvous;
 
@@ -12,9 +12,11 @@
 /// A node's place among the readers of its zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Readers {
-    /// Place in the zone's order, `None` when the list does not name the node as live.
+    /// Whether the list names the node.
+    listed: bool,
+    /// Place in the zone's order; none while other hosts of the zone read.
     rank: Option<usize>,
-    /// Live hosts of the zone.
+    /// Hosts of the zone that may read.
     zone_hosts: usize,
     /// Readers of each zone.
     per_zone: usize,
@@ -22,19 +24,28 @@
 
 impl Readers {
     /// Finds the place of `host` in its zone.
+    ///
+    /// Leaving hosts read when the zone has no others.
     pub(crate) fn new(view: &HostView, host: &HostName, zone: &ZoneName, per_zone: usize) -> Self {
-        let live = view.live().filter(|h| h.zone == *zone);
-        let order = rendezvous::top(READER_KEY, live, |h| h.name.as_str(), usize::MAX);
+        let in_zone = |h: &&Host| h.zone == *zone;
+        let mut hosts: Vec<&Host> = view.live().filter(in_zone).collect();
+        if hosts.is_empty() {
+            hosts = view.hosts.iter().filter(in_zone).collect();
+        }
+        let order = rendezvous::top(READER_KEY, hosts.iter(), |h| h.name.as_str(), usize::MAX);
         Self {
+            listed: view.contains(host),
             rank: order.iter().position(|h| h.name == *host),
             zone_hosts: order.len(),
             per_zone: per_zone.max(1),
         }
     }
 
-    /// Whether the node is a reader of its zone.
+    /// Whether the node reads.
+    ///
+    /// A host that the list does not name is told nothing by others.
     pub(crate) fn reads(&self) -> bool {
-        self.rank.is_some_and(|rank| rank < self.per_zone)
+        !self.listed || self.rank.is_some_and(|rank| rank < self.per_zone)
     }
 
     /// Whether it is the node's turn to read in place of silent readers.
--- a/crates/core/tests/conf_spread.rs
+++ b/crates/core/tests/conf_spread.rs
@@ -3,6 +3,7 @@
 mod recovery_fleet;
 
 use briarbank_core::conf::Key;
+use briarbank_core::hosts::HostState;
 use briarbank_core::ids::Revision;
 use recovery_fleet::Fleet;
 
@@ -116,6 +117,28 @@
     assert!(took.is_some());
 }
 
+/// Readers were taken from live hosts only, so that nobody read any more.
+#[test]
+fn hosts_that_are_all_leaving_learn_the_next_list() {
+    let mut fleet = started(4, 2, 7, 10);
+    let leaving = fleet.publish_first_hosts(4, HostState::Leaving);
+    assert!(fleet.run_until(Key::Hosts, leaving, IN_FORCE_MS).is_some());
+    let live = fleet.publish_first_hosts(4, HostState::Live);
+    assert!(fleet.run_until(Key::Hosts, live, IN_FORCE_MS).is_some());
+}
+
+/// Nobody tells a host that the list does not name, so that it has to read.
+#[test]
+fn unlisted_host_learns_the_list_that_names_it() {
+    let mut fleet = Fleet::new(8, 3, 8);
+    let named = fleet.publish_first_hosts(7, HostState::Live);
+    fleet.start_all();
+    assert!(fleet.run_until(Key::Hosts, named, IN_FORCE_MS).is_some());
+    fleet.group(7, 1);
+    let all = fleet.publish_first_hosts(8, HostState::Live);
+    assert!(fleet.run_until(Key::Hosts, all, IN_FORCE_MS).is_some());
+}
+
 #[test]
 fn platform_calls_do_not_grow_with_the_fleet() {
     for hosts in [2, 4, 8, 16, 32, 64, 130, 390] {
--- a/crates/core/tests/recovery_fleet/mod.rs
+++ b/crates/core/tests/recovery_fleet/mod.rs
@@ -142,17 +142,20 @@
 
     /// Publishes the list of all hosts.
     pub(crate) fn publish_hosts(&mut self) {
-        let hosts = self.slots.iter().map(|slot| Host {
+        self.publish_first_hosts(self.slots.len(), HostState::Live);
+    }
+
+    /// Publishes a list of the first hosts, all in one state.
+    pub(crate) fn publish_first_hosts(&mut self, count: usize, state: HostState) -> Revision {
+        let hosts = self.slots.iter().take(count).map(|slot| Host {
             name: slot.name.clone(),
             zone: slot.zone.clone(),
             peer_address: "127.0.0.1:1".parse().expect("valid address"),
-            state: HostState::Live,
+            state,
         });
         let hosts: Vec<Host> = hosts.collect();
-        self.platform.publish(
-            Key::Hosts,
-            serde_json::to_vec(&hosts).expect("serializable"),
-        );
+        let bytes = serde_json::to_vec(&hosts).expect("serializable");
+        self.platform.publish(Key::Hosts, bytes)
     }
 
     /// Starts a host with empty memory, whether it ran before or not.
