Prove the promises over histories and keep shares true

Change: charges are settled at the true cost; virtual time has a fixed point; a slow stream is moved by starting elsewhere at once, after others were served.

--- a/crates/core/src/queue/admission.rs
+++ b/crates/core/src/queue/admission.rs
@@ -29,6 +29,24 @@
     }
 }
 
+/// What a class paid for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Charge {
+    /// Expected cost of the request.
+    pub cost: u64,
+    /// Part of it that was taken from the class's credit.
+    pub credit: f64,
+}
+
+/// A request to serve, with what its class paid for it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Served {
+    /// The request.
+    pub item: Item,
+    /// What its class paid.
+    pub charge: Charge,
+}
+
 #[derive(Debug)]
 struct Place {
     class: ProfileName,
@@ -123,11 +141,30 @@
 
     /// Takes out the request to serve next.
     pub fn pop(&mut self) -> Option<Item> {
+        self.pop_charged().map(|served| served.item)
+    }
+
+    /// Takes out the request to serve next, with the charge for [`Self::settle`].
+    pub fn pop_charged(&mut self) -> Option<Served> {
         let name = self.next_class()?.options.name.clone();
         let item = self.classes.get_mut(&name)?.pop()?;
         self.places.remove(&item.call);
-        self.charge(&name, item.cost);
-        Some(item)
+        let charge = self.charge(&name, item.cost);
+        Some(Served { item, charge })
+    }
+
+    /// Corrects a charge once the cost of the request is known.
+    ///
+    /// Keeps the shares true when costs are guessed wrong: a class that was
+    /// charged too much gets the rest back, one charged too little owes it.
+    pub fn settle(&mut self, name: &ProfileName, charge: Charge, cost: u64) {
+        let Some(class) = self.classes.get_mut(name) else {
+            return;
+        };
+        let true_ratio = cost as f64 / charge.cost.max(1) as f64;
+        let bound = charge.cost.max(cost) as f64;
+        let credit = class.credit + charge.credit * (1.0 - true_ratio);
+        class.credit = credit.clamp(class.credit.min(-bound), class.credit.max(bound));
     }
 
     /// Takes out a request that need not be served any more.
@@ -193,18 +230,21 @@
         self.waiting().max_by_key(|c| (c.options.tier, c.cost))
     }
 
-    fn charge(&mut self, served: &ProfileName, cost: u64) {
+    fn charge(&mut self, served: &ProfileName, cost: u64) -> Charge {
         let total: f64 = self.classes.values().map(Class::share).sum();
         let scale = cost as f64 / total.max(1.0);
+        let mut charge = Charge { cost, credit: 0.0 };
         for (name, class) in &mut self.classes {
-            if name == served {
-                class.credit += class.share() * scale - cost as f64;
-            } else if class.len > 0 {
+            if class.len > 0 || name == served {
                 class.credit += class.share() * scale;
             } else {
                 class.credit = class.credit.min(cost as f64);
             }
-            class.credit = class.credit.max(0.0);
+            if name == served {
+                charge.credit = class.credit.clamp(0.0, cost as f64);
+                class.credit -= charge.credit;
+            }
         }
+        charge
     }
 }
--- a/crates/core/src/queue/flow.rs
+++ b/crates/core/src/queue/flow.rs
@@ -39,7 +39,7 @@
     }
 
     pub(super) fn push(&mut self, position: Position, item: Item) {
-        self.backlog += span(&item);
+        self.backlog = self.backlog.saturating_add(span(&item));
         self.items.insert(position, item);
     }
 
@@ -53,20 +53,22 @@
 
     pub(super) fn pop(&mut self) -> Option<Item> {
         let (_, item) = self.items.pop_first()?;
-        self.backlog -= span(&item);
-        self.start += span(&item);
+        self.backlog = self.backlog.saturating_sub(span(&item));
+        self.start = self.start.saturating_add(span(&item));
         Some(item)
     }
 
     pub(super) fn remove(&mut self, position: Position) -> Option<Item> {
         let item = self.items.remove(&position)?;
-        self.backlog -= span(&item);
+        self.backlog = self.backlog.saturating_sub(span(&item));
         Some(item)
     }
 }
 
 const WEIGHT_MIN: f64 = 1e-3;
 const COST_MAX: u64 = 1 << 32;
+/// Virtual time of a unit of cost at weight 1.
+const SPAN_SCALE: f64 = 1024.0;
 
 /// Virtual time that serving an item takes of its workspace.
 fn span(item: &Item) -> u64 {
@@ -75,5 +77,5 @@
     } else {
         1.0
     };
-    (item.cost.clamp(1, COST_MAX) as f64 / weight).ceil() as u64
+    (item.cost.clamp(1, COST_MAX) as f64 * SPAN_SCALE / weight).ceil() as u64
 }
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -14,6 +14,9 @@
 //! class that is served; while a class is owed its next request, an owed class is
 //! served, so that the sum of all credits never passes `(n + 1)·W`.
 //!
+//! Costs are expected ones; [`AdmissionQueue::settle`] corrects a charge when the
+//! true cost is known.
+//!
 //! The queue is bounded for each class and never gives up a request for one of a
 //! lower tier.
 
@@ -21,6 +24,6 @@
 mod class;
 mod flow;
 
-pub use admission::{AdmissionQueue, Wait};
+pub use admission::{AdmissionQueue, Charge, Served, Wait};
 pub use class::ClassOptions;
 pub use flow::Item;
--- a/crates/core/src/router/attempt.rs
+++ b/crates/core/src/router/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::call::{Failure, Outcome, Reason};
+use crate::call::{Call, Failure, Outcome, Reason};
 use crate::ids::{AttemptId, CallId, ServerName, TargetName};
 use crate::router::entry::{Running, Sample};
 use crate::router::event::{Action, AttemptEvent};
@@ -23,7 +23,7 @@
         let outcome = entry.outcome();
         let running = entry.running.take();
         if let Some(running) = &running {
-            self.release(running);
+            self.release(now, &entry.call, running);
             actions.push(Action::Cancel {
                 attempt: running.attempt,
                 server: running.server.clone(),
@@ -130,7 +130,7 @@
         let Some(running) = entry.running.take() else {
             return;
         };
-        self.release(&running);
+        self.release(now, &entry.call, &running);
         let call = &entry.call;
         if call.max_tokens == 0 {
             let time = now.saturating_duration_since(running.started);
@@ -161,12 +161,12 @@
         if !entry.tried.contains(&running.server) {
             entry.tried.push(running.server.clone());
         }
-        let profile = entry.call.profile.clone();
-        self.release(&running);
+        let call = entry.call.clone();
+        self.release(now, &call, &running);
         self.blame(now, &running.server, failure);
         if !may_repeat || !left {
             self.give_up(now, id, Reason::ServerFailed, actions);
-        } else if !is_free(failure) && !self.budget(&profile).withdraw() {
+        } else if !is_free(failure) && !self.budget(&call.profile).withdraw() {
             self.give_up(now, id, Reason::RetryBudget, actions);
         } else {
             self.enqueue(now, id);
@@ -211,8 +211,12 @@
     }
 
     /// Counts out an attempt that is over for this node.
-    pub(super) fn release(&mut self, running: &Running) {
+    pub(super) fn release(&mut self, now: Instant, call: &Call, running: &Running) {
         self.attempts.remove(&running.attempt);
+        let took_us = now.saturating_duration_since(running.started).as_micros() as u64;
+        if let Some(queue) = self.queues.get_mut(&call.target) {
+            queue.settle(&call.profile, running.charge, took_us);
+        }
         if let Some(entry) = self.servers.get_mut(&running.server) {
             entry.load.end();
         }
--- a/crates/core/src/router/entry.rs
+++ b/crates/core/src/router/entry.rs
@@ -5,6 +5,7 @@
 
 use crate::call::{Call, Outcome};
 use crate::ids::{AttemptId, ServerName};
+use crate::queue::Charge;
 use crate::router::index::Class;
 
 /// The attempt that runs.
@@ -14,6 +15,8 @@
     pub(super) server: ServerName,
     pub(super) started: Instant,
     pub(super) last_progress: Instant,
+    /// What the class paid for the attempt.
+    pub(super) charge: Charge,
     /// Where the sample of the speed that is being taken began.
     pub(super) sample: Option<Sample>,
 }
--- a/crates/core/src/router/serve.rs
+++ b/crates/core/src/router/serve.rs
@@ -4,7 +4,7 @@
 
 use crate::call::{Dispatch, Reason};
 use crate::ids::{AttemptId, CallId, ServerName, TargetName};
-use crate::queue::Item;
+use crate::queue::{AdmissionQueue, Charge, Item};
 use crate::router::entry::Running;
 use crate::router::event::Action;
 use crate::router::state::Router;
@@ -57,11 +57,11 @@
             let Some(server) = self.choose(now, id) else {
                 return;
             };
-            if let Some(queue) = self.queues.get_mut(target) {
-                queue.pop();
-            }
+            let queue = self.queues.get_mut(target);
+            let popped = queue.and_then(AdmissionQueue::pop_charged);
+            let charge = popped.map(|p| p.charge).unwrap_or_default();
             self.left_queue(id);
-            self.start(now, id, server, actions);
+            self.start(now, id, server, charge, actions);
         }
     }
 
@@ -87,7 +87,14 @@
         Some(self.servers.at(index)?.server.name.clone())
     }
 
-    fn start(&mut self, now: Instant, id: CallId, server: ServerName, actions: &mut Vec<Action>) {
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        id: CallId,
+        server: ServerName,
+        charge: Charge,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(entry) = self.calls.get_mut(&id) else {
             return;
         };
@@ -103,6 +110,7 @@
             server: server.clone(),
             started: now,
             last_progress: now,
+            charge,
             sample: None,
         });
         let resume = entry.tokens > 0;
--- a/crates/core/src/router/state.rs
+++ b/crates/core/src/router/state.rs
@@ -138,8 +138,8 @@
                 self.serve_all(now, actions);
             }
             Event::Tick => {
-                self.watch(now, actions);
                 self.serve_all(now, actions);
+                self.watch(now, actions);
             }
         }
     }
--- a/crates/core/src/router/watch.rs
+++ b/crates/core/src/router/watch.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use crate::ids::CallId;
+use crate::ids::{CallId, ServerName};
+use crate::queue::Charge;
 use crate::router::entry::{Entry, Running};
 use crate::router::event::Action;
 use crate::router::state::Router;
@@ -55,15 +56,16 @@
         server.is_some_and(|e| !e.health.is_available(now))
     }
 
+    /// Cancels the attempt and starts the next one elsewhere at once.
     fn move_away(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
-        if !self.is_better_elsewhere(now, id) {
+        let Some(server) = self.better_server(now, id) else {
             return;
-        }
+        };
         let Some(entry) = self.calls.get(&id) else {
             return;
         };
-        let profile = entry.call.profile.clone();
-        if !self.budget(&profile).withdraw() {
+        let call = entry.call.clone();
+        if !self.budget(&call.profile).withdraw() {
             return;
         }
         let Some(entry) = self.calls.get_mut(&id) else {
@@ -74,35 +76,32 @@
         };
         entry.maybe_run = true;
         entry.tried.push(running.server.clone());
-        self.release(&running);
-        if let Some(server) = self.servers.get_mut(&running.server) {
-            server.health.failure();
+        self.release(now, &call, &running);
+        if let Some(slow) = self.servers.get_mut(&running.server) {
+            slow.health.failure();
         }
         self.counters.moved += 1;
         actions.push(Action::Cancel {
             attempt: running.attempt,
             server: running.server,
         });
-        self.enqueue(now, id);
-        self.serve(now, id, actions);
+        self.start(now, id, server, Charge::default(), actions);
     }
 
-    /// Whether another server has room and would end in time.
-    fn is_better_elsewhere(&self, now: Instant, id: CallId) -> bool {
-        let Some(entry) = self.calls.get(&id) else {
-            return false;
-        };
-        let Some(running) = &entry.running else {
-            return false;
-        };
+    /// Another server that has room and would end in time.
+    fn better_server(&mut self, now: Instant, id: CallId) -> Option<ServerName> {
+        let entry = self.calls.get(&id)?;
+        let running = entry.running.as_ref()?;
+        let service = self.predict(&entry.class, &entry.call, entry.tokens);
+        if entry.attempts >= self.options.attempts_max || now + service > entry.deadline {
+            return None;
+        }
         let mut tried = entry.tried.clone();
         tried.push(running.server.clone());
         let target = &entry.call.target;
-        let room = self
-            .servers
-            .of(target)
-            .any(|(_, e)| e.has_room(now, &self.options) && !tried.contains(&e.server.name));
-        let service = self.predict(&entry.class, &entry.call, entry.tokens);
-        room && entry.attempts < self.options.attempts_max && now + service <= entry.deadline
+        let mut candidates = self.servers.candidates(now, &self.options, target, &tried);
+        candidates.retain(|c| tried.iter().all(|t| t.as_str() != c.name));
+        let index = self.balancer.choose(entry.call.prefix_key, &candidates)?;
+        Some(self.servers.at(index)?.server.name.clone())
     }
 }
--- /dev/null
+++ b/crates/core/tests/router/history.rs
@@ -0,0 +1,422 @@
+//! Random histories and what the router may do in them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use briarbank_core::call::{Dispatch, Failure, Outcome, Reason, Refusal, ServerLoad};
+use briarbank_core::catalog::{Catalog, Profile, Server, ServerState};
+use briarbank_core::ids::{AttemptId, CallId, ServerName};
+use briarbank_core::router::{Action, AttemptEvent, Event, Options};
+use proptest::prelude::*;
+
+use crate::bench::{Bench, catalog, fleet, server};
+
+const SERVERS: [&str; 4] = ["s0", "s1", "s2", "s3"];
+const SLOTS: u32 = 2;
+const PROFILES: [&str; 3] = ["top", "mid", "low"];
+const CLASS_LIMIT: usize = 3;
+const NODE_LIMIT: usize = 6;
+const FAILURES: [Failure; 8] = [
+    Failure::NotSent,
+    Failure::Leaving,
+    Failure::Full,
+    Failure::Broken,
+    Failure::Silent,
+    Failure::Malformed,
+    Failure::ServerError,
+    Failure::Preempted,
+];
+
+/// One step; the numbers pick among what there is at that moment.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    Arrive {
+        profile: usize,
+        slips: bool,
+    },
+    ArriveAgain(usize),
+    Progress {
+        attempt: usize,
+        tokens: u32,
+    },
+    Done(usize),
+    Fail {
+        attempt: usize,
+        failure: usize,
+    },
+    Late {
+        attempt: usize,
+        done: bool,
+    },
+    Gone(usize),
+    Leaving(usize),
+    Fleet {
+        leaving: u8,
+        listed: u8,
+    },
+    Load {
+        server: usize,
+        running: u32,
+        age_ms: u64,
+    },
+    Sharing(usize),
+    Idempotent(bool),
+    Pass(u64),
+}
+
+pub(crate) fn steps(most: usize) -> impl Strategy<Value = Vec<Step>> {
+    let pick = any::<usize>;
+    let step = prop_oneof![
+        10 => (0..3_usize, any::<bool>())
+            .prop_map(|(profile, slips)| Step::Arrive { profile, slips }),
+        1 => pick().prop_map(Step::ArriveAgain),
+        6 => (pick(), 1..40_u32)
+            .prop_map(|(attempt, tokens)| Step::Progress { attempt, tokens }),
+        4 => pick().prop_map(Step::Done),
+        4 => (pick(), 0..FAILURES.len())
+            .prop_map(|(attempt, failure)| Step::Fail { attempt, failure }),
+        2 => (pick(), any::<bool>()).prop_map(|(attempt, done)| Step::Late { attempt, done }),
+        1 => pick().prop_map(Step::Gone),
+        1 => (0..4_usize).prop_map(Step::Leaving),
+        1 => (0..16_u8, 0..16_u8)
+            .prop_map(|(leaving, listed)| Step::Fleet { leaving, listed }),
+        1 => (0..4_usize, 0..9_u32, 0..5_000_u64)
+            .prop_map(|(server, running, age_ms)| Step::Load { server, running, age_ms }),
+        1 => (1..4_usize).prop_map(Step::Sharing),
+        1 => any::<bool>().prop_map(Step::Idempotent),
+        4 => (0..3_000_u64).prop_map(Step::Pass),
+    ];
+    prop::collection::vec(step, 1..most)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Open,
+    ProvenNotRun,
+    MayHaveRun,
+    Done,
+}
+
+#[derive(Debug)]
+struct Seen {
+    profile: Profile,
+    tokens: u32,
+    attempts: Vec<(AttemptId, Fate)>,
+    ended: bool,
+}
+
+impl Seen {
+    fn open(&self) -> Option<AttemptId> {
+        let open = self.attempts.iter().find(|(_, fate)| *fate == Fate::Open);
+        open.map(|(attempt, _)| *attempt)
+    }
+
+    fn waits(&self) -> bool {
+        !self.ended && self.open().is_none()
+    }
+
+    fn surely_not_run(&self) -> bool {
+        self.attempts.iter().all(|(_, f)| *f == Fate::ProvenNotRun)
+    }
+
+    fn settle(&mut self, attempt: AttemptId, fate: Fate) {
+        for (id, old) in &mut self.attempts {
+            if *id == attempt && *old == Fate::Open {
+                *old = fate;
+            }
+        }
+    }
+}
+
+/// A router, and what is known from outside of its calls.
+pub(crate) struct History {
+    bench: Bench,
+    catalog: Catalog,
+    calls: BTreeMap<CallId, Seen>,
+    attempts: BTreeMap<AttemptId, (CallId, ServerName)>,
+    closed: BTreeSet<ServerName>,
+    listed: Vec<Server>,
+    revision: u64,
+}
+
+impl History {
+    pub(crate) fn new() -> Self {
+        let mut catalog = catalog();
+        for profile in &mut catalog.profiles {
+            profile.queue_limit = CLASS_LIMIT;
+        }
+        let options = Options {
+            queue_limit: NODE_LIMIT,
+            ..Options::default()
+        };
+        let listed: Vec<Server> = SERVERS
+            .iter()
+            .map(|name| server(name, &["model", "slips"], SLOTS))
+            .collect();
+        Self {
+            bench: Bench::with_options(options, catalog.clone(), listed.clone()),
+            catalog,
+            calls: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            closed: BTreeSet::new(),
+            listed,
+            revision: 1,
+        }
+    }
+
+    pub(crate) fn step(&mut self, step: &Step) {
+        match step {
+            Step::Arrive { profile, slips } => self.arrive(*profile, *slips),
+            Step::ArriveAgain(pick) => self.arrive_again(*pick),
+            Step::Progress { attempt, tokens } => {
+                if let Some((id, attempt)) = self.pick_open(*attempt) {
+                    self.progress(id, attempt, *tokens);
+                }
+            }
+            Step::Done(pick) => {
+                if let Some((id, attempt)) = self.pick_open(*pick) {
+                    self.settle(id, attempt, AttemptEvent::Done, Fate::Done);
+                }
+            }
+            Step::Fail { attempt, failure } => self.fail(*attempt, FAILURES[*failure]),
+            Step::Late { attempt, done } => self.late(*attempt, *done),
+            Step::Gone(pick) => self.gone(*pick),
+            Step::Leaving(server) => {
+                let name = ServerName::from(SERVERS[*server]);
+                self.closed.insert(name.clone());
+                self.send(Event::ServerLeaving(name));
+            }
+            Step::Fleet { leaving, listed } => self.relist(*leaving, *listed),
+            Step::Load {
+                server,
+                running,
+                age_ms,
+            } => {
+                let load = ServerLoad {
+                    running: *running,
+                    waiting: 0,
+                    age_ms: *age_ms,
+                };
+                let server = SERVERS[*server].into();
+                self.send(Event::Load { server, load });
+            }
+            Step::Sharing(nodes) => self.send(Event::Sharing(*nodes)),
+            Step::Idempotent(idempotent) => {
+                self.catalog.profiles[1].idempotent = *idempotent;
+                self.send(Event::Catalog(Arc::new(self.catalog.clone())));
+            }
+            Step::Pass(time_ms) => {
+                self.bench.now += Duration::from_millis(*time_ms);
+                self.send(Event::Tick);
+            }
+        }
+    }
+
+    /// Ends all that runs; every call has its final action afterwards.
+    pub(crate) fn finish(&mut self) {
+        for _ in 0..100 {
+            while let Some((id, attempt)) = self.pick_open(0) {
+                self.settle(id, attempt, AttemptEvent::Done, Fate::Done);
+            }
+            self.bench.now += Duration::from_secs(1);
+            self.send(Event::Tick);
+        }
+        assert!(self.calls.values().all(|c| c.ended), "{:?}", self.calls);
+        assert_eq!(self.bench.router.calls(), 0);
+        assert_eq!(self.bench.router.waiting(), 0);
+    }
+
+    fn arrive(&mut self, profile: usize, slips: bool) {
+        let target = if slips { "slips" } else { "model" };
+        let call = self.bench.call(PROFILES[profile], target);
+        let seen = Seen {
+            profile: self.catalog.profiles[profile].clone(),
+            tokens: 0,
+            attempts: Vec::new(),
+            ended: false,
+        };
+        self.calls.insert(call.id, seen);
+        self.send_from(Event::Arrive(call.clone()), Some(call.id));
+    }
+
+    fn arrive_again(&mut self, pick: usize) {
+        let waiting: Vec<_> = self.calls.iter().filter(|(_, c)| c.waits()).collect();
+        let Some((id, _)) = waiting.get(pick % waiting.len().max(1)) else {
+            return;
+        };
+        let id = **id;
+        let mut call = self.bench.call("top", "model");
+        call.id = id;
+        self.send(Event::Arrive(call));
+    }
+
+    fn pick_open(&self, pick: usize) -> Option<(CallId, AttemptId)> {
+        let open: Vec<_> = self
+            .calls
+            .iter()
+            .filter(|(_, c)| !c.ended)
+            .filter_map(|(id, c)| Some((*id, c.open()?)))
+            .collect();
+        open.get(pick % open.len().max(1)).copied()
+    }
+
+    fn progress(&mut self, id: CallId, attempt: AttemptId, tokens: u32) {
+        let seen = self.calls.get_mut(&id).expect("known");
+        seen.tokens += tokens;
+        let event = AttemptEvent::Progress {
+            tokens: seen.tokens,
+        };
+        self.send(Event::Attempt { attempt, event });
+    }
+
+    fn settle(&mut self, id: CallId, attempt: AttemptId, event: AttemptEvent, fate: Fate) {
+        let seen = self.calls.get_mut(&id).expect("known");
+        seen.settle(attempt, fate);
+        self.send(Event::Attempt { attempt, event });
+    }
+
+    fn fail(&mut self, pick: usize, failure: Failure) {
+        let Some((id, attempt)) = self.pick_open(pick) else {
+            return;
+        };
+        let has_tokens = self.calls.get(&id).is_some_and(|c| c.tokens > 0);
+        let fate = if failure.proves_not_run() && !has_tokens {
+            Fate::ProvenNotRun
+        } else {
+            Fate::MayHaveRun
+        };
+        if failure == Failure::Leaving {
+            let (_, server) = &self.attempts[&attempt];
+            self.closed.insert(server.clone());
+        }
+        self.settle(id, attempt, AttemptEvent::Failed(failure), fate);
+    }
+
+    /// Sends news of an attempt that is over; nothing may follow from it.
+    fn late(&mut self, pick: usize, done: bool) {
+        let over: Vec<_> = self
+            .calls
+            .values()
+            .flat_map(|c| c.attempts.iter())
+            .filter(|(_, fate)| *fate != Fate::Open)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        let Some(attempt) = over.get(pick % over.len().max(1)).copied() else {
+            return;
+        };
+        let event = if done {
+            AttemptEvent::Done
+        } else {
+            AttemptEvent::Failed(Failure::NotSent)
+        };
+        self.send(Event::Attempt { attempt, event });
+    }
+
+    fn gone(&mut self, pick: usize) {
+        let live: Vec<_> = self.calls.iter().filter(|(_, c)| !c.ended).collect();
+        let Some((id, _)) = live.get(pick % live.len().max(1)) else {
+            return;
+        };
+        let id = **id;
+        self.send_from(Event::CallerGone(id), Some(id));
+    }
+
+    fn relist(&mut self, leaving: u8, listed: u8) {
+        let mut servers = Vec::new();
+        for (bit, name) in SERVERS.iter().enumerate() {
+            let was = self.listed.iter().find(|s| s.name.as_str() == *name);
+            let was_away = was.is_none_or(|s| s.state == ServerState::Leaving);
+            if listed & (1 << bit) == 0 {
+                continue;
+            }
+            let mut entry = server(name, &["model", "slips"], SLOTS);
+            if leaving & (1 << bit) != 0 {
+                entry.state = ServerState::Leaving;
+            } else if was_away {
+                self.closed.remove(&entry.name);
+            }
+            servers.push(entry);
+        }
+        self.revision += 1;
+        self.listed.clone_from(&servers);
+        self.send(Event::Fleet(Arc::new(fleet(self.revision, servers))));
+    }
+
+    fn send(&mut self, event: Event) {
+        self.send_from(event, None);
+    }
+
+    fn send_from(&mut self, event: Event, cause: Option<CallId>) {
+        let gone = matches!(event, Event::CallerGone(_));
+        let actions = self.bench.send(event);
+        for (at, action) in actions.iter().enumerate() {
+            match action {
+                Action::Dispatch(dispatch) => self.check_dispatch(dispatch),
+                Action::Cancel { attempt, .. } => {
+                    let (id, _) = self.attempts[attempt].clone();
+                    let seen = self.calls.get_mut(&id).expect("known");
+                    assert_eq!(seen.open(), Some(*attempt));
+                    seen.settle(*attempt, Fate::MayHaveRun);
+                    let next = actions.get(at + 1);
+                    let follows = match next {
+                        Some(Action::Dispatch(next)) => next.call == id,
+                        Some(Action::End { call, .. }) => gone && *call == id,
+                        _ => false,
+                    };
+                    assert!(follows, "cancelled and left: {actions:?}");
+                }
+                Action::Refuse { call, refusal } => self.check_refusal(*call, *refusal, cause),
+                Action::End { call, outcome } => self.check_end(*call, *outcome),
+            }
+        }
+    }
+
+    fn check_dispatch(&mut self, dispatch: &Dispatch) {
+        let listed = self.listed.iter().find(|s| s.name == dispatch.server);
+        let listed = listed.expect("dispatched to a server that is not listed");
+        assert_eq!(listed.state, ServerState::Live);
+        assert!(!self.closed.contains(&dispatch.server), "server is leaving");
+        let seen = self.calls.get_mut(&dispatch.call).expect("known");
+        assert!(seen.waits(), "dispatched twice: {seen:?}");
+        assert!(seen.profile.idempotent || seen.surely_not_run(), "{seen:?}");
+        assert_eq!(dispatch.resume, seen.tokens > 0);
+        assert_eq!(dispatch.tier, seen.profile.tier);
+        seen.attempts.push((dispatch.attempt, Fate::Open));
+        let place = (dispatch.call, dispatch.server.clone());
+        assert!(self.attempts.insert(dispatch.attempt, place).is_none());
+    }
+
+    fn check_refusal(&mut self, id: CallId, refusal: Refusal, cause: Option<CallId>) {
+        if refusal.reason == Reason::QueueFull {
+            self.check_shed(id, cause);
+        }
+        assert!(refusal.retry_after >= Duration::from_secs(1));
+        self.check_end(id, refusal.outcome);
+    }
+
+    /// No call is shed for one of a lower tier.
+    fn check_shed(&self, id: CallId, cause: Option<CallId>) {
+        let shed = &self.calls[&id].profile;
+        if let Some(cause) = cause {
+            assert!(shed.tier >= self.calls[&cause].profile.tier);
+        }
+        let waiting = || self.calls.values().filter(|c| c.waits());
+        let class = waiting().filter(|c| c.profile.name == shed.name).count();
+        let lowest = waiting().all(|c| c.profile.tier <= shed.tier);
+        assert!(class > CLASS_LIMIT || lowest, "shed {shed:?}");
+    }
+
+    fn check_end(&mut self, id: CallId, outcome: Outcome) {
+        let seen = self.calls.get_mut(&id).expect("known");
+        assert!(!seen.ended, "ended twice: {seen:?}");
+        assert_eq!(seen.open(), None, "{seen:?}");
+        seen.ended = true;
+        let done = seen.attempts.iter().any(|(_, f)| *f == Fate::Done);
+        match outcome {
+            Outcome::Completed => assert!(done, "{seen:?}"),
+            Outcome::NotRun => assert!(seen.surely_not_run(), "{seen:?}"),
+            Outcome::Unknown => assert!(!seen.surely_not_run(), "{seen:?}"),
+        }
+    }
+}
--- a/crates/core/tests/router/main.rs
+++ b/crates/core/tests/router/main.rs
@@ -2,3 +2,6 @@
 
 mod bench;
 mod decisions;
+mod history;
+mod properties;
+mod shares;
