--- /dev/null
+++ b/crates/briarbank/src/lib.rs
@@ -0,0 +1,28 @@
+//! The command line's work: what each subcommand of the binary does.
+//!
+//! Argument parsing and exit codes stay in the binary; the router, the
+//! stand-ins and the decoding of settings are crates of their own.
+
+mod check;
+mod demo;
+mod dump;
+mod error;
+mod load;
+mod logs;
+mod operator;
+mod publish;
+mod run;
+mod signal;
+
+mod table;
+
+pub use check::{Selection, check};
+pub use demo::demo;
+pub use dump::{Process, drain, dump};
+pub use error::{EXIT_FAILED, EXIT_INVALID, EXIT_UNREACHABLE, EXIT_USAGE, Error};
+pub use load::{compare, load};
+pub use logs::init_logs;
+pub use operator::Operator;
+pub use publish::DocumentFiles;
+pub use run::{engine, node, platform, service};
+pub use table::render;
