Start only what has time for nearly any length

Cause: calls were started with time for the median length, so that under overload, where all start at the last moment, half of the long ones were late. Change: a call needs time for the 0.99 quantile of its length, at most 0.8 of its target; for a stream that is resumed the median is enough. Ruled out: the quantile without a bound, which would refuse every call of a class whose target is shorter than its longest answers.

--- a/crates/core/src/router/admit.rs
+++ b/crates/core/src/router/admit.rs
@@ -52,7 +52,7 @@
     /// Whether the answer would be late even if the queue moves as expected.
     fn is_hopeless(&self, now: Instant, call: &Call, class: &Class) -> bool {
         let wait = self.wait(now, call, class);
-        let service = self.predict(class, call, 0);
+        let service = self.needed(class, call, 0);
         now + wait + service > deadline(call, class)
     }
 
@@ -74,17 +74,33 @@
         class.map_or(Duration::ZERO, |(class, _)| self.wait(now, call, &class))
     }
 
+    /// Time that a call is expected to take, at the median of its length.
     pub(super) fn predict(&self, class: &Class, call: &Call, done_tokens: u32) -> Duration {
+        self.predict_at(0.5, class, call, done_tokens)
+    }
+
+    /// Time that a call must have left to be started.
+    ///
+    /// That is enough for most lengths, but never more than a fixed part of the
+    /// target, nor more than the median for what the caller already has a part of.
+    pub(super) fn needed(&self, class: &Class, call: &Call, done_tokens: u32) -> Duration {
+        let median = self.predict(class, call, done_tokens);
+        if done_tokens > 0 {
+            return median;
+        }
+        let whole = Duration::from_millis(class.profile.whole_ms);
+        let quantile = self.options.length_quantile;
+        let most = self.predict_at(quantile, class, call, done_tokens);
+        median.max(most.min(whole.mul_f64(self.options.start_ratio)))
+    }
+
+    fn predict_at(&self, quantile: f64, class: &Class, call: &Call, done_tokens: u32) -> Duration {
         let remaining = crate::estimate::Remaining {
             max_tokens: call.max_tokens,
             done_tokens,
         };
-        self.estimator.predict(
-            &class.profile.name,
-            &call.target,
-            remaining,
-            self.options.length_quantile,
-        )
+        self.estimator
+            .predict(&class.profile.name, &call.target, remaining, quantile)
     }
 
     fn enter(&mut self, now: Instant, call: Call, class: Arc<Class>, terms: WorkspaceTerms) {
--- a/crates/core/src/router/options.rs
+++ b/crates/core/src/router/options.rs
@@ -16,8 +16,10 @@
     pub retry_after_max: Duration,
     /// Most requests that wait, over all classes and targets.
     pub queue_limit: usize,
-    /// Quantile of the output length that decides whether a call can be in time.
+    /// Quantile of the output length for which a call that starts must have time.
     pub length_quantile: f64,
+    /// Part of the whole target that a call must have left at its start at the most.
+    pub start_ratio: f64,
     /// How long a server that said it is leaving gets nothing new, unless the list
     /// shows it leaving or gone, and then live again.
     pub leaving_hold: Duration,
@@ -40,7 +42,8 @@
             retry_after: Duration::from_secs(1),
             retry_after_max: Duration::from_mins(1),
             queue_limit: 10_000,
-            length_quantile: 0.5,
+            length_quantile: 0.99,
+            start_ratio: 0.8,
             leaving_hold: Duration::from_mins(10),
             refused_hold: Duration::from_millis(100),
             zone_cost_ratio: 0.1,
--- a/crates/core/src/router/serve.rs
+++ b/crates/core/src/router/serve.rs
@@ -72,8 +72,8 @@
     /// Whether the answer would be late if the call started now.
     fn is_late(&self, now: Instant, id: CallId) -> bool {
         self.calls.get(&id).is_some_and(|entry| {
-            let service = self.predict(&entry.class, &entry.call, entry.tokens);
-            now + service > entry.deadline
+            let needed = self.needed(&entry.class, &entry.call, entry.tokens);
+            now + needed > entry.deadline
         })
     }
 
--- a/crates/core/src/router/waiting.rs
+++ b/crates/core/src/router/waiting.rs
@@ -19,7 +19,8 @@
             return;
         };
         let service = self.predict(&entry.class, &entry.call, entry.tokens);
-        let latest_start = entry.deadline.checked_sub(service).unwrap_or(now);
+        let needed = self.needed(&entry.class, &entry.call, entry.tokens);
+        let latest_start = entry.deadline.checked_sub(needed).unwrap_or(now);
         let cost = if service.is_zero() {
             COST_UNKNOWN_US
         } else {
