Charge classes for slots, not for waits at engines

Cause: the lowest class got about 8 % of the slots at a share of 10 %: its requests wait longest at engines, which honour the tiers, and that wait was charged to it. Change: a charge is settled at the time since the first token and the usual time up to it. Engines' queues are the next cause.

--- a/crates/core/src/router/attempt.rs
+++ b/crates/core/src/router/attempt.rs
@@ -70,6 +70,7 @@
         let here = Sample { from: now, tokens };
         let Some(sample) = running.sample else {
             running.sample = Some(here);
+            running.first_token = Some(now);
             let time = now.saturating_duration_since(running.started);
             self.first_token(now, &server, &target, time);
             return;
@@ -213,7 +214,7 @@
     /// Counts out an attempt that is over for this node.
     pub(super) fn release(&mut self, now: Instant, call: &Call, running: &Running) {
         self.attempts.remove(&running.attempt);
-        let took_us = now.saturating_duration_since(running.started).as_micros() as u64;
+        let took_us = self.slot_time(now, call, running).as_micros() as u64;
         if let Some(queue) = self.queues.get_mut(&call.target) {
             queue.settle(&call.profile, running.charge, took_us);
         }
@@ -222,6 +223,17 @@
         }
     }
 
+    /// Time for which the attempt had a slot, without its wait at the server.
+    fn slot_time(&self, now: Instant, call: &Call, running: &Running) -> Duration {
+        let until_first = running.first_token.unwrap_or(now);
+        let waited = until_first.saturating_duration_since(running.started);
+        if call.max_tokens == 0 {
+            return waited;
+        }
+        let usual = self.estimator.first_token(&call.target, 0.5);
+        waited.min(usual.unwrap_or(waited)) + now.saturating_duration_since(until_first)
+    }
+
     /// Serves the targets of a server that may have room again.
     pub(super) fn serve_server(
         &mut self,
--- a/crates/core/src/router/entry.rs
+++ b/crates/core/src/router/entry.rs
@@ -14,6 +14,7 @@
     pub(super) attempt: AttemptId,
     pub(super) server: ServerName,
     pub(super) started: Instant,
+    pub(super) first_token: Option<Instant>,
     pub(super) last_progress: Instant,
     /// What the class paid for the attempt.
     pub(super) charge: Charge,
--- a/crates/core/src/router/serve.rs
+++ b/crates/core/src/router/serve.rs
@@ -109,6 +109,7 @@
             attempt,
             server: server.clone(),
             started: now,
+            first_token: None,
             last_progress: now,
             charge,
             sample: None,
