Let fresh load reports move the limits

Cause: engines kept queues under overload, since the usual time to the first token had their wait in it, while others had free slots: 85 to 91 of 96 busy. Change: a report not older than 0.5 s cuts the limit when requests wait at the server and lets it grow when slots are free. Ruled out: a lower tolerance on the time to the first token, which varies with the prompt.

--- a/crates/core/src/limiter.rs
+++ b/crates/core/src/limiter.rs
@@ -2,11 +2,13 @@
 //!
 //! Each node begins with its part of the server's slots. While the server
 //! answers promptly and the limit is in use, the limit grows step by step, so
-//! that parts left idle by other nodes are used; late first tokens and refusals
-//! cut it by a factor. No counter is shared among the nodes.
+//! that parts left idle by other nodes are used; late first tokens, refusals
+//! and a queue at the server cut it by a factor. No counter is shared among the nodes.
 
 use std::time::{Duration, Instant};
 
+use crate::call::ServerLoad;
+
 const CUT_RATIO: f64 = 0.85;
 const CUT_INTERVAL: Duration = Duration::from_millis(500);
 const GROWTH: f64 = 0.5;
@@ -70,10 +72,23 @@
         if time > usual.mul_f64(TOLERANCE) {
             self.cut(now);
         } else if in_flight >= self.limit() {
-            self.limit = (self.limit + GROWTH / self.limit).min(self.ceiling);
+            self.grow();
         }
     }
 
+    /// Takes a fresh report: a queue at the server cuts, a free slot lets grow.
+    pub fn report(&mut self, now: Instant, load: ServerLoad, in_flight: u32) {
+        if load.waiting > 0 {
+            self.cut(now);
+        } else if f64::from(load.running) < self.ceiling && in_flight >= self.limit() {
+            self.grow();
+        }
+    }
+
+    fn grow(&mut self) {
+        self.limit = (self.limit + GROWTH / self.limit).min(self.ceiling);
+    }
+
     /// The server refused a request since it is full.
     pub fn refused(&mut self, now: Instant) {
         self.cut(now);
--- a/crates/core/src/router/server.rs
+++ b/crates/core/src/router/server.rs
@@ -2,12 +2,16 @@
 
 use std::time::Instant;
 
+use crate::call::ServerLoad;
 use crate::catalog::{Server, ServerState};
 use crate::limiter::Limiter;
 use crate::load::LoadView;
 use crate::outlier::Health;
 use crate::router::options::Options;
 
+/// Age up to which a report moves the limit, in milliseconds.
+const FRESH_MS: u64 = 500;
+
 /// One server of the list, or one that has left it with requests in flight.
 #[derive(Debug)]
 pub(super) struct ServerEntry {
@@ -44,6 +48,14 @@
         self.listed = true;
     }
 
+    /// Takes a load report; only a fresh one moves the limit.
+    pub(super) fn report(&mut self, now: Instant, load: ServerLoad) {
+        self.load.report(now, load);
+        if load.age_ms <= FRESH_MS {
+            self.limiter.report(now, load, self.load.own());
+        }
+    }
+
     pub(super) fn leave(&mut self, now: Instant) {
         self.leaving_since = Some(now);
     }
--- a/crates/core/src/router/state.rs
+++ b/crates/core/src/router/state.rs
@@ -123,7 +123,7 @@
             Event::Attempt { attempt, event } => self.attempt(now, attempt, event, actions),
             Event::Load { server, load } => {
                 if let Some(entry) = self.servers.get_mut(&server) {
-                    entry.load.report(now, load);
+                    entry.report(now, load);
                 }
             }
             Event::ServerLeaving(server) => self.server_leaving(now, &server, actions),
