Earn shares on the true cost of what was served

Cause: shares were earned on costs expected at the median, 13 % below the mean, and charged at the true ones, so that a class got less than its share. Change: settling a charge corrects what all classes earned as well; a call of which nothing is known is charged little at first and settled when it ends. Ruled out: expecting the mean instead of the median, which a heavy tail makes as wrong.

--- a/crates/core/src/queue/admission.rs
+++ b/crates/core/src/queue/admission.rs
@@ -158,6 +158,7 @@
     /// Keeps the shares true when costs are guessed wrong: a class that was
     /// charged too much gets the rest back, one charged too little owes it.
     pub fn settle(&mut self, name: &ProfileName, charge: Charge, cost: u64) {
+        self.earn(name, cost as f64 - charge.cost as f64);
         let Some(class) = self.classes.get_mut(name) else {
             return;
         };
@@ -231,20 +232,25 @@
     }
 
     fn charge(&mut self, served: &ProfileName, cost: u64) -> Charge {
-        let total: f64 = self.classes.values().map(Class::share).sum();
-        let scale = cost as f64 / total.max(1.0);
+        self.earn(served, cost as f64);
         let mut charge = Charge { cost, credit: 0.0 };
+        if let Some(class) = self.classes.get_mut(served) {
+            charge.credit = class.credit.clamp(0.0, cost as f64);
+            class.credit -= charge.credit;
+        }
+        charge
+    }
+
+    /// Gives the waiting classes and the served one their shares of the work.
+    fn earn(&mut self, served: &ProfileName, work: f64) {
+        let total: f64 = self.classes.values().map(Class::share).sum();
+        let work = work / total.max(1.0);
         for (name, class) in &mut self.classes {
             if class.len > 0 || name == served {
-                class.credit += class.share() * scale;
+                class.credit += class.share() * work;
             } else {
-                class.credit = class.credit.min(cost as f64);
-            }
-            if name == served {
-                charge.credit = class.credit.clamp(0.0, cost as f64);
-                class.credit -= charge.credit;
+                class.credit = class.credit.min(work.max(0.0));
             }
         }
-        charge
     }
 }
--- a/crates/core/src/router/waiting.rs
+++ b/crates/core/src/router/waiting.rs
@@ -9,7 +9,7 @@
 use crate::router::state::Router;
 
 /// Cost of a call of which nothing is known, in microseconds of a slot.
-const COST_UNKNOWN_US: u64 = 1_000_000;
+const COST_UNKNOWN_US: u64 = 100_000;
 const COST_MIN_US: u64 = 1_000;
 
 impl Router {
