--- a/crates/core/src/router/admit.rs
+++ b/crates/core/src/router/admit.rs
@@ -12,6 +12,9 @@
 use crate::router::index::{Class, WorkspaceTerms};
 use crate::router::state::Router;
 
+/// Quantile of the length that nearly no answer exceeds.
+const LENGTH_QUANTILE: f64 = 0.99;
+
 impl Router {
     pub(super) fn arrive(&mut self, now: Instant, call: Call, actions: &mut Vec<Action>) {
         if self.calls.contains_key(&call.id) {
@@ -84,16 +87,28 @@
     /// That is enough for most lengths, but never more than a fixed part of the
     /// target, nor more than the median for what the caller already has a part of.
     pub(super) fn needed(&self, class: &Class, call: &Call, done_tokens: u32) -> Duration {
+        let quantiles = &self.options.length_quantiles;
+        let tier = usize::from(class.profile.tier);
+        let quantile = quantiles.get(tier).copied().unwrap_or(LENGTH_QUANTILE);
+        self.needed_at(quantile, class, call, done_tokens)
+    }
+
+    fn needed_at(&self, quantile: f64, class: &Class, call: &Call, done_tokens: u32) -> Duration {
         let median = self.predict(class, call, done_tokens);
         if done_tokens > 0 {
             return median;
         }
         let whole = Duration::from_millis(class.profile.whole_ms);
-        let quantile = self.options.length_quantile;
         let most = self.predict_at(quantile, class, call, done_tokens);
         median.max(most.min(whole.mul_f64(self.options.start_ratio)))
     }
 
+    /// When a waiting call should start to have time for nearly any length.
+    pub(super) fn due(&self, now: Instant, entry: &Entry) -> Instant {
+        let needed = self.needed_at(LENGTH_QUANTILE, &entry.class, &entry.call, entry.tokens);
+        entry.deadline.checked_sub(needed).unwrap_or(now)
+    }
+
     pub(super) fn predict_at(
         &self,
         quantile: f64,
@@ -114,6 +129,7 @@
         let entry = Entry {
             deadline: deadline(&call, &class),
             latest_start: now,
+            due: now,
             weight: terms.weight,
             class,
             dispatches: 0,
--- a/crates/core/src/router/entry.rs
+++ b/crates/core/src/router/entry.rs
@@ -38,6 +38,8 @@
     pub(super) deadline: Instant,
     /// When it is given up while it waits.
     pub(super) latest_start: Instant,
+    /// When it should start to have time for nearly any length.
+    pub(super) due: Instant,
     /// Attempts dispatched.
     pub(super) dispatches: u32,
     /// Attempts that count against the bound on attempts.
--- a/crates/core/src/router/options.rs
+++ b/crates/core/src/router/options.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::catalog::TIER_COUNT;
 use crate::ids::ZoneName;
 use crate::{budget, outlier};
 
@@ -16,8 +17,11 @@
     pub retry_after_max: Duration,
     /// Most requests that wait, over all classes and targets.
     pub queue_limit: usize,
-    /// Quantile of the output length for which a call that starts must have time.
-    pub length_quantile: f64,
+    /// Quantile of the output length for which a call that starts must have time,
+    /// by tier.
+    ///
+    /// A high one wastes little work; a low one gives up few calls.
+    pub length_quantiles: [f64; TIER_COUNT as usize],
     /// Part of the whole target that a call must have left at its start at the most.
     pub start_ratio: f64,
     /// How long a server that said it is leaving gets nothing new, unless the list
@@ -42,7 +46,7 @@
             retry_after: Duration::from_secs(1),
             retry_after_max: Duration::from_mins(1),
             queue_limit: 10_000,
-            length_quantile: 0.99,
+            length_quantiles: [0.5, 0.9, 0.99, 0.99, 0.99, 0.99],
             start_ratio: 0.8,
             leaving_hold: Duration::from_mins(10),
             refused_hold: Duration::from_millis(100),
--- a/crates/core/src/router/preempt.rs
+++ b/crates/core/src/router/preempt.rs
@@ -11,7 +11,7 @@
 use crate::router::event::Action;
 use crate::router::state::Router;
 
-/// How long before a waiting call would be given up a slot is sought for it.
+/// How long before a waiting call should have started a slot is sought for it.
 const MARGIN: Duration = Duration::from_millis(500);
 /// Most calls helped at once.
 const HELPED_MAX: usize = 8;
@@ -29,7 +29,7 @@
     pub(super) fn preempt(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let until = (now + MARGIN, CallId(u64::MAX));
         let due: Vec<CallId> = self
-            .expiries
+            .dues
             .range(..=until)
             .take(HELPED_MAX)
             .map(|(_, id)| *id)
--- a/crates/core/src/router/waiting.rs
+++ b/crates/core/src/router/waiting.rs
@@ -36,9 +36,12 @@
         let queue = self.queues.entry(entry.call.target.clone()).or_default();
         queue.push(&entry.class.options, item);
         self.waiting += 1;
+        let due = self.due(now, entry);
         self.expiries.insert((latest_start, id));
+        self.dues.insert((due, id));
         if let Some(entry) = self.calls.get_mut(&id) {
             entry.latest_start = latest_start;
+            entry.due = due;
         }
     }
 
@@ -58,6 +61,7 @@
         self.waiting = self.waiting.saturating_sub(1);
         if let Some(entry) = self.calls.get(&id) {
             self.expiries.remove(&(entry.latest_start, id));
+            self.dues.remove(&(entry.due, id));
         }
     }
 
