--- a/crates/core/src/router/entry.rs
+++ b/crates/core/src/router/entry.rs
@@ -5,6 +5,7 @@
 
 use crate::call::{Call, Outcome};
 use crate::ids::{AttemptId, ServerName};
+use crate::queue::Charge;
 use crate::router::index::Class;
 
 /// The attempt that runs.
@@ -13,7 +14,10 @@
     pub(super) attempt: AttemptId,
     pub(super) server: ServerName,
     pub(super) started: Instant,
+    pub(super) first_token: Option<Instant>,
     pub(super) last_progress: Instant,
+    /// What the class paid for the attempt.
+    pub(super) charge: Charge,
     /// Where the sample of the speed that is being taken began.
     pub(super) sample: Option<Sample>,
 }
@@ -34,10 +38,13 @@
     pub(super) deadline: Instant,
     /// When it is given up while it waits.
     pub(super) latest_start: Instant,
+    /// When it should start to have time for nearly any length.
+    pub(super) due: Instant,
     /// Attempts dispatched.
     pub(super) dispatches: u32,
     /// Attempts that count against the bound on attempts.
     pub(super) attempts: u32,
+    pub(super) preemptions: u32,
     /// Whether an earlier attempt may have run.
     pub(super) maybe_run: bool,
     pub(super) running: Option<Running>,
--- a/crates/core/src/router/serve.rs
+++ b/crates/core/src/router/serve.rs
@@ -4,7 +4,7 @@
 
 use crate::call::{Dispatch, Reason};
 use crate::ids::{AttemptId, CallId, ServerName, TargetName};
-use crate::queue::Item;
+use crate::queue::{AdmissionQueue, Charge, Item};
 use crate::router::entry::Running;
 use crate::router::event::Action;
 use crate::router::state::Router;
@@ -57,11 +57,11 @@
             let Some(server) = self.choose(now, id) else {
                 return;
             };
-            if let Some(queue) = self.queues.get_mut(target) {
-                queue.pop();
-            }
+            let queue = self.queues.get_mut(target);
+            let popped = queue.and_then(AdmissionQueue::pop_charged);
+            let charge = popped.map(|p| p.charge).unwrap_or_default();
             self.left_queue(id);
-            self.start(now, id, server, actions);
+            self.start(now, id, server, charge, actions);
         }
     }
 
@@ -72,8 +72,8 @@
     /// Whether the answer would be late if the call started now.
     fn is_late(&self, now: Instant, id: CallId) -> bool {
         self.calls.get(&id).is_some_and(|entry| {
-            let service = self.predict(&entry.class, &entry.call, entry.tokens);
-            now + service > entry.deadline
+            let needed = self.needed(&entry.class, &entry.call, entry.tokens);
+            now + needed > entry.deadline
         })
     }
 
@@ -87,7 +87,14 @@
         Some(self.servers.at(index)?.server.name.clone())
     }
 
-    fn start(&mut self, now: Instant, id: CallId, server: ServerName, actions: &mut Vec<Action>) {
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        id: CallId,
+        server: ServerName,
+        charge: Charge,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(entry) = self.calls.get_mut(&id) else {
             return;
         };
@@ -102,7 +109,9 @@
             attempt,
             server: server.clone(),
             started: now,
+            first_token: None,
             last_progress: now,
+            charge,
             sample: None,
         });
         let resume = entry.tokens > 0;
--- a/crates/core/src/router/state.rs
+++ b/crates/core/src/router/state.rs
@@ -29,6 +29,8 @@
     pub resumed: u64,
     /// Attempts moved away from a slow server.
     pub moved: u64,
+    /// Streams preempted for a call of a higher tier.
+    pub preempted: u64,
     /// Calls refused for a full queue.
     pub shed: u64,
     /// Calls refused since they could not be in time.
@@ -53,6 +55,7 @@
     pub(super) queues: BTreeMap<TargetName, AdmissionQueue>,
     pub(super) waiting: usize,
     pub(super) expiries: BTreeSet<(Instant, CallId)>,
+    pub(super) dues: BTreeSet<(Instant, CallId)>,
     pub(super) workspaces: HashMap<WorkspaceName, usize>,
     pub(super) budgets: HashMap<ProfileName, RetryBudget>,
     pub(super) next_attempt: u64,
@@ -77,6 +80,7 @@
             queues: BTreeMap::new(),
             waiting: 0,
             expiries: BTreeSet::new(),
+            dues: BTreeSet::new(),
             workspaces: HashMap::new(),
             budgets: HashMap::new(),
             next_attempt: 0,
@@ -123,7 +127,7 @@
             Event::Attempt { attempt, event } => self.attempt(now, attempt, event, actions),
             Event::Load { server, load } => {
                 if let Some(entry) = self.servers.get_mut(&server) {
-                    entry.load.report(now, load);
+                    entry.report(now, load);
                 }
             }
             Event::ServerLeaving(server) => self.server_leaving(now, &server, actions),
@@ -138,8 +142,9 @@
                 self.serve_all(now, actions);
             }
             Event::Tick => {
-                self.watch(now, actions);
                 self.serve_all(now, actions);
+                self.watch(now, actions);
+                self.preempt(now, actions);
             }
         }
     }
--- a/crates/core/src/router/waiting.rs
+++ b/crates/core/src/router/waiting.rs
@@ -9,7 +9,7 @@
 use crate::router::state::Router;
 
 /// Cost of a call of which nothing is known, in microseconds of a slot.
-const COST_UNKNOWN_US: u64 = 1_000_000;
+const COST_UNKNOWN_US: u64 = 100_000;
 const COST_MIN_US: u64 = 1_000;
 
 impl Router {
@@ -19,7 +19,8 @@
             return;
         };
         let service = self.predict(&entry.class, &entry.call, entry.tokens);
-        let latest_start = entry.deadline.checked_sub(service).unwrap_or(now);
+        let needed = self.needed(&entry.class, &entry.call, entry.tokens);
+        let latest_start = entry.deadline.checked_sub(needed).unwrap_or(now);
         let cost = if service.is_zero() {
             COST_UNKNOWN_US
         } else {
@@ -35,9 +36,12 @@
         let queue = self.queues.entry(entry.call.target.clone()).or_default();
         queue.push(&entry.class.options, item);
         self.waiting += 1;
+        let due = self.due(now, entry);
         self.expiries.insert((latest_start, id));
+        self.dues.insert((due, id));
         if let Some(entry) = self.calls.get_mut(&id) {
             entry.latest_start = latest_start;
+            entry.due = due;
         }
     }
 
@@ -57,6 +61,7 @@
         self.waiting = self.waiting.saturating_sub(1);
         if let Some(entry) = self.calls.get(&id) {
             self.expiries.remove(&(entry.latest_start, id));
+            self.dues.remove(&(entry.due, id));
         }
     }
 
