Add the speed benchmark, paired with and without the node

Cause: the added time, the rates and the memory of a node are to be compared with their targets in one run.

Change: an example that starts stand-ins and a node process and measures plain calls, first tokens, streamed tokens and memory.

Ruled out: criterion, since the node is a process of its own and the quantiles of a steady rate are wanted, not the mean of a loop.

--- /dev/null
+++ b/crates/standin/examples/speed/bench.rs
@@ -0,0 +1,254 @@
+//! The stand-ins and the node under test.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use briarbank_config::{EngineSettings, PlatformSettings, ServiceSettings};
+use briarbank_standin::{Answer, Client, ClientError, Running, engine, platform, service};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use quick_error::quick_error;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::node::{KEY, NodeProcess};
+
+/// Engines behind each model.
+const ENGINES: usize = 4;
+/// Slots of each engine.
+const SLOTS: u32 = 2_000;
+/// Time between tokens of the engines with a pace.
+pub(crate) const PACED_TOKEN_US: u64 = 5_000;
+/// Seed of the engines' output lengths.
+pub(crate) const SEED: u64 = 1;
+/// Longest wait for the node to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+quick_error! {
+    /// Why the benchmark can't start.
+    #[derive(Debug)]
+    pub enum Error {
+        Standin(source: briarbank_standin::Error) {
+            source(source)
+            from()
+            display("stand-in: {source}")
+        }
+        Node(source: std::io::Error) {
+            source(source)
+            from()
+            display("node can't be started: {source}")
+        }
+        Client(source: ClientError) {
+            source(source)
+            from()
+            display("{source}")
+        }
+        NotReady(source: tokio::time::error::Elapsed) {
+            source(source)
+            display("node did not become ready: {source}")
+        }
+    }
+}
+
+/// A request that is the same with and without the node, but for its path.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Call<'a> {
+    pub(crate) path: &'a str,
+    pub(crate) body: &'a str,
+}
+
+/// Everything that is started.
+pub(crate) struct Bench {
+    pub(crate) node: NodeProcess,
+    pub(crate) service: SocketAddr,
+    /// Engines that generate as fast as they can.
+    pub(crate) fast: Vec<SocketAddr>,
+    /// Engines that keep to a time between tokens.
+    pub(crate) paced: Vec<SocketAddr>,
+    running: Vec<Running>,
+    stop: watch::Sender<bool>,
+}
+
+impl Bench {
+    pub(crate) async fn start(binary: &str) -> Result<Self, Error> {
+        let (stop, stopped) = watch::channel(false);
+        let settings = PlatformSettings {
+            address: loopback(),
+            rate_per_s: 2_000,
+        };
+        let platform = platform(settings, until(&stopped)).await?;
+        let settings = ServiceSettings {
+            server: "desk-1".into(),
+            service: "slips".into(),
+            address: loopback(),
+            call_us: 0,
+        };
+        let service = service(settings, until(&stopped)).await?;
+        let fast = engines(0, &stopped).await?;
+        let paced = engines(PACED_TOKEN_US, &stopped).await?;
+        let node = NodeProcess::start(binary, platform.address())?;
+        let mut bench = Self {
+            node,
+            service: service.address(),
+            fast: fast.iter().map(Running::address).collect(),
+            paced: paced.iter().map(Running::address).collect(),
+            running: Vec::new(),
+            stop,
+        };
+        bench.publish(platform.address()).await?;
+        bench.running = fast.into_iter().chain(paced).collect();
+        bench.running.extend([platform, service]);
+        bench.ready().await?;
+        Ok(bench)
+    }
+
+    async fn publish(&self, platform: SocketAddr) -> Result<(), Error> {
+        let client = Client::default();
+        for (key, document) in self.documents() {
+            let path = format!("/control/values/{key}");
+            let body = document.to_string();
+            let call = Call {
+                path: &path,
+                body: &body,
+            };
+            send(&client, platform, "PUT", call).await?.whole().await?;
+        }
+        Ok(())
+    }
+
+    fn documents(&self) -> [(&'static str, Value); 3] {
+        let host = json!({"name": "speed-1", "zone": "recife", "peer_address": self.node.peer,
+            "state": "live"});
+        let server = |(name, address, target): (String, &SocketAddr, &str)| {
+            json!({"name": name, "zone": "recife", "address": address, "targets": [target],
+                "slots": SLOTS, "checks_fencing": false, "state": "live"})
+        };
+        let engines = |target: &'static str, addresses: &[SocketAddr]| -> Vec<Value> {
+            let named = addresses.iter().enumerate();
+            named
+                .map(|(n, a)| server((format!("{target}-{n}"), a, target)))
+                .collect()
+        };
+        let mut servers = engines("fast", &self.fast);
+        servers.extend(engines("paced", &self.paced));
+        servers.push(server(("desk-1".to_owned(), &self.service, "slips")));
+        let profile = |name: &str, idempotent: bool| {
+            json!({"name": name, "tier": 0, "idempotent": idempotent, "first_token_ms": 30_000,
+                "between_tokens_ms": 30_000, "whole_ms": 120_000, "share_ratio": 0.4,
+                "queue_limit": 8_000})
+        };
+        let config = json!({
+            "profiles": [profile("reads", true), profile("slips", false)],
+            "workspaces": [{"name": "recife", "weight": 1.0, "in_flight_limit": 8_000}],
+            "targets": [
+                {"name": "fast", "kind": "model"},
+                {"name": "paced", "kind": "model"},
+                {"name": "slips", "kind": "service"},
+            ],
+        });
+        [
+            ("hosts", json!({"hosts": [host]})),
+            ("servers", json!({"servers": servers})),
+            ("config", config),
+        ]
+    }
+
+    async fn ready(&self) -> Result<(), Error> {
+        let client = Client::default();
+        let ready = async {
+            let call = Call {
+                path: "/ready",
+                body: "",
+            };
+            loop {
+                if let Ok(answer) = send(&client, self.node.operator, "GET", call).await
+                    && answer.head.status.is_success()
+                {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(READY_TIMEOUT, ready)
+            .await
+            .map_err(Error::NotReady)
+    }
+
+    /// Ends the node and the stand-ins.
+    pub(crate) async fn stop(self) {
+        drop(self.node);
+        self.stop.send_replace(true);
+        for running in self.running {
+            running.join().await;
+        }
+    }
+}
+
+/// Sends a call as a caller of the node does.
+pub(crate) async fn send(
+    client: &Client,
+    address: SocketAddr,
+    method: &str,
+    call: Call<'_>,
+) -> Result<Answer, ClientError> {
+    send_as(client, address, method, call, "reads", "").await
+}
+
+/// Sends a call with a profile and a request id.
+pub(crate) async fn send_as(
+    client: &Client,
+    address: SocketAddr,
+    method: &str,
+    call: Call<'_>,
+    profile: &str,
+    id: &str,
+) -> Result<Answer, ClientError> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(call.path)
+        .header("host", "localhost")
+        .header("content-type", "application/json")
+        .header("authorization", format!("Bearer {KEY}"))
+        .header("briarbank-workspace", "recife")
+        .header("briarbank-profile", profile)
+        .header("briarbank-try", 1);
+    if !id.is_empty() {
+        request = request.header("idempotency-key", id);
+    }
+    let body = Full::new(Bytes::copy_from_slice(call.body.as_bytes()));
+    let request = request.body(body).expect("the parts are valid");
+    client.send(address, request).await
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn until_true(mut stopped: watch::Receiver<bool>) {
+    // A dropped sender is as good as a stop.
+    let _ = stopped.wait_for(|stopped| *stopped).await;
+}
+
+fn until(stopped: &watch::Receiver<bool>) -> impl Future<Output = ()> + Send + 'static {
+    until_true(stopped.clone())
+}
+
+async fn engines(token_us: u64, stopped: &watch::Receiver<bool>) -> Result<Vec<Running>, Error> {
+    let mut running = Vec::new();
+    for number in 0..ENGINES {
+        let settings = EngineSettings {
+            server: format!("engine-{token_us}-{number}").as_str().into(),
+            address: loopback(),
+            slots: SLOTS,
+            token_us,
+            batch_token_us: 0,
+            prompt_us: 0,
+            cached_prefixes: 16,
+            load_lag_ms: 100,
+            seed: SEED,
+        };
+        running.push(engine(settings, until(stopped)).await?);
+    }
+    Ok(running)
+}
