--- /dev/null
+++ b/crates/briarbank/src/error.rs
@@ -0,0 +1,157 @@
+//! Why a subcommand failed, and its exit code.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use http::StatusCode;
+use quick_error::quick_error;
+
+/// Exit code of a failed run.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code of wrong arguments.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code of invalid settings or documents.
+pub const EXIT_INVALID: u8 = 3;
+/// Exit code when a process can't be reached or refuses the key.
+pub const EXIT_UNREACHABLE: u8 = 4;
+
+quick_error! {
+    /// Why a subcommand failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// No subcommand was given.
+        NoCommand {
+            display("a subcommand is required; see `briarbank --help`")
+        }
+        /// `check` was given nothing to check.
+        NothingToCheck {
+            display("name at least one file to check; see `briarbank check --help`")
+        }
+        /// The log filter can't be used.
+        LogFilter(error: tracing_subscriber::filter::ParseError) {
+            source(error)
+            display("--log: {error}; a level such as info or a filter such as briarbank_node=debug is allowed")
+        }
+        /// Settings or documents are invalid.
+        Config(error: briarbank_config::FileError) {
+            source(error)
+            display("{error}")
+            from()
+        }
+        /// A stand-in can't run.
+        Standin(error: briarbank_standin::Error) {
+            source(error)
+            display("{error}")
+            from()
+        }
+        /// A node can't run.
+        Node(error: briarbank_node::Error) {
+            source(error)
+            display("{error}")
+            from()
+        }
+        /// A task ended by a panic or was cancelled.
+        Task(error: tokio::task::JoinError) {
+            source(error)
+            display("a task did not end as it should: {error}")
+            from()
+        }
+        /// A signal came before the demo was over.
+        Interrupted {
+            display("stopped by a signal")
+        }
+        /// A node of the demo ended before its time.
+        DemoEnded {
+            display("a node of the demo ended before its time")
+        }
+        /// A call of the demo was not answered as promised.
+        DemoCall(answer: Arc<str>) {
+            display("a call of the demo was not answered as promised: {answer}")
+        }
+        /// The slip of the demo did not run exactly once.
+        DemoRuns(runs: u64) {
+            display("the slip ran {runs} times or its answers differ; allowed: once, with one answer")
+        }
+        /// A load can't be run.
+        Load(error: briarbank_standin::LoadError) {
+            source(error)
+            display("{error}")
+            from()
+        }
+        /// A file with the result of a load can't be read.
+        ResultRead(path: PathBuf, error: io::Error) {
+            source(error)
+            display("{}: can't be read: {error}", path.display())
+        }
+        /// A file holds no result of a load.
+        ResultJson(path: PathBuf, error: serde_json::Error) {
+            source(error)
+            display("{}: found no result of `briarbank load --json`: {error}", path.display())
+        }
+        /// `check` found invalid files and printed why.
+        Invalid(files: usize) {
+            display("{files} of the files are invalid")
+        }
+        /// Output could not be written, or the runtime could not start.
+        Io(error: io::Error) {
+            source(error)
+            display("input or output failed: {error}")
+            from()
+        }
+        /// A call to another process failed.
+        Call(address: SocketAddr, error: briarbank_standin::ClientError) {
+            source(error)
+            display("{address} gave no answer: {error}")
+        }
+        /// No answer from an operator port in time.
+        Timeout(address: SocketAddr) {
+            display("{address} gave no answer in time")
+        }
+        /// An operator port answered with an error.
+        Status(address: SocketAddr, status: StatusCode) {
+            display("{address} answered {status}{}", hint(*status))
+        }
+        /// An answer or a document for an address is not JSON.
+        Json(address: SocketAddr, error: serde_json::Error) {
+            source(error)
+            display("what {address} answered or is to get is not valid JSON: {error}")
+        }
+        /// The shared key can't stand in a header.
+        Key(path: Arc<str>) {
+            display("{path}: field shared_key: only visible ASCII characters are allowed")
+        }
+    }
+}
+
+impl Error {
+    /// Whether the reader of the output went away, which is no fault.
+    #[must_use]
+    pub fn is_closed_output(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::BrokenPipe)
+    }
+
+    /// Exit code of the process.
+    #[must_use]
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::NoCommand | Self::NothingToCheck | Self::LogFilter(_) => EXIT_USAGE,
+            Self::Config(_)
+            | Self::Invalid(_)
+            | Self::Key(_)
+            | Self::ResultRead(..)
+            | Self::ResultJson(..) => EXIT_INVALID,
+            Self::Call(..) | Self::Timeout(_) | Self::Status(..) => EXIT_UNREACHABLE,
+            _ => EXIT_FAILED,
+        }
+    }
+}
+
+fn hint(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "; --settings names a file with the shared key",
+        StatusCode::NOT_FOUND => "; is this an operator port, or a stand-in that needs --standin?",
+        _ => "",
+    }
+}
