--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -1,20 +1,22 @@
 //! A small fleet of separate processes on loopback addresses of its own.
 
-#![expect(dead_code, reason = "each test file uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 #![expect(unreachable_pub, reason = "shared by test files as a module")]
 
 mod caller;
 mod process;
 mod published;
 
-pub use caller::{Call, Caller};
-pub use process::Process;
+use caller::ENGINE_SEED;
+pub use caller::{Answer, Call, Caller, long_prompt};
+pub use process::{POLL, Process};
 use published::NodeAddresses;
 pub use published::Published;
 
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
@@ -127,7 +129,7 @@
         let settings = json!({
             "server": name, "address": address, "slots": 32, "token_us": token_us,
             "batch_token_us": 1, "prompt_us": 10, "cached_prefixes": 100,
-            "load_lag_ms": 0, "seed": 7,
+            "load_lag_ms": 0, "seed": ENGINE_SEED,
         });
         let arguments = ["standin", "engine"];
         let process = Process::start(&self.folder, &name, &arguments, &settings, address);
@@ -182,6 +184,23 @@
         }
     }
 
+    /// Stops a node as planned, and waits for its end.
+    pub async fn stop_node(&mut self, index: usize) -> ExitStatus {
+        self.nodes[index].terminate();
+        self.published.leaving.insert(index);
+        self.publish_all().await;
+        self.nodes[index].ended().await
+    }
+
+    /// Starts a stopped node again, and waits until it is ready.
+    pub async fn restart_node(&mut self, index: usize) {
+        self.start_node(index);
+        self.published.leaving.remove(&index);
+        self.publish_all().await;
+        self.nodes[index].ready().await;
+        self.nodes[index].owning().await;
+    }
+
     /// Publishes all documents anew.
     pub async fn publish_all(&self) {
         for (key, document) in self.published.documents() {
--- /dev/null
+++ b/crates/core/src/conf/spread.rs
@@ -0,0 +1,389 @@
+//! The state machine that reads and spreads published values.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::conf::delta::Delta;
+use crate::conf::history::History;
+use crate::conf::log::{Adopted, Documents, Log, Refused};
+use crate::conf::message::{Key, Message};
+use crate::conf::options::Options;
+use crate::conf::readers::Readers;
+use crate::conf::settling::Settling;
+use crate::conf::source::Source;
+use crate::hosts::HostView;
+use crate::ids::{HostName, Revision, ZoneName};
+use crate::overlay::Overlay;
+use crate::timer::Timer;
+
+/// What the spread of published values orders.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// A value has come into force.
+    Adopted(Adopted),
+    /// Send a message to another node; it may be lost.
+    Send {
+        /// To whom.
+        to: HostName,
+        /// What.
+        message: Message,
+    },
+    /// Watch the platform's values, or stop watching.
+    Watch(bool),
+}
+
+/// Published values of one node: what is in force, and how it spreads.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+/// use std::time::{Duration, Instant};
+/// use briarbank_core::catalog::{Catalog, Fleet};
+/// use briarbank_core::conf::{Documents, Key, Options, Output, Spread};
+/// use briarbank_core::hosts::HostView;
+/// use briarbank_core::ids::Revision;
+///
+/// struct Empty;
+/// impl Documents for Empty {
+///     fn hosts(&self, revision: Revision, _: &[u8]) -> Result<HostView, Arc<str>> {
+///         Ok(HostView::new(revision, Vec::new()))
+///     }
+///     fn servers(&self, revision: Revision, _: &[u8]) -> Result<Fleet, Arc<str>> {
+///         Ok(Fleet { revision, ..Fleet::default() })
+///     }
+///     fn config(&self, revision: Revision, _: &[u8]) -> Result<Catalog, Arc<str>> {
+///         Ok(Catalog { revision, ..Catalog::default() })
+///     }
+/// }
+///
+/// let now = Instant::now();
+/// let mut spread = Spread::new("a".into(), "recife".into(), Options::default(), 1);
+/// let mut out = Vec::new();
+/// spread.tick(now, &mut out);
+/// spread.tick(now + Duration::from_secs(2), &mut out);
+/// assert!(out.contains(&Output::Watch(true)));
+/// spread.published(now, &Empty, Key::Hosts, Revision(3), &Arc::from(&b"{}"[..]), &mut out);
+/// assert_eq!(spread.revision(Key::Hosts), Revision(3));
+/// ```
+#[derive(Debug)]
+pub struct Spread {
+    pub(crate) host: HostName,
+    pub(crate) zone: ZoneName,
+    pub(crate) options: Options,
+    pub(crate) rng: SmallRng,
+    pub(crate) log: Log,
+    pub(crate) kept: [History; 3],
+    pub(crate) sources: [Source; 3],
+    pub(crate) waiting: [Option<Adopted>; 3],
+    pub(crate) deltas: [Option<(Revision, Revision, Arc<Delta>)>; 3],
+    pub(crate) settling: Option<Settling>,
+    pub(crate) readers: Readers,
+    pub(crate) overlay: Overlay,
+    pub(crate) hosts_revision: Option<Revision>,
+    pub(crate) platform_answered: Option<Instant>,
+    pub(crate) peer_spoke: Option<Instant>,
+    pub(crate) watching: bool,
+    pub(crate) news: bool,
+    pub(crate) watch_after: Option<Instant>,
+    pub(crate) next_push: Timer,
+    pub(crate) next_digest: Timer,
+    pub(crate) next_draw: Timer,
+    pub(crate) whole_values: (Option<Instant>, u32),
+}
+
+impl Spread {
+    /// A node that knows nothing published yet.
+    #[must_use]
+    pub fn new(host: HostName, zone: ZoneName, options: Options, seed: u64) -> Self {
+        Self {
+            host,
+            zone,
+            options,
+            rng: SmallRng::seed_from_u64(seed),
+            log: Log::default(),
+            kept: Default::default(),
+            sources: Default::default(),
+            waiting: [None, None, None],
+            deltas: [None, None, None],
+            settling: Some(Settling::default()),
+            readers: Readers::default(),
+            overlay: Overlay::default(),
+            hosts_revision: None,
+            platform_answered: None,
+            peer_spoke: None,
+            watching: false,
+            news: false,
+            watch_after: None,
+            next_push: Timer::default(),
+            next_digest: Timer::default(),
+            next_draw: Timer::default(),
+            whole_values: (None, 0),
+        }
+    }
+
+    /// Revision in force, 0 before the first.
+    #[must_use]
+    pub fn revision(&self, key: Key) -> Revision {
+        if self.waiting[key.index()].is_some() {
+            return Revision(0);
+        }
+        self.log.revision(key)
+    }
+
+    /// Newest revision seen, valid or not; a watch waits for one after it.
+    #[must_use]
+    pub fn seen(&self, key: Key) -> Revision {
+        self.log.seen(key)
+    }
+
+    /// Newest document that was refused, while no newer one is in force.
+    #[must_use]
+    pub fn refused(&self, key: Key) -> Option<&Refused> {
+        let refused = self.log.refused(key)?;
+        (refused.revision > self.log.revision(key)).then_some(refused)
+    }
+
+    /// Whether the node has compared its values with its peers' since it started.
+    #[must_use]
+    pub fn settled(&self) -> bool {
+        self.settling.is_none()
+    }
+
+    /// Whether the node watches the platform.
+    #[must_use]
+    pub fn watching(&self) -> bool {
+        self.watching
+    }
+
+    /// Time since the platform last answered any node, as far as is known here.
+    #[must_use]
+    pub fn platform_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.platform_answered?))
+    }
+
+    /// The platform answered a watch without a newer value.
+    pub fn unchanged(&mut self, now: Instant) {
+        self.platform_answered = Some(now);
+    }
+
+    /// The platform answered with a value.
+    pub fn published(
+        &mut self,
+        now: Instant,
+        documents: &dyn Documents,
+        key: Key,
+        revision: Revision,
+        bytes: &Arc<[u8]>,
+        out: &mut Vec<Output>,
+    ) {
+        self.platform_answered = Some(now);
+        self.offer(now, documents, key, revision, bytes, out);
+    }
+
+    /// Takes the host list in force.
+    pub fn hosts(&mut self, now: Instant, view: &HostView) {
+        if self.hosts_revision.is_some_and(|r| r >= view.revision) {
+            return;
+        }
+        self.hosts_revision = Some(view.revision);
+        self.readers = Readers::new(view, &self.host, &self.zone, self.options.readers_per_zone);
+        self.overlay.hosts(&self.host, view);
+        self.draw(now);
+        if let Some(settling) = &mut self.settling {
+            settling.ask(now);
+            self.next_digest.expire();
+        }
+    }
+
+    /// Takes a message from another node.
+    pub fn message(
+        &mut self,
+        now: Instant,
+        documents: &dyn Documents,
+        from: &HostName,
+        message: Message,
+        out: &mut Vec<Output>,
+    ) {
+        self.peer_spoke = Some(now);
+        match message {
+            Message::Digest(digest) => self.digest(now, from, &digest, out),
+            Message::Want { key, have } => self.want(now, from, key, &have, out),
+            Message::Value {
+                key,
+                revision,
+                bytes,
+            } => self.offer(now, documents, key, revision, &bytes, out),
+            Message::Delta {
+                key,
+                base,
+                revision,
+                delta,
+            } => {
+                if revision <= self.log.revision(key) {
+                    return;
+                }
+                let old = self.kept[key.index()].get(base);
+                match old.and_then(|old| delta.apply(old)) {
+                    Some(new) => {
+                        self.offer(now, documents, key, revision, &Arc::from(new), out);
+                    }
+                    None => send(out, from, Message::Want { key, have: vec![] }),
+                }
+            }
+            Message::Refused {
+                key,
+                revision,
+                error,
+            } => self.note(key, revision, &error),
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.watch_after.is_none() {
+            let jitter_ms = self.options.start_jitter.as_millis() as u64;
+            let wait = Duration::from_millis(self.rng.random_range(0..=jitter_ms));
+            self.watch_after = Some(now + wait);
+        }
+        if self.next_draw.due(now) {
+            self.draw(now);
+        }
+        for key in Key::ALL {
+            self.ask(now, key, out);
+        }
+        self.settle(now, out);
+        if self.news && self.next_push.due(now) {
+            self.push(now, out);
+        } else if self.next_digest.due(now) {
+            let pause = self.digest_pause();
+            self.next_digest.set(now, pause);
+            self.send_digest(now, out);
+        }
+        self.watch(now, out);
+    }
+
+    pub(crate) fn draw(&mut self, now: Instant) {
+        self.next_draw.set(now, self.options.redraw);
+        let Options {
+            ring_peers,
+            random_peers,
+            ..
+        } = self.options;
+        self.overlay
+            .draw(&mut self.rng, ring_peers, random_peers, |_| true);
+    }
+
+    /// Tells all peers of this node what it has.
+    pub(crate) fn push(&mut self, now: Instant, out: &mut Vec<Output>) {
+        self.news = false;
+        self.next_push.set(now, self.options.push_interval);
+        let digest = self.own_digest(now, false);
+        for peer in self.overlay.peers() {
+            send(out, peer, Message::Digest(digest));
+        }
+    }
+
+    /// Tells one peer what this node has; a starting node asks all of its peers.
+    pub(crate) fn send_digest(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.settling.is_some() {
+            self.push(now, out);
+            return;
+        }
+        let count = self.overlay.peers().count();
+        if count == 0 {
+            return;
+        }
+        let index = self.rng.random_range(0..count);
+        let digest = self.own_digest(now, false);
+        if let Some(peer) = self.overlay.peers().nth(index) {
+            send(out, peer, Message::Digest(digest));
+        }
+    }
+
+    /// Time to the next digest, spread so that nodes do not fall into step.
+    pub(crate) fn digest_pause(&mut self) -> Duration {
+        let pause = if self.settling.is_some() {
+            self.options.start_digest_interval
+        } else {
+            self.options.digest_interval
+        };
+        pause.mul_f64(self.rng.random_range(0.75..1.25))
+    }
+
+    pub(crate) fn offer(
+        &mut self,
+        now: Instant,
+        documents: &dyn Documents,
+        key: Key,
+        revision: Revision,
+        bytes: &Arc<[u8]>,
+        out: &mut Vec<Output>,
+    ) {
+        let seen = self.log.seen(key);
+        let adopted = self.log.offer(documents, key, revision, bytes);
+        self.news |= self.log.seen(key) > seen;
+        if let Some(adopted) = adopted {
+            self.kept[key.index()].push(now, revision, bytes);
+            if let Adopted::Hosts(view) = &adopted {
+                self.hosts(now, &Arc::clone(view));
+            }
+            self.waiting[key.index()] = Some(adopted);
+        }
+        self.settle(now, out);
+    }
+
+    pub(crate) fn note(&mut self, key: Key, revision: Revision, error: &Arc<str>) {
+        let seen = self.log.seen(key);
+        self.log.note(key, revision, error);
+        self.news |= self.log.seen(key) > seen;
+    }
+
+    /// Brings waiting values into force once the node has compared with its peers.
+    pub(crate) fn settle(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if let Some(settling) = &self.settling {
+            let timeout = self.options.settle_timeout;
+            let behind = Key::ALL
+                .iter()
+                .any(|key| self.log.revision(*key) < self.sources[key.index()].newest());
+            if behind || !settling.done(now, timeout, self.overlay.peers()) {
+                return;
+            }
+            self.settling = None;
+            self.news = true;
+        }
+        let adopted = self.waiting.iter_mut().filter_map(Option::take);
+        out.extend(adopted.map(Output::Adopted));
+    }
+
+    pub(crate) fn watch(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let watch = self.watch_after.is_some_and(|at| now >= at) && self.reads(now);
+        if watch != self.watching {
+            self.watching = watch;
+            out.push(Output::Watch(watch));
+        }
+    }
+
+    /// Whether this node is to read the platform now.
+    pub(crate) fn reads(&self, now: Instant) -> bool {
+        if self.settling.is_some() || self.readers.reads() {
+            return true;
+        }
+        let Options { silence, turn, .. } = self.options;
+        let quiet =
+            |at: Option<Instant>| at.map_or(silence, |at| now.saturating_duration_since(at));
+        let alone = quiet(self.peer_spoke) >= silence;
+        let silent_for = quiet(self.platform_answered);
+        alone || silent_for >= silence && self.readers.turn(silent_for, turn)
+    }
+}
+
+pub(crate) fn send(out: &mut Vec<Output>, to: &HostName, message: Message) {
+    out.push(Output::Send {
+        to: to.clone(),
+        message,
+    });
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod actions;
 mod call;
 mod caller;
+mod connect;
 mod control;
 mod dump;
 mod error;
@@ -20,7 +21,11 @@
 mod server;
 mod view;
 
+pub use caller::{CallerHeaders, HeaderError, ModelCall};
 pub use dump::Dump;
 pub use error::Error;
 pub use platform::{Error as PlatformError, HttpPlatform, Platform, Query, Value};
 pub use run::{run, run_with};
+pub use server::{
+    AnswerStream, EventError, EventReader, NotRun, Part, ServerEvent, ServerHead, StreamEnd,
+};
--- a/crates/node/src/server/pool.rs
+++ b/crates/node/src/server/pool.rs
@@ -9,8 +9,6 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -18,10 +16,7 @@
 const IDLE_MAX: usize = 64;
 
 /// Time after which an idle connection isn't used again.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Time to connect.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Largest head of a server's answer.
 const HEAD_BYTES_MAX: usize = 32 << 10;
@@ -60,8 +55,10 @@
     }
 
     /// An idle connection that is ready, or a fresh one; `None` when the server can't be reached.
-    pub(super) async fn get(&self, address: SocketAddr) -> Option<Connection> {
-        while let Some(mut connection) = self.pop(address) {
+    ///
+    /// A connection that was idle for `idle_max` isn't taken.
+    pub(super) async fn get(&self, address: SocketAddr, idle_max: Duration) -> Option<Connection> {
+        while let Some(mut connection) = self.pop(address, idle_max) {
             if connection.sender.ready().await.is_ok() {
                 return Some(connection);
             }
@@ -71,9 +68,7 @@
 
     /// A fresh connection; `None` when the server can't be reached.
     pub(super) async fn connect(&self, address: SocketAddr) -> Option<Connection> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let stream = stream.await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+        let stream = crate::connect::connect(address).await.ok()?;
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_BYTES_MAX)
             .handshake(TokioIo::new(stream));
@@ -124,12 +119,12 @@
         });
     }
 
-    fn pop(&self, address: SocketAddr) -> Option<Connection> {
+    fn pop(&self, address: SocketAddr, idle_max: Duration) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
         let idle = idle.get_mut(&address)?;
         while let Some(newest) = idle.pop() {
-            let fresh = now.duration_since(newest.since) < IDLE_TIMEOUT;
+            let fresh = now.duration_since(newest.since) < idle_max;
             if fresh && !newest.connection.sender.is_closed() {
                 return Some(newest.connection);
             }
