Name why a call of a test got no answer

The test of the bound of calls failed twice in about fifteen runs on a loaded machine: its first call got no answer's head, and the other branch then waited for ever. It no longer waits when the first call ends, and prints the error; the cause is not found yet.

--- a/crates/briarbank/tests/fleet/caller.rs
+++ b/crates/briarbank/tests/fleet/caller.rs
@@ -124,7 +124,11 @@
 
     /// Sends a call and reads its answer; `None` when no head came back.
     pub async fn send(&self, call: &Call) -> Option<Answer> {
-        self.exchange(&self.client, call).await.ok()
+        let answer = self.exchange(&self.client, call).await;
+        if let Err(error) = &answer {
+            println!("{} got no answer: {error:?}", call.path);
+        }
+        answer.ok()
     }
 
     /// Sends a new slip until one is answered; a refused one was not run.
--- a/crates/briarbank/tests/limits.rs
+++ b/crates/briarbank/tests/limits.rs
@@ -154,12 +154,19 @@
     let prompt = fleet::long_prompt(400);
     let first = Call::stream(&prompt, 600);
     let (caller, other) = (fleet.caller(0), fleet.caller(0));
-    let (first, refused) = tokio::join!(caller.send(&first), async {
+    let refusal = async {
         while fleet.nodes[0].get("/dump").await["calls"] == 0 {
             tokio::time::sleep(fleet::POLL).await;
         }
         other.send(&Call::stream("x", 5)).await
-    });
+    };
+    let sent = caller.send(&first);
+    let mut sent = std::pin::pin!(sent);
+    let refused = tokio::select! {
+        answer = &mut sent => panic!("answered before the other was refused: {answer:?}"),
+        refused = refusal => refused,
+    };
+    let first = sent.await;
     first.expect("an answer").assert_stream_of(&prompt);
     assert_refused(
         &refused.expect("an answer"),
