Give each process of a test fleet its own port

Found in the logs of the failing run: a node could not open its operator port, since the free port had been given to the service of the same fleet before that bound it; the service then answered /ready. Ports are now counted up, so that none is given twice.

--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -17,7 +17,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::ExitStatus;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU16, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -31,6 +31,9 @@
 
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
+/// Next port; below those that the system gives to outgoing connections.
+static PORTS: AtomicU16 = AtomicU16::new(20_000);
+
 /// Processes of one test; they end with it.
 #[derive(Debug)]
 pub struct Fleet {
@@ -248,8 +251,16 @@
     IpAddr::V4(Ipv4Addr::new(127, second, low, fleet))
 }
 
-/// A free port of the address; nothing else binds there in the meantime.
+/// A free port of the address that was not given before.
+///
+/// Another process of the fleet binds it only later, so that looking for a
+/// free one alone could give the same port twice.
 fn free_port(ip: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("its address")
+    loop {
+        let port = PORTS.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::new(ip, port);
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
