--- a/crates/briarbank/src/demo/mod.rs
+++ b/crates/briarbank/src/demo/mod.rs
@@ -2,15 +2,17 @@
 
 mod call;
 mod documents;
+mod error;
 mod fleet;
 mod ports;
-mod story;
+mod scenario;
 
 use std::io::Write;
 
 use crate::Error;
 use crate::run::runtime;
 use crate::signal::shutdown;
+pub use error::DemoError;
 use fleet::Fleet;
 
 /// Runs stand-ins and two nodes in this process and shows some calls.
@@ -24,11 +26,11 @@
     runtime()?.block_on(async {
         let shutdown = shutdown()?;
         let mut fleet = Fleet::start().await?;
-        let told = tokio::select! {
-            told = story::tell(&mut fleet, out) => told,
-            () = shutdown => Err(Error::Interrupted),
+        let shown = tokio::select! {
+            shown = scenario::run(&mut fleet, out) => shown,
+            () = shutdown => Err(DemoError::Interrupted.into()),
         };
         let stopped = fleet.stop().await;
-        told.and(stopped)
+        shown.and(stopped)
     })
 }
