--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -57,7 +57,8 @@
     shutdown: impl Future<Output = ()>,
 ) -> Result<(), Error> {
     let listeners = Listeners::bind(&settings).await?;
-    let daemon = Daemon::start(settings, platform, listeners).await?;
+    // The core's state passes through this future: it lives on the heap.
+    let daemon = Box::pin(Daemon::start(settings, platform, listeners)).await?;
     daemon.serve(shutdown).await
 }
 
