Keep a call's task until the core ends the call

Found under load: 4 of 23,854 streamed calls stayed in the router for ever, each with its task gone. The router moves a slow stream (cancel and a new attempt at once) while the task has just given the whole answer and ended; the new order then reached nobody. The answer now knows that it is complete: the task stays until the core's last word, and answers a crossing order with Done at once, or with nothing when it is a refusal.

--- a/crates/briarbank/tests/streams.rs
+++ b/crates/briarbank/tests/streams.rs
@@ -130,3 +130,32 @@
     assert_eq!(answer.outcome.as_deref(), Some("completed"));
     assert_eq!(answer.json()["choices"][0]["finish_reason"], "stop");
 }
+
+/// Orders to move a stream cross with its end; neither side may wait for the other.
+#[tokio::test]
+async fn no_call_is_left_behind_when_streams_are_moved() {
+    let fleet = Fleet::start(Size {
+        engines: 3,
+        token_us: 1_000,
+        ..SIZE
+    })
+    .await;
+    let straggle = json!({"straggle_factor": 30.0});
+    for turn in 0..12 {
+        let engine = &fleet.engines[turn % 3];
+        engine.post("/control", &straggle).await;
+        assert_streams_whole(&fleet, 60, 60).await;
+        engine
+            .post("/control", &json!({"straggle_factor": 1.0}))
+            .await;
+    }
+    let node = &fleet.nodes[0];
+    // Enough looks for what is still under way, far below any deadline of a call.
+    for _ in 0..100 {
+        if node.get("/dump").await["calls"] == 0 {
+            return;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    panic!("{}", node.get("/dump").await);
+}
--- a/crates/node/src/call/answer.rs
+++ b/crates/node/src/call/answer.rs
@@ -23,6 +23,7 @@
     tokens: u32,
     transcript: Transcript,
     unsent: BytesMut,
+    complete: bool,
     kept: Option<BytesMut>,
     limit_bytes: usize,
 }
@@ -43,6 +44,7 @@
             tokens: 0,
             transcript: Transcript::default(),
             unsent: BytesMut::new(),
+            complete: false,
             kept: None,
             limit_bytes,
         }
@@ -116,6 +118,17 @@
         }
     }
 
+    /// Takes the last part of the streamed answer, to be given by [`Self::flush`].
+    pub(crate) fn push_last(&mut self, chunk: &[u8]) {
+        self.push(chunk);
+        self.complete = true;
+    }
+
+    /// Whether nothing may follow what was taken so far.
+    pub(super) fn is_complete(&self) -> bool {
+        self.complete
+    }
+
     /// Gives the caller what it has not been given yet.
     ///
     /// Dropping the future loses nothing: the next flush gives it.
@@ -157,6 +170,7 @@
 
     /// Gives the caller a whole answer.
     pub(crate) fn whole(&mut self, status: u16, content_type: Arc<str>, body: Bytes) {
+        self.complete = true;
         self.send(Reply::Answer(ReplyAnswer {
             status,
             content_type,
@@ -173,7 +187,13 @@
     }
 
     /// Gives the caller its final refusal, as an event when a stream has begun.
+    ///
+    /// A caller that has the whole answer, or is about to, is told nothing else.
     pub(super) async fn refuse(&mut self, refusal: Refusal) {
+        if self.complete {
+            let _ = self.flush().await;
+            return;
+        }
         if self.started() {
             let _ = self.chunk(&refusal::event(&refusal)).await;
             return;
--- a/crates/node/src/call/meter.rs
+++ b/crates/node/src/call/meter.rs
@@ -18,6 +18,7 @@
     targets: Option<Targets>,
     attempts: u32,
     sent: bool,
+    completed: bool,
     first_token: Option<Instant>,
     last_token: Option<Instant>,
     tokens: u32,
@@ -32,6 +33,7 @@
             targets: None,
             attempts: 0,
             sent: false,
+            completed: false,
             first_token: None,
             last_token: None,
             tokens: 0,
@@ -77,8 +79,11 @@
         self.tokens = total;
     }
 
-    /// The whole answer was given to the caller.
-    pub(super) fn completed(&self) {
+    /// The whole answer was given to the caller; counts once.
+    pub(super) fn completed(&mut self) {
+        if std::mem::replace(&mut self.completed, true) {
+            return;
+        }
         let whole = self.received.elapsed();
         let profile = self.label();
         histogram!("briarbank_whole_seconds", "profile" => profile.clone()).record(whole);
--- a/crates/node/src/call/task.rs
+++ b/crates/node/src/call/task.rs
@@ -96,9 +96,16 @@
 
     async fn carry_out(&mut self, order: Order) -> ControlFlow<()> {
         match order {
+            Order::Dispatch(attempt) if self.answer.is_complete() => {
+                return self.complete(attempt.dispatch.attempt).await;
+            }
             Order::Dispatch(attempt) => return self.attempt(*attempt).await,
             Order::Cancel(_) => return ControlFlow::Continue(()),
+            Order::End if self.answer.is_complete() => {}
             Order::End => self.meter.abandoned(),
+            Order::Refuse(_) if self.answer.is_complete() => {
+                let _ = self.answer.flush().await;
+            }
             Order::Refuse(refusal) => {
                 self.meter.refused(refusal.reason, refusal.outcome);
                 tracing::debug!(
@@ -121,6 +128,15 @@
             .whole(stored.status, Arc::clone(&stored.content_type), body);
     }
 
+    /// Answers an order that crossed with the end of the answer.
+    async fn complete(&mut self, attempt: AttemptId) -> ControlFlow<()> {
+        let end = match self.answer.flush().await {
+            Ok(()) => AttemptEnd::Done,
+            Err(_) => AttemptEnd::CallerLeft,
+        };
+        self.report(attempt, end)
+    }
+
     async fn attempt(&mut self, attempt: Attempt) -> ControlFlow<()> {
         let id = attempt.dispatch.attempt;
         if !attempt.idempotent {
@@ -172,8 +188,10 @@
         match end {
             AttemptEnd::Done => {
                 self.meter.completed();
+                // The caller may go now; orders that crossed with the end still come.
+                self.told_gone = true;
                 self.control.attempt(attempt, AttemptEvent::Done);
-                ControlFlow::Break(())
+                ControlFlow::Continue(())
             }
             AttemptEnd::CallerLeft => {
                 self.tell_gone();
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -275,7 +275,7 @@
 
     /// Hands on the last part of a stream, after the answer is kept for repeats.
     async fn last_chunk(&mut self, chunk: Bytes) -> AttemptEnd {
-        self.answer.push(&chunk);
+        self.answer.push_last(&chunk);
         if !self.attempt.idempotent
             && let Some(stored) = self.answer.stored()
         {
