Spare time for a late first token before a start

Cause: late answers were mostly long drafts that waited up to 7 s at an engine behind higher tiers, of which the start check knew only the median. Change: the time to the first token is taken at the same quantile as the length, and the start ratio is 0.9; tier 0 keeps its median.

--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -97,7 +97,8 @@
 
     /// Time that a call takes from its dispatch to its end.
     ///
-    /// `quantile` applies to the length; speeds are taken at their median.
+    /// `quantile` applies to the length and to the time to the first token; the
+    /// time between tokens is taken at its median.
     #[must_use]
     pub fn predict(
         &self,
@@ -106,7 +107,7 @@
         remaining: Remaining,
         quantile: f64,
     ) -> Duration {
-        let first = self.first_token(target, 0.5).unwrap_or_default();
+        let first = self.first_token(target, quantile).unwrap_or_default();
         let between = self.between_tokens(target, 0.5).unwrap_or_default();
         let tokens = self.tokens(profile, target, remaining, quantile);
         first + between.mul_f64(tokens)
--- a/crates/core/src/router/options.rs
+++ b/crates/core/src/router/options.rs
@@ -47,7 +47,7 @@
             retry_after_max: Duration::from_mins(1),
             queue_limit: 10_000,
             length_quantiles: [0.5, 0.9, 0.99, 0.99, 0.99, 0.99],
-            start_ratio: 0.8,
+            start_ratio: 0.9,
             leaving_hold: Duration::from_mins(10),
             refused_hold: Duration::from_millis(100),
             zone_cost_ratio: 0.1,
