Look at a full target once and scan its servers together

Cause: a decision took 42 µs at p99 with 3,300 servers and a full queue: each arrival and each end looked at all servers of the target three or four times. Change: a target found full stays so until one of its servers or the time changes; its capacity is taken with the time; its servers lie together in memory; names are hashed once (rendezvous::weight_of). Ruled out: sampling a few servers, which would lose the prefix affinity.

--- a/crates/core/examples/decision.rs
+++ b/crates/core/examples/decision.rs
@@ -1,7 +1,8 @@
 //! Time of one decision: `cargo run --release -p briarbank-core --example decision`.
 //!
 //! A fixed count of calls, with 28 models and 38,000 workspaces known, for
-//! growing numbers of servers, with room and with a full queue.
+//! growing numbers of servers shared by 390 nodes, with half of the node's part in
+//! flight, or with all of it and as many calls waiting.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,6 +23,7 @@
 const PROFILE_COUNT: usize = 12;
 const CALL_COUNT: u64 = 50_000;
 const SLOTS: u32 = 16;
+const NODE_COUNT: usize = 390;
 const SEED: u64 = 5;
 
 fn main() {
@@ -60,7 +62,8 @@
         Event::Fleet(Arc::new(fleet(servers, targets))),
         &mut actions,
     );
-    let slots = servers * SLOTS as usize;
+    router.handle(now, Event::Sharing(NODE_COUNT), &mut actions);
+    let slots = servers * (SLOTS as usize).div_ceil(NODE_COUNT);
     let in_flight = if full { 2 * slots } else { slots / 2 };
     let mut running = Vec::new();
     let mut times = Vec::new();
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -15,18 +15,18 @@
 
 /// A server that can take the request now.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Candidate<'a> {
+pub struct Candidate {
     /// Position that the caller knows it by.
     pub index: usize,
-    /// Name, for rendezvous hashing.
-    pub name: &'a str,
+    /// Key of its name, for rendezvous hashing.
+    pub name_key: u64,
     /// Requests expected there, as a part of its slots.
     pub load_ratio: f64,
     /// Extra cost, in the same unit as the load, as for another zone.
     pub cost: f64,
 }
 
-impl Candidate<'_> {
+impl Candidate {
     fn score(&self) -> f64 {
         self.load_ratio + self.cost
     }
@@ -37,7 +37,7 @@
     /// The index of the chosen candidate, or `None` without candidates.
     ///
     /// `prefix_key` 0 means that no prefix is worth anything.
-    fn choose(&mut self, prefix_key: u64, candidates: &[Candidate<'_>]) -> Option<usize>;
+    fn choose(&mut self, prefix_key: u64, candidates: &[Candidate]) -> Option<usize>;
 }
 
 /// Prefix affinity with bounded load, else the better of two choices.
@@ -46,8 +46,11 @@
 ///
 /// ```
 /// use briarbank_core::balance::{AffinityBalancer, Balancer, Candidate};
+/// use briarbank_core::rendezvous;
 ///
-/// let idle = |index, name| Candidate { index, name, load_ratio: 0.0, cost: 0.0 };
+/// let idle = |index, name: &str| Candidate {
+///     index, name_key: rendezvous::key(name.as_bytes()), load_ratio: 0.0, cost: 0.0,
+/// };
 /// let candidates = [idle(0, "a"), idle(1, "b"), idle(2, "c")];
 /// let mut here = AffinityBalancer::new(1);
 /// let mut there = AffinityBalancer::new(2);
@@ -68,7 +71,7 @@
         }
     }
 
-    fn better_of_two(&mut self, candidates: &[Candidate<'_>]) -> Option<usize> {
+    fn better_of_two(&mut self, candidates: &[Candidate]) -> Option<usize> {
         if candidates.is_empty() {
             return None;
         }
@@ -85,9 +88,11 @@
 }
 
 impl Balancer for AffinityBalancer {
-    fn choose(&mut self, prefix_key: u64, candidates: &[Candidate<'_>]) -> Option<usize> {
+    fn choose(&mut self, prefix_key: u64, candidates: &[Candidate]) -> Option<usize> {
         if prefix_key != 0 {
-            let preferred = rendezvous::first(prefix_key, candidates.iter(), |c| c.name)?;
+            let preferred = candidates
+                .iter()
+                .max_by_key(|c| rendezvous::weight_of(prefix_key, c.name_key))?;
             let total: f64 = candidates.iter().map(Candidate::score).sum();
             let mean = total / candidates.len() as f64;
             if preferred.score() <= mean * BOUND_RATIO {
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -13,6 +13,17 @@
     xxh3_64_with_seed(name.as_bytes(), key)
 }
 
+/// Weight of a name for `key`, where `name_key` is the [`key`] of the name.
+///
+/// Orders names otherwise than [`weight`], but alike in all processes.
+#[must_use]
+pub fn weight_of(key: u64, name_key: u64) -> u64 {
+    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+    let mixed = (key ^ name_key.rotate_left(32)).wrapping_mul(MULTIPLIER);
+    let mixed = (mixed ^ (mixed >> 29) ^ name_key).wrapping_mul(MULTIPLIER);
+    mixed ^ (mixed >> 32)
+}
+
 /// Hash of arbitrary bytes for use as a key.
 #[must_use]
 pub fn key(bytes: &[u8]) -> u64 {
--- a/crates/core/src/router/admit.rs
+++ b/crates/core/src/router/admit.rs
@@ -29,7 +29,7 @@
                 self.serve(now, id, actions);
             }
             Err(reason) => {
-                let wait = self.drain_time(now, &call);
+                let wait = self.drain_time(&call);
                 self.refuse(id, reason, Outcome::NotRun, wait, actions);
             }
         }
@@ -54,27 +54,27 @@
 
     /// Whether the answer would be late even if the queue moves as expected.
     fn is_hopeless(&self, now: Instant, call: &Call, class: &Class) -> bool {
-        let wait = self.wait(now, call, class);
+        let wait = self.wait(call, class);
         let service = self.needed(class, call, 0);
         now + wait + service > deadline(call, class)
     }
 
     /// Expected wait of a call that would join its class now.
-    pub(super) fn wait(&self, now: Instant, call: &Call, class: &Class) -> Duration {
+    pub(super) fn wait(&self, call: &Call, class: &Class) -> Duration {
         let Some(queue) = self.queues.get(&call.target) else {
             return Duration::ZERO;
         };
         if queue.is_empty() {
             return Duration::ZERO;
         }
-        let capacity = self.servers.capacity(now, &self.options, &call.target);
+        let capacity = self.servers.capacity(&call.target);
         let work_us = queue.wait(&class.options).work();
         Duration::from_micros((work_us / f64::from(capacity.max(1))) as u64)
     }
 
-    pub(super) fn drain_time(&self, now: Instant, call: &Call) -> Duration {
+    pub(super) fn drain_time(&self, call: &Call) -> Duration {
         let class = self.index.as_ref().and_then(|i| i.terms(call).ok());
-        class.map_or(Duration::ZERO, |(class, _)| self.wait(now, call, &class))
+        class.map_or(Duration::ZERO, |(class, _)| self.wait(call, &class))
     }
 
     /// Time that a call is expected to take, at the median of its length.
--- a/crates/core/src/router/attempt.rs
+++ b/crates/core/src/router/attempt.rs
@@ -166,9 +166,9 @@
         self.release(now, &call, &running);
         self.blame(now, &running.server, failure);
         if !may_repeat || !left {
-            self.give_up(now, id, Reason::ServerFailed, actions);
+            self.give_up(id, Reason::ServerFailed, actions);
         } else if !is_free(failure) && !self.budget(&call.profile).withdraw() {
-            self.give_up(now, id, Reason::RetryBudget, actions);
+            self.give_up(id, Reason::RetryBudget, actions);
         } else {
             self.enqueue(now, id);
             self.serve(now, id, actions);
--- a/crates/core/src/router/serve.rs
+++ b/crates/core/src/router/serve.rs
@@ -9,6 +9,13 @@
 use crate::router::event::Action;
 use crate::router::state::Router;
 
+/// A server for a call.
+struct Choice {
+    server: ServerName,
+    /// Whether no other server of the target had room.
+    is_only: bool,
+}
+
 impl Router {
     /// Serves the target of a call that was just put into its queue.
     pub(super) fn serve(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
@@ -19,15 +26,16 @@
         let class = entry.class.options.name.clone();
         self.serve_target(now, &target, actions);
         let given_up = self.queues.get_mut(&target).and_then(|q| q.trim(&class));
-        self.shed(now, given_up, actions);
+        self.shed(given_up, actions);
         if self.waiting > self.options.queue_limit {
             let given_up = self.shed_lowest();
-            self.shed(now, given_up, actions);
+            self.shed(given_up, actions);
         }
     }
 
     /// Serves all targets, and gives up calls whose target has lost its servers.
     pub(super) fn serve_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.servers.refresh();
         let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
         let targets: Vec<TargetName> = waiting.map(|(name, _)| name.clone()).collect();
         for target in targets {
@@ -44,24 +52,28 @@
     ) {
         while let Some(id) = self.next_call(target) {
             if !self.servers.any_stays(now, &self.options, target) {
-                self.give_up(now, id, Reason::NoServer, actions);
+                self.give_up(id, Reason::NoServer, actions);
                 continue;
             }
-            if !self.servers.any_room(now, &self.options, target) {
+            if self.servers.is_full(target) {
                 return;
             }
             if self.is_late(now, id) {
-                self.give_up(now, id, Reason::Hopeless, actions);
+                self.give_up(id, Reason::Hopeless, actions);
                 continue;
             }
-            let Some(server) = self.choose(now, id) else {
+            let Some(choice) = self.choose(now, id) else {
+                self.servers.set_full(now, &self.options, target);
                 return;
             };
             let queue = self.queues.get_mut(target);
             let popped = queue.and_then(AdmissionQueue::pop_charged);
             let charge = popped.map(|p| p.charge).unwrap_or_default();
             self.left_queue(id);
-            self.start(now, id, server, charge, actions);
+            self.start(now, id, choice.server.clone(), charge, actions);
+            if choice.is_only && !self.servers.has_room(now, &self.options, &choice.server) {
+                self.servers.set_full(now, &self.options, target);
+            }
         }
     }
 
@@ -77,14 +89,17 @@
         })
     }
 
-    fn choose(&mut self, now: Instant, id: CallId) -> Option<ServerName> {
+    fn choose(&mut self, now: Instant, id: CallId) -> Option<Choice> {
         let entry = self.calls.get(&id)?;
         let call = &entry.call;
         let candidates = self
             .servers
             .candidates(now, &self.options, &call.target, &entry.tried);
         let index = self.balancer.choose(call.prefix_key, &candidates)?;
-        Some(self.servers.at(index)?.server.name.clone())
+        Some(Choice {
+            server: self.servers.at(index)?.server.name.clone(),
+            is_only: candidates.len() == 1 && entry.tried.is_empty(),
+        })
     }
 
     pub(super) fn start(
@@ -143,11 +158,11 @@
         lowest.shed_lowest()
     }
 
-    fn shed(&mut self, now: Instant, item: Option<Item>, actions: &mut Vec<Action>) {
+    fn shed(&mut self, item: Option<Item>, actions: &mut Vec<Action>) {
         let Some(item) = item else {
             return;
         };
         self.left_queue(item.call);
-        self.give_up(now, item.call, Reason::QueueFull, actions);
+        self.give_up(item.call, Reason::QueueFull, actions);
     }
 }
--- a/crates/core/src/router/server.rs
+++ b/crates/core/src/router/server.rs
@@ -7,6 +7,7 @@
 use crate::limiter::Limiter;
 use crate::load::LoadView;
 use crate::outlier::Health;
+use crate::rendezvous;
 use crate::router::options::Options;
 
 /// Age up to which a report moves the limit, in milliseconds.
@@ -16,7 +17,10 @@
 #[derive(Debug)]
 pub(super) struct ServerEntry {
     pub(super) server: Server,
+    pub(super) name_key: u64,
     pub(super) listed: bool,
+    /// Pools of the targets that it serves.
+    pub(super) pools: Vec<usize>,
     pub(super) load: LoadView,
     pub(super) limiter: Limiter,
     pub(super) health: Health,
@@ -27,9 +31,11 @@
 impl ServerEntry {
     pub(super) fn new(server: Server, nodes: usize, health: Health) -> Self {
         Self {
+            name_key: rendezvous::key(server.name.as_str().as_bytes()),
             limiter: Limiter::new(server.slots, nodes),
             server,
             listed: true,
+            pools: Vec::new(),
             load: LoadView::default(),
             health,
             leaving_since: None,
--- a/crates/core/src/router/servers.rs
+++ b/crates/core/src/router/servers.rs
@@ -15,7 +15,18 @@
 pub(super) struct Servers {
     entries: Vec<ServerEntry>,
     by_name: HashMap<ServerName, usize>,
-    by_target: HashMap<TargetName, Vec<usize>>,
+    by_target: HashMap<TargetName, usize>,
+    pools: Vec<Pool>,
+}
+
+/// The servers of one target.
+#[derive(Debug, Default)]
+struct Pool {
+    indices: Vec<usize>,
+    /// Whether no server had room and none has changed since.
+    is_full: bool,
+    /// Requests that this node may have in flight, looked at anew with the time.
+    capacity: Option<u32>,
 }
 
 impl Servers {
@@ -42,27 +53,38 @@
         }
         let mut unlisted: Vec<ServerEntry> = old.into_values().collect();
         unlisted.retain(|e| e.load.own() > 0);
-        unlisted.sort_by(|a, b| a.server.name.cmp(&b.server.name));
         for mut entry in unlisted {
             entry.listed = false;
             self.entries.push(entry);
         }
+        // Servers of one target lie together in memory, since they are scanned together.
+        self.entries.sort_by(|a, b| {
+            let key = |e: &ServerEntry| (e.server.targets.first().cloned(), e.server.name.clone());
+            key(a).cmp(&key(b))
+        });
         self.index();
     }
 
     fn index(&mut self) {
         self.by_name.clear();
         self.by_target.clear();
-        for (index, entry) in self.entries.iter().enumerate() {
+        self.pools.clear();
+        for (index, entry) in self.entries.iter_mut().enumerate() {
+            entry.pools.clear();
             self.by_name.insert(entry.server.name.clone(), index);
             if !entry.listed {
                 continue;
             }
             for target in &entry.server.targets {
-                self.by_target
-                    .entry(target.clone())
-                    .or_default()
-                    .push(index);
+                let next = self.pools.len();
+                let pool = *self.by_target.entry(target.clone()).or_insert(next);
+                if pool == next {
+                    self.pools.push(Pool::default());
+                }
+                if let Some(servers) = self.pools.get_mut(pool) {
+                    servers.indices.push(index);
+                    entry.pools.push(pool);
+                }
             }
         }
     }
@@ -78,8 +100,48 @@
         self.entries.get(*self.by_name.get(name)?)
     }
 
+    /// The server, to be changed; its targets are looked at anew.
     pub(super) fn get_mut(&mut self, name: &ServerName) -> Option<&mut ServerEntry> {
-        self.entries.get_mut(*self.by_name.get(name)?)
+        let entry = self.entries.get_mut(*self.by_name.get(name)?)?;
+        for pool in &entry.pools {
+            if let Some(pool) = self.pools.get_mut(*pool) {
+                pool.is_full = false;
+            }
+        }
+        Some(entry)
+    }
+
+    /// Looks at all targets anew, since time has passed.
+    pub(super) fn refresh(&mut self) {
+        for pool in &mut self.pools {
+            pool.is_full = false;
+            pool.capacity = None;
+        }
+    }
+
+    /// Whether no server of the target had room when last looked at.
+    pub(super) fn is_full(&self, target: &TargetName) -> bool {
+        self.pool(target).is_some_and(|p| p.is_full)
+    }
+
+    pub(super) fn has_room(&self, now: Instant, options: &Options, name: &ServerName) -> bool {
+        self.get(name).is_some_and(|e| e.has_room(now, options))
+    }
+
+    /// Takes note that no server of the target has room.
+    pub(super) fn set_full(&mut self, now: Instant, options: &Options, target: &TargetName) {
+        let known = self.pool(target).and_then(|p| p.capacity);
+        let allowed = || self.of(target).map(|(_, e)| e.allowed(now, options)).sum();
+        let capacity = known.unwrap_or_else(allowed);
+        let pool = self.by_target.get(target).copied();
+        if let Some(pool) = pool.and_then(|p| self.pools.get_mut(p)) {
+            pool.is_full = true;
+            pool.capacity = Some(capacity);
+        }
+    }
+
+    fn pool(&self, target: &TargetName) -> Option<&Pool> {
+        self.pools.get(*self.by_target.get(target)?)
     }
 
     pub(super) fn at(&self, index: usize) -> Option<&ServerEntry> {
@@ -88,7 +150,7 @@
 
     /// Servers of a target.
     pub(super) fn of(&self, target: &TargetName) -> impl Iterator<Item = (usize, &ServerEntry)> {
-        let indices = self.by_target.get(target).map_or(&[][..], Vec::as_slice);
+        let indices = self.pool(target).map_or(&[][..], |p| p.indices.as_slice());
         let entry = |index: &usize| Some((*index, self.entries.get(*index)?));
         indices.iter().filter_map(entry)
     }
@@ -98,28 +160,23 @@
         self.of(target).any(|(_, e)| e.stays(now, options))
     }
 
-    /// Whether any server of the target can take a request now.
-    pub(super) fn any_room(&self, now: Instant, options: &Options, target: &TargetName) -> bool {
-        self.of(target).any(|(_, e)| e.has_room(now, options))
-    }
-
     /// Requests that this node may have in flight at the target's servers.
-    pub(super) fn capacity(&self, now: Instant, options: &Options, target: &TargetName) -> u32 {
-        self.of(target).map(|(_, e)| e.allowed(now, options)).sum()
+    pub(super) fn capacity(&self, target: &TargetName) -> u32 {
+        self.pool(target).and_then(|p| p.capacity).unwrap_or(0)
     }
 
     /// Servers that can take a request now, without those in `avoid` if others can.
-    pub(super) fn candidates<'a>(
-        &'a self,
+    pub(super) fn candidates(
+        &self,
         now: Instant,
         options: &Options,
         target: &TargetName,
         avoid: &[ServerName],
-    ) -> Vec<Candidate<'a>> {
+    ) -> Vec<Candidate> {
         let open = || self.of(target).filter(|(_, e)| e.has_room(now, options));
-        let candidate = |(index, e): (usize, &'a ServerEntry)| Candidate {
+        let candidate = |(index, e): (usize, &ServerEntry)| Candidate {
             index,
-            name: e.server.name.as_str(),
+            name_key: e.name_key,
             load_ratio: e.load_ratio(now),
             cost: e.cost(options),
         };
--- a/crates/core/src/router/waiting.rs
+++ b/crates/core/src/router/waiting.rs
@@ -72,23 +72,17 @@
                 return;
             }
             self.expiries.pop_first();
-            self.give_up(now, id, Reason::Hopeless, actions);
+            self.give_up(id, Reason::Hopeless, actions);
         }
     }
 
     /// Ends a call that waits with a refusal.
-    pub(super) fn give_up(
-        &mut self,
-        now: Instant,
-        id: CallId,
-        reason: Reason,
-        actions: &mut Vec<Action>,
-    ) {
+    pub(super) fn give_up(&mut self, id: CallId, reason: Reason, actions: &mut Vec<Action>) {
         self.dequeue(id);
         let Some(entry) = self.remove(id) else {
             return;
         };
-        let wait = self.wait(now, &entry.call, &entry.class);
+        let wait = self.wait(&entry.call, &entry.class);
         self.refuse(id, reason, entry.outcome(), wait, actions);
     }
 }
--- a/crates/core/src/router/watch.rs
+++ b/crates/core/src/router/watch.rs
@@ -100,7 +100,10 @@
         tried.push(running.server.clone());
         let target = &entry.call.target;
         let mut candidates = self.servers.candidates(now, &self.options, target, &tried);
-        candidates.retain(|c| tried.iter().all(|t| t.as_str() != c.name));
+        candidates.retain(|c| {
+            let server = self.servers.at(c.index).map(|e| &e.server.name);
+            server.is_some_and(|name| !tried.contains(name))
+        });
         let index = self.balancer.choose(entry.call.prefix_key, &candidates)?;
         Some(self.servers.at(index)?.server.name.clone())
     }
