--- a/crates/briarbank/src/demo/fleet.rs
+++ b/crates/briarbank/src/demo/fleet.rs
@@ -16,10 +16,11 @@
 use tokio::time::{Instant, sleep};
 
 use super::documents;
+use super::error::DemoError;
 use super::ports::{NodePorts, free_ports};
 use crate::Error;
 use crate::operator::Operator;
-use crate::publish::publish;
+use crate::publish::{Document, publish};
 
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const READY_POLL: Duration = Duration::from_millis(50);
@@ -87,7 +88,7 @@
         while let Some(node) = waiting.last() {
             if let Some(ended) = self.tasks.try_join_next() {
                 ended??;
-                return Err(Error::DemoEnded);
+                return Err(DemoError::Ended.into());
             }
             let operator = Operator {
                 address: node.operator,
@@ -146,5 +147,6 @@
     document: &impl Serialize,
 ) -> Result<(), Error> {
     let body = serde_json::to_vec(document).map_err(|e| Error::Json(address, e))?;
-    publish(address, key, Bytes::from(body)).await
+    let body = Bytes::from(body);
+    publish(address, Document { key, body }).await
 }
--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -26,8 +26,8 @@
 /// Key that the nodes share.
 pub const KEY: &str = "key-of-the-tests";
 
-/// Time after the start of an owner's records in which ids must not be born.
-const BIRTH_MARGIN: Duration = Duration::from_millis(3_100);
+/// Time between the look at a node's slots and the start of its records, at most.
+const LOOK_DELAY: Duration = Duration::from_millis(100);
 
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
@@ -36,6 +36,7 @@
 pub struct Fleet {
     ip: IpAddr,
     folder: PathBuf,
+    limits: Value,
     pub published: Published,
     pub platform: Process,
     pub engines: Vec<Process>,
@@ -70,6 +71,11 @@
 impl Fleet {
     /// Starts all processes and waits until the nodes are ready.
     pub async fn start(size: Size) -> Self {
+        Self::start_with(size, json!({})).await
+    }
+
+    /// Starts all processes, with bounds of the nodes that differ from the usual ones.
+    pub async fn start_with(size: Size, limits: Value) -> Self {
         let ip = own_address();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{ip}"));
         fs::create_dir_all(&folder).expect("a scratch folder");
@@ -84,6 +90,7 @@
         let mut fleet = Self {
             ip,
             folder,
+            limits,
             published: Published::default(),
             platform,
             engines: Vec::new(),
@@ -120,7 +127,8 @@
         for node in &self.nodes {
             node.owning().await;
         }
-        sleep(BIRTH_MARGIN).await;
+        let margin = briarbank_core::owner::Options::default().birth_margin();
+        sleep(margin + LOOK_DELAY).await;
     }
 
     fn start_engine(&mut self, token_us: u64) {
@@ -169,6 +177,7 @@
             "operator_address": addresses.operator,
             "platform_addresses": [self.platform.address],
             "shared_key": KEY,
+            "limits": self.limits,
         });
         let process = Process::start(
             &self.folder,
