--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -36,6 +36,7 @@
 pub struct Fleet {
     ip: IpAddr,
     folder: PathBuf,
+    limits: Value,
     pub published: Published,
     pub platform: Process,
     pub engines: Vec<Process>,
@@ -70,6 +71,11 @@
 impl Fleet {
     /// Starts all processes and waits until the nodes are ready.
     pub async fn start(size: Size) -> Self {
+        Self::start_with(size, json!({})).await
+    }
+
+    /// Starts all processes, with bounds of the nodes that differ from the usual ones.
+    pub async fn start_with(size: Size, limits: Value) -> Self {
         let ip = own_address();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{ip}"));
         fs::create_dir_all(&folder).expect("a scratch folder");
@@ -84,6 +90,7 @@
         let mut fleet = Self {
             ip,
             folder,
+            limits,
             published: Published::default(),
             platform,
             engines: Vec::new(),
@@ -170,6 +177,7 @@
             "operator_address": addresses.operator,
             "platform_addresses": [self.platform.address],
             "shared_key": KEY,
+            "limits": self.limits,
         });
         let process = Process::start(
             &self.folder,
--- a/crates/config/src/decode.rs
+++ b/crates/config/src/decode.rs
@@ -1,5 +1,6 @@
 //! Decoding of a text with all of its faults.
 
+use std::borrow::Cow;
 use std::fs::File;
 use std::io::Read;
 use std::path::Path;
@@ -7,11 +8,12 @@
 
 use serde::de::DeserializeOwned;
 
-use crate::de::{Mismatch, Problem};
 use crate::error::{Error, FileError};
 use crate::fault::{FAULT_LIMIT, Fault};
+use crate::field::Step;
+use crate::mismatch::{Mismatch, Problem};
 use crate::rules::{Rules, Validate};
-use crate::tree::{Kind, Tree};
+use crate::tree::{Field, Kind, Tree};
 
 /// Largest text that is read, settings and published documents alike.
 pub const SIZE_LIMIT_BYTES: usize = 1 << 20;
@@ -92,8 +94,8 @@
     parse_bytes(&bytes).map_err(|e| FileError::Invalid(path.to_path_buf(), e))
 }
 
-/// Deserializes the tree; each fault becomes a hole, so that the rest is seen too.
-fn build<T: DeserializeOwned>(tree: &mut Tree, faults: &mut Vec<Fault>) -> Option<T> {
+/// Deserializes the tree; each fault becomes a placeholder, so that the rest is seen too.
+fn build<T: DeserializeOwned>(tree: &mut Tree<'_>, faults: &mut Vec<Fault>) -> Option<T> {
     while faults.len() < FAULT_LIMIT {
         let mismatch = match T::deserialize(&*tree) {
             Ok(value) => return Some(value),
@@ -107,17 +109,21 @@
     None
 }
 
-fn check<T: Validate>(value: &T, tree: &Tree, faults: &mut Vec<Fault>) {
+fn check<T: Validate>(value: &T, tree: &Tree<'_>, faults: &mut Vec<Fault>) {
     let mut rules = Rules::default();
     value.validate(&mut rules);
     let found = rules.into_faults().into_iter();
-    faults.extend(found.filter(|f| !tree.is_hole(&f.path)).map(|f| Fault {
-        line: Some(tree.line(&f.path)),
-        ..f
-    }));
+    faults.extend(
+        found
+            .filter(|f| !tree.is_placeholder(&f.path))
+            .map(|f| Fault {
+                line: Some(tree.line(&f.path)),
+                ..f
+            }),
+    );
 }
 
-fn fault(mismatch: &Mismatch, tree: &Tree) -> Fault {
+fn fault(mismatch: &Mismatch, tree: &Tree<'_>) -> Fault {
     let object = mismatch.path();
     let (path, found, allowed) = match &mismatch.problem {
         Problem::Missing(field) => (
@@ -126,7 +132,7 @@
             String::from("a value, since the field is required"),
         ),
         Problem::Unknown(field, expected) => (
-            object.field(field),
+            object.with(Step::Field(Cow::Owned(field.to_string()))),
             String::from("an unknown field"),
             format!("only {}", expected.join(", ")),
         ),
@@ -150,27 +156,26 @@
 }
 
 /// Takes a fault out of the tree; false when that is impossible.
-fn repair(mismatch: &Mismatch, tree: &mut Tree) -> bool {
+fn repair(mismatch: &Mismatch, tree: &mut Tree<'_>) -> bool {
     let Some(target) = tree.get_mut(&mismatch.path()) else {
         return false;
     };
     let line = target.line;
     match (&mismatch.problem, &mut target.kind) {
         (Problem::Missing(field), Kind::Object(fields)) => {
-            let hole = Tree {
-                line,
-                kind: Kind::Hole,
-            };
-            fields.push((Box::from(*field), hole));
+            let name = Cow::Borrowed(*field);
+            let kind = Kind::Placeholder;
+            let value = Tree { line, kind };
+            fields.push(Field { name, value });
             true
         }
         (Problem::Unknown(field, _), Kind::Object(fields)) => {
-            fields.retain(|(name, _)| name != field);
+            fields.retain(|f| *f.name != **field);
             true
         }
-        (Problem::Value(_), Kind::Hole) => false,
+        (Problem::Value(_), Kind::Placeholder) => false,
         (Problem::Value(_), kind) => {
-            *kind = Kind::Hole;
+            *kind = Kind::Placeholder;
             true
         }
         _ => false,
