--- a/crates/core/src/member/gossip.rs
+++ b/crates/core/src/member/gossip.rs
@@ -50,7 +50,7 @@
         let accused = matches!(status, Status::Suspect | Status::Dead);
         let same_run = incarnation == self.incarnation;
         if same_run && accused && round >= self.round {
-            self.round = round + 1;
+            self.round = round.saturating_add(1);
         }
         // Who accuses an older round or run has missed the news of this one.
         if accused || !same_run {
--- a/crates/core/src/member/members.rs
+++ b/crates/core/src/member/members.rs
@@ -271,7 +271,7 @@
             record.failures = 0;
             record.since = now;
         }
-        self.round += 1;
+        self.round = self.round.saturating_add(1);
         self.rumors.add(self.own_news());
         out.push(Output::Woke(pause));
     }
