Tell why calls of the speed benchmark fail, and its machine's load

Cause: 5,434 of 30,000 calls that may not be repeated were refused and the benchmark didn't say why; 1,379 of 5,000 streams had ended before the memory was read, since they were opened one after another.

Change: failures are counted by reason; streams are opened at once; the benchmark waits until calls that may not be repeated are answered, prints the load average, and ends the node by a planned stop.

--- a/crates/standin/examples/speed/bench.rs
+++ b/crates/standin/examples/speed/bench.rs
@@ -1,7 +1,7 @@
 //! The stand-ins and the node under test.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use briarbank_config::{EngineSettings, PlatformSettings, ServiceSettings};
 use briarbank_standin::{Answer, Client, ClientError, Running, engine, platform, service};
@@ -11,6 +11,7 @@
 use quick_error::quick_error;
 use serde_json::{Value, json};
 use tokio::sync::watch;
+use uuid::Uuid;
 
 use crate::node::{KEY, NodeProcess};
 
@@ -25,6 +26,11 @@
 /// Longest wait for the node to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest wait for the node's planned stop.
+const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+/// Pause between looks whether it has ended.
+const STOP_PAUSE: Duration = Duration::from_millis(100);
+
 quick_error! {
     /// Why the benchmark can't start.
     #[derive(Debug)]
@@ -100,6 +106,7 @@
         bench.running = fast.into_iter().chain(paced).collect();
         bench.running.extend([platform, service]);
         bench.ready().await?;
+        bench.owns_ids().await?;
         Ok(bench)
     }
 
@@ -175,8 +182,47 @@
             .map_err(Error::NotReady)
     }
 
+    /// Waits until calls that may not be repeated are answered, which takes
+    /// longer than readiness: the node refuses ids born before its records.
+    async fn owns_ids(&self) -> Result<(), Error> {
+        let client = Client::default();
+        let begin = Instant::now();
+        let answered = async {
+            let call = Call {
+                path: "/services/slips/slip",
+                body: "{}",
+            };
+            loop {
+                let id = Uuid::now_v7().to_string();
+                let answer = send_as(&client, self.node.caller, "POST", call, "slips", &id).await;
+                if answer.is_ok_and(|a| a.head.status.is_success()) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(READY_TIMEOUT, answered)
+            .await
+            .map_err(Error::NotReady)?;
+        let waited_s = begin.elapsed().as_secs_f64();
+        println!("first call that may not be repeated answered {waited_s:.1} s after readiness");
+        Ok(())
+    }
+
     /// Ends the node and the stand-ins.
-    pub(crate) async fn stop(self) {
+    pub(crate) async fn stop(mut self) {
+        let call = Call {
+            path: "/drain",
+            body: "",
+        };
+        let drained = send(&Client::default(), self.node.operator, "POST", call).await;
+        let pauses = STOP_TIMEOUT.as_millis() / STOP_PAUSE.as_millis();
+        for _ in 0..pauses {
+            if drained.is_err() || self.node.has_ended() {
+                break;
+            }
+            tokio::time::sleep(STOP_PAUSE).await;
+        }
         drop(self.node);
         self.stop.send_replace(true);
         for running in self.running {
--- a/crates/standin/examples/speed/calls.rs
+++ b/crates/standin/examples/speed/calls.rs
@@ -1,17 +1,16 @@
 //! Plain calls and first tokens.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use briarbank_standin::{Client, ClientError};
+use briarbank_standin::Client;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use uuid::Uuid;
 
 use crate::bench::{Bench, Call, send_as};
+use crate::failures::{Failed, Failures, reason};
 use crate::sample::{Pair, print};
 
 /// Length of each phase.
@@ -65,7 +64,7 @@
         }
     }
 
-    async fn time(&self, client: &Client, routed: bool) -> Result<Option<Duration>, ClientError> {
+    async fn time(&self, client: &Client, routed: bool) -> Result<Duration, Failed> {
         let (address, path) = if routed {
             (self.routed, self.routed_path)
         } else {
@@ -78,17 +77,18 @@
         let id = Uuid::now_v7().to_string();
         let begin = Instant::now();
         let mut answer = send_as(client, address, "POST", call, self.profile, &id).await?;
-        let succeeded = answer.head.status.is_success();
+        if !answer.head.status.is_success() {
+            return Err(Failed::Refused(reason(&answer.whole().await?)));
+        }
         let mut time = None;
         if self.first_only && answer.chunk().await?.is_some() {
             time = Some(begin.elapsed());
         }
         while answer.chunk().await?.is_some() {}
-        let time = time.unwrap_or_else(|| begin.elapsed());
-        Ok(succeeded.then_some(time))
+        Ok(time.unwrap_or_else(|| begin.elapsed()))
     }
 
-    async fn pair(&self, client: &Client, routed_first: bool) -> Result<Option<Pair>, ClientError> {
+    async fn pair(&self, client: &Client, routed_first: bool) -> Result<Pair, Failed> {
         let first = self.time(client, routed_first).await?;
         let second = self.time(client, !routed_first).await?;
         let (direct, routed) = if routed_first {
@@ -96,9 +96,7 @@
         } else {
             (first, second)
         };
-        Ok(direct
-            .zip(routed)
-            .map(|(direct, routed)| Pair { direct, routed }))
+        Ok(Pair { direct, routed })
     }
 }
 
@@ -126,32 +124,30 @@
     let before = bench.node.processor_s();
     let late = tokio::task::spawn_blocking(move || pace(&senders, rate_per_s)).await;
     let mut pairs = Vec::new();
-    let mut failed = 0;
-    for (more, failures) in callers.join_all().await {
+    let mut failures = Failures::default();
+    for (more, failed) in callers.join_all().await {
         pairs.extend(more);
-        failed += failures;
+        failures.add(failed);
     }
-    print(title, &pairs, failed);
+    print(title, &pairs, &failures);
     let cores = (bench.node.processor_s() - before) / PHASE.as_secs_f64();
-    println!(
-        "  node used {cores:.2} cores; {} starts dropped",
-        late.unwrap_or(0)
-    );
+    let dropped = late.unwrap_or(0);
+    println!("  node used {cores:.2} cores; {dropped} starts dropped");
 }
 
-async fn call_pairs(probe: Probe, mut starts: mpsc::Receiver<u64>) -> (Vec<Pair>, usize) {
+async fn call_pairs(probe: Probe, mut starts: mpsc::Receiver<u64>) -> (Vec<Pair>, Failures) {
     let client = Client::default();
     let mut pairs = Vec::new();
-    let mut failed = 0;
+    let mut failures = Failures::default();
     while let Some(number) = starts.recv().await {
         // The order changes, so that neither way profits from the other.
         match probe.pair(&client, number % 2 == 0).await {
-            Ok(Some(pair)) => pairs.push(pair),
-            Ok(None) | Err(_) => failed += 1,
+            Ok(pair) => pairs.push(pair),
+            Err(failed) => failures.note(&failed),
         }
     }
     client.close().await;
-    (pairs, failed)
+    (pairs, failures)
 }
 
 /// Starts calls at a steady rate, finer than the runtime's timer; tells how
@@ -179,30 +175,36 @@
         ("routed, profile reads", "reads", true),
         ("routed, profile slips", "slips", true),
     ] {
-        let probe = Arc::new(Probe::slip(bench, profile));
-        let (done, failed) = (Arc::<AtomicU64>::default(), Arc::<AtomicUsize>::default());
+        let probe = Probe::slip(bench, profile);
         let before = bench.node.processor_s();
         let begin = Instant::now();
         let mut callers = JoinSet::new();
         for _ in 0..BUSY_CALLERS {
-            let (probe, done, failed) =
-                (Arc::clone(&probe), Arc::clone(&done), Arc::clone(&failed));
-            callers.spawn(async move {
-                let client = Client::default();
-                while begin.elapsed() < PHASE {
-                    match probe.time(&client, routed).await {
-                        Ok(Some(_)) => done.fetch_add(1, Ordering::Relaxed),
-                        Ok(None) | Err(_) => failed.fetch_add(1, Ordering::Relaxed) as u64,
-                    };
-                }
-                client.close().await;
-            });
+            callers.spawn(call_again(probe.clone(), routed, begin));
+        }
+        let mut done = 0;
+        let mut failures = Failures::default();
+        for (calls, failed) in callers.join_all().await {
+            done += calls;
+            failures.add(failed);
         }
-        callers.join_all().await;
         let seconds = begin.elapsed().as_secs_f64();
-        let per_s = done.load(Ordering::Relaxed) as f64 / seconds;
+        let per_s = f64::from(done) / seconds;
         let cores = (bench.node.processor_s() - before) / seconds;
-        let failed = failed.load(Ordering::Relaxed);
-        println!("plain calls, {title}: {per_s:.0}/s, {failed} failed, node used {cores:.2} cores");
+        println!("plain calls, {title}: {per_s:.0}/s, {failures}, node used {cores:.2} cores");
+    }
+}
+
+async fn call_again(probe: Probe, routed: bool, begin: Instant) -> (u32, Failures) {
+    let client = Client::default();
+    let mut done = 0;
+    let mut failures = Failures::default();
+    while begin.elapsed() < PHASE {
+        match probe.time(&client, routed).await {
+            Ok(_) => done += 1,
+            Err(failed) => failures.note(&failed),
+        }
     }
+    client.close().await;
+    (done, failures)
 }
--- a/crates/standin/examples/speed/main.rs
+++ b/crates/standin/examples/speed/main.rs
@@ -9,6 +9,7 @@
 
 mod bench;
 mod calls;
+mod failures;
 mod memory;
 mod node;
 mod sample;
@@ -34,6 +35,7 @@
             return ExitCode::FAILURE;
         }
     };
+    println!("load of the machine before: {}", load_average());
     if runs("added") {
         calls::added(&bench).await;
     }
@@ -49,6 +51,14 @@
     if runs("memory") {
         memory::open_streams(&bench).await;
     }
+    println!("load of the machine after: {}", load_average());
     bench.stop().await;
     ExitCode::SUCCESS
 }
+
+/// Other programs on the machine bear on each figure.
+fn load_average() -> String {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let processors = std::thread::available_parallelism().map_or(0, usize::from);
+    format!("{} on {processors} processors", text.trim())
+}
--- a/crates/standin/examples/speed/memory.rs
+++ b/crates/standin/examples/speed/memory.rs
@@ -1,17 +1,25 @@
 //! Memory of the node with many open streams.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use briarbank_standin::{Answer, Client, ClientError};
+use briarbank_standin::Client;
 use serde_json::json;
+use tokio::task::JoinSet;
 
 use crate::bench::{Bench, Call, PACED_TOKEN_US, send};
-use crate::streams::{body, long_prompts};
+use crate::streams::{MAX_TOKENS, body, long_prompts};
 
 /// Streams that are opened.
 const STREAMS: usize = 5_000;
 /// Time between tokens of each stream.
 const TOKEN_US: u64 = 79_000;
+/// Longest wait for all streams to be open.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(15);
+/// Pause between looks at the number of open streams.
+const OPEN_PAUSE: Duration = Duration::from_millis(50);
 /// Time for which the streams run before the memory is read.
 const RUN: Duration = Duration::from_secs(10);
 
@@ -30,38 +38,48 @@
             println!("engine {engine} keeps its rate: {error}");
         }
     }
-    let mut answers = Vec::new();
-    let mut refused = 0;
-    for prompt in long_prompts(STREAMS) {
-        match open(bench, &client, &prompt).await {
-            Ok(answer) if answer.head.status.is_success() => answers.push(answer),
-            Ok(_) | Err(_) => refused += 1,
+    let opened = Arc::new(AtomicUsize::new(0));
+    let address = bench.node.caller;
+    let mut readers = JoinSet::new();
+    for prompt in long_prompts(STREAMS, MAX_TOKENS) {
+        readers.spawn(read(address, prompt, Arc::clone(&opened)));
+    }
+    let opening = async {
+        while opened.load(Ordering::Relaxed) < STREAMS {
+            tokio::time::sleep(OPEN_PAUSE).await;
         }
+    };
+    if tokio::time::timeout(OPEN_TIMEOUT, opening).await.is_err() {
+        println!("memory: not all streams were opened");
     }
-    let open = answers.len();
     let before = bench.node.processor_s();
-    let reading = answers
-        .into_iter()
-        .map(|mut answer| async move { while let Ok(Some(_)) = answer.chunk().await {} });
-    let mut readers: tokio::task::JoinSet<()> = reading.collect();
     tokio::time::sleep(RUN).await;
-    // A stream that has ended is no longer open.
+    // A stream that was refused or has ended is no longer open.
     while readers.try_join_next().is_some() {}
     let still_open = readers.len();
     let (memory_mb, peak_mb) = bench.node.memory_mb();
     let cores = (bench.node.processor_s() - before) / RUN.as_secs_f64();
     readers.shutdown().await;
+    let opened = opened.load(Ordering::Relaxed);
     println!(
-        "memory: {idle_mb:.0} MB before, {memory_mb:.0} MB (at most {peak_mb:.0} MB) with {open} \
-         streams opened and {still_open} open after {RUN:?}, {refused} refused, node {cores:.2} cores"
+        "memory: {idle_mb:.0} MB before, {memory_mb:.0} MB (at most {peak_mb:.0} MB) with {opened} \
+         streams opened and {still_open} open after {RUN:?}, node used {cores:.2} cores"
     );
 }
 
-async fn open(bench: &Bench, client: &Client, prompt: &str) -> Result<Answer, ClientError> {
-    let body = body(prompt);
+/// Opens a stream and reads it to its end.
+async fn read(address: SocketAddr, prompt: String, opened: Arc<AtomicUsize>) {
+    let client = Client::default();
+    let body = body(&prompt);
     let call = Call {
         path: "/v1/completions",
         body: &body,
     };
-    send(client, bench.node.caller, "POST", call).await
+    let Ok(mut answer) = send(&client, address, "POST", call).await else {
+        return;
+    };
+    if answer.head.status.is_success() {
+        opened.fetch_add(1, Ordering::Relaxed);
+        while let Ok(Some(_)) = answer.chunk().await {}
+    }
 }
--- a/crates/standin/examples/speed/node.rs
+++ b/crates/standin/examples/speed/node.rs
@@ -70,6 +70,11 @@
         (field("VmRSS:"), field("VmHWM:"))
     }
 
+    /// Whether it has ended by itself.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     fn read(&self, name: &str) -> String {
         std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id())).unwrap_or_default()
     }
--- a/crates/standin/examples/speed/sample.rs
+++ b/crates/standin/examples/speed/sample.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::failures::Failures;
+
 /// One call made both ways.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pair {
@@ -10,15 +12,15 @@
 }
 
 /// Prints quantiles of both ways, and of what the node adds.
-pub(crate) fn print(title: &str, pairs: &[Pair], failed: usize) {
+pub(crate) fn print(title: &str, pairs: &[Pair], failures: &Failures) {
     if pairs.is_empty() {
-        println!("{title}: no pair of answers, {failed} failed");
+        println!("{title}: no pair of answers, {failures}");
         return;
     }
     let direct: Vec<f64> = pairs.iter().map(|p| millis(p.direct)).collect();
     let routed: Vec<f64> = pairs.iter().map(|p| millis(p.routed)).collect();
     let added = pairs.iter().map(|p| millis(p.routed) - millis(p.direct));
-    println!("{title}: {} pairs, {failed} failed", pairs.len());
+    println!("{title}: {} pairs, {failures}", pairs.len());
     for (name, values) in [
         ("direct", direct),
         ("routed", routed),
--- a/crates/standin/examples/speed/streams.rs
+++ b/crates/standin/examples/speed/streams.rs
@@ -1,15 +1,17 @@
 //! Streamed tokens a second.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use briarbank_standin::{Client, ClientError, answer_length, prompt_hash};
+use briarbank_standin::{Client, answer_length, prompt_hash};
+use bytes::Bytes;
 use serde_json::json;
 use tokio::task::JoinSet;
 
 use crate::bench::{Bench, Call, PACED_TOKEN_US, SEED, send};
+use crate::failures::{Failed, Failures, reason};
 
 /// Length of each rung.
 const PHASE: Duration = Duration::from_secs(6);
@@ -18,7 +20,7 @@
 /// Streams that are open at once.
 const STREAMS: usize = 2_000;
 /// Most tokens of an answer.
-const MAX_TOKENS: u32 = 1_000;
+pub(crate) const MAX_TOKENS: u32 = 1_000;
 /// Least tokens of the answers that are asked for.
 const LEAST_TOKENS: u32 = 400;
 
@@ -27,12 +29,28 @@
 struct Counts {
     tokens: AtomicU64,
     whole: AtomicU64,
-    broken: AtomicU64,
+    failures: Mutex<Failures>,
+}
+
+impl Counts {
+    fn note(&self, ended: Result<(), Failed>) {
+        match ended {
+            Ok(()) => {
+                self.whole.fetch_add(1, Ordering::Relaxed);
+            }
+            Err(failed) => {
+                let failures = self.failures.lock();
+                failures
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .note(&failed);
+            }
+        }
+    }
 }
 
 /// Tokens a second through the node, at rising rates of the engines.
 pub(crate) async fn rates(bench: &Bench) {
-    let prompts: Arc<[String]> = long_prompts(STREAMS).into();
+    let prompts: Arc<[String]> = long_prompts(STREAMS, LEAST_TOKENS).into();
     for rate_per_s in RATES_PER_S {
         set_rate(bench, rate_per_s).await;
         let direct = rung(bench, &bench.paced, &prompts).await;
@@ -73,10 +91,8 @@
                     break;
                 }
                 let prompt = &prompts[(number + round * 7) % prompts.len()];
-                match read_stream(&client, entry, prompt, &counts, begin).await {
-                    Ok(true) => counts.whole.fetch_add(1, Ordering::Relaxed),
-                    Ok(false) | Err(_) => counts.broken.fetch_add(1, Ordering::Relaxed),
-                };
+                let ended = read_stream(&client, entry, prompt, &counts, begin).await;
+                counts.note(ended);
             }
         });
     }
@@ -85,21 +101,20 @@
     let per_s = counts.tokens.load(Ordering::Relaxed) as f64 / seconds;
     let cores = (bench.node.processor_s() - before) / begin.elapsed().as_secs_f64();
     let whole = counts.whole.load(Ordering::Relaxed);
-    let broken = counts.broken.load(Ordering::Relaxed);
+    let failures = counts.failures.lock();
+    let failures = failures.unwrap_or_else(PoisonError::into_inner);
     let (memory_mb, _) = bench.node.memory_mb();
-    format!(
-        "{per_s:.0}/s, {whole} whole, {broken} broken, node {cores:.2} cores, {memory_mb:.0} MB"
-    )
+    format!("{per_s:.0}/s, {whole} whole, {failures}, node {cores:.2} cores, {memory_mb:.0} MB")
 }
 
-/// Reads an answer, and whether it was whole; counts tokens within the phase.
+/// Reads an answer to its end; counts tokens within the phase.
 async fn read_stream(
     client: &Client,
     entry: SocketAddr,
     prompt: &str,
     counts: &Counts,
     begin: Instant,
-) -> Result<bool, ClientError> {
+) -> Result<(), Failed> {
     let body = body(prompt);
     let call = Call {
         path: "/v1/completions",
@@ -107,13 +122,14 @@
     };
     let mut answer = send(client, entry, "POST", call).await?;
     if !answer.head.status.is_success() {
-        answer.whole().await?;
+        let reason = reason(&answer.whole().await?);
         // A refused caller comes back later.
         tokio::time::sleep(Duration::from_millis(100)).await;
-        return Ok(false);
+        return Err(Failed::Refused(reason));
     }
     let mut events = 0;
     let mut newlines = 0;
+    let mut last = Bytes::new();
     while let Some(bytes) = answer.chunk().await? {
         newlines += bytes.split(|b| *b == b'\n').skip(1).count() as u64;
         // Two newlines end an event.
@@ -122,9 +138,16 @@
             counts.tokens.fetch_add(so_far - events, Ordering::Relaxed);
         }
         events = so_far;
+        last = bytes;
     }
     let length = answer_length(prompt_hash(prompt), SEED, MAX_TOKENS);
-    Ok(events == u64::from(length) + 1)
+    if events == u64::from(length) + 1 && last.ends_with(b"data: [DONE]\n\n") {
+        return Ok(());
+    }
+    let error = last
+        .split(|b| *b == b'\n')
+        .find_map(|l| l.strip_prefix(b"data: "));
+    Err(Failed::Refused(reason(error.unwrap_or_default())))
 }
 
 pub(crate) fn body(prompt: &str) -> String {
@@ -132,11 +155,11 @@
         .to_string()
 }
 
-/// Prompts with long answers, so that streams last.
-pub(crate) fn long_prompts(count: usize) -> Vec<String> {
+/// Prompts with answers of a least length, so that streams last.
+pub(crate) fn long_prompts(count: usize, least_tokens: u32) -> Vec<String> {
     let prompts = (0..u32::MAX).map(|n| format!("catalogue sheet {n}"));
     prompts
-        .filter(|p| answer_length(prompt_hash(p), SEED, MAX_TOKENS) >= LEAST_TOKENS)
+        .filter(|p| answer_length(prompt_hash(p), SEED, MAX_TOKENS) >= least_tokens)
         .take(count)
         .collect()
 }
