--- a/crates/node/src/call/task.rs
+++ b/crates/node/src/call/task.rs
@@ -17,9 +17,10 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Answer, Inbound, Meter, Reply, ReplyAnswer, ReplyBody};
-use crate::control::{Control, Progress};
+use crate::control::Control;
 use crate::order::{Attempt, Order};
 use crate::peer::{Forwarded, Links, NotForwarded, forward};
+use crate::progress::Progress;
 use crate::server::{AttemptEnd, AttemptRun, Pool, Upstream};
 
 /// When callers whose calls were cut by a stop are asked to come back.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,7 +6,7 @@
 //! only after the last one was taken.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
 use briarbank_core::call::Call;
@@ -21,6 +21,7 @@
 use crate::actions::Actions;
 use crate::dump::Dump;
 use crate::order::Order;
+use crate::progress::Progress;
 use crate::view::View;
 
 /// Orders that can wait for one call's task; more can't follow from its events.
@@ -53,33 +54,6 @@
     Dump(oneshot::Sender<Dump>),
 }
 
-/// Tokens of one attempt that reached the caller; at most one notice waits.
-#[derive(Debug)]
-pub(crate) struct Progress {
-    attempt: AttemptId,
-    tokens: AtomicU32,
-    waiting: AtomicBool,
-}
-
-impl Progress {
-    pub(crate) fn new(attempt: AttemptId) -> Arc<Self> {
-        Arc::new(Self {
-            attempt,
-            tokens: AtomicU32::new(0),
-            waiting: AtomicBool::new(false),
-        })
-    }
-
-    fn take(&self) -> Event {
-        self.waiting.store(false, Ordering::SeqCst);
-        let tokens = self.tokens.load(Ordering::SeqCst);
-        Event::Attempt {
-            attempt: self.attempt,
-            event: AttemptEvent::Progress { tokens },
-        }
-    }
-}
-
 /// Handle to the actor.
 #[derive(Clone, Debug)]
 pub(crate) struct Control {
@@ -150,8 +124,7 @@
 
     /// Tells the core how many tokens of an attempt reached the caller.
     pub(crate) fn progress(&self, progress: &Arc<Progress>, tokens: u32) {
-        progress.tokens.store(tokens, Ordering::SeqCst);
-        if !progress.waiting.swap(true, Ordering::SeqCst) {
+        if progress.reach(tokens) {
             self.send(Message::Progress(Arc::clone(progress)));
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod actions;
+mod background;
 mod call;
 mod caller;
 mod connect;
@@ -15,6 +16,7 @@
 mod order;
 mod peer;
 mod platform;
+mod progress;
 mod recorder;
 mod refusal;
 mod run;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -5,34 +5,30 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use briarbank_config::{NodeSettings, Published};
-use briarbank_core::conf::Key;
 use briarbank_core::ids::Incarnation;
 use briarbank_core::node::{Event, Identity, Node, Options};
-use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::Error;
 use crate::actions::Actions;
+use crate::background::Background;
 use crate::call::{CallParts, Calls};
 use crate::caller::CallerPort;
 use crate::control::Control;
 use crate::operator::OperatorPort;
 use crate::peer::{Links, PeerPort, Reports, SharedKey};
-use crate::platform::{HttpPlatform, Platform, watch as watch_value};
+use crate::platform::{HttpPlatform, Platform};
 use crate::recorder;
 use crate::server::Pool;
 
 /// Reports of peers that wait for the control actor.
 const REPORTS_MAX: usize = 256;
 
-/// Time between two sweeps of idle connections and recorded times.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time for the last word to callers whose calls are cut.
 const CUT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -269,39 +265,6 @@
     }
 }
 
-/// Tasks that run as long as the node does.
-struct Background {
-    control: Control,
-    tasks: TaskTracker,
-    end: CancellationToken,
-}
-
-impl Background {
-    fn start(&self, tick: Duration, pool: Pool, reports: mpsc::Receiver<Event>) {
-        self.spawn(tick_forever(self.control.clone(), tick));
-        self.spawn(sweep_forever(pool, recorder::install()));
-        self.spawn(report_forever(self.control.clone(), reports));
-    }
-
-    fn watch(&self, platform: &Arc<dyn Platform>, wanted: &watch::Receiver<bool>) {
-        for key in Key::ALL {
-            let platform = Arc::clone(platform);
-            let watch = watch_value(platform, key, self.control.clone(), wanted.clone());
-            self.spawn(watch);
-        }
-    }
-
-    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let end = self.end.clone();
-        self.tasks.spawn(async move {
-            tokio::select! {
-                () = end.cancelled() => {}
-                () = task => {}
-            }
-        });
-    }
-}
-
 fn identity(settings: &NodeSettings) -> Identity {
     Identity {
         host: settings.host.clone(),
@@ -322,30 +285,3 @@
         rand::random(),
     )
 }
-
-async fn tick_forever(control: Control, period: Duration) {
-    let mut ticks = interval(period);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        control.tick().await;
-    }
-}
-
-async fn sweep_forever(pool: Pool, metrics: PrometheusHandle) {
-    let mut ticks = interval(SWEEP_INTERVAL);
-    loop {
-        ticks.tick().await;
-        pool.sweep();
-        // Recorded times wait in memory until this.
-        metrics.run_upkeep();
-    }
-}
-
-/// Hands reports to the control actor one by one, so that few wait there.
-async fn report_forever(control: Control, mut reports: mpsc::Receiver<Event>) {
-    while let Some(event) = reports.recv().await {
-        control.event(event);
-        control.settle().await;
-    }
-}
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -17,8 +17,9 @@
 use super::request;
 use super::stream::StreamEnd;
 use crate::call::{Answer, Inbound, Meter};
-use crate::control::{Control, Progress};
+use crate::control::Control;
 use crate::order::Attempt;
+use crate::progress::Progress;
 
 /// Content type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
