Test a stop whose time is over

With 50 ms to drain, a caller in mid-stream gets the error event (stopping, unknown) and no [DONE], and the process ends with exit code 0.

--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -41,6 +41,8 @@
     ip: IpAddr,
     folder: PathBuf,
     limits: Value,
+    /// Longest time for a planned stop of the nodes that are started next.
+    pub drain_timeout_ms: u64,
     pub published: Published,
     pub platform: Process,
     pub engines: Vec<Process>,
@@ -95,6 +97,7 @@
             ip,
             folder,
             limits,
+            drain_timeout_ms: 60_000,
             published: Published::default(),
             platform,
             engines: Vec::new(),
@@ -182,6 +185,7 @@
             "platform_addresses": [self.platform.address],
             "shared_key": KEY,
             "limits": self.limits,
+            "drain_timeout_ms": self.drain_timeout_ms,
         });
         let process = Process::start(
             &self.folder,
--- a/crates/briarbank/tests/stops.rs
+++ b/crates/briarbank/tests/stops.rs
@@ -140,3 +140,38 @@
     answer.expect("an answer").assert_stream_of(&prompt);
     assert!(fleet.nodes[0].ended().await.success());
 }
+
+/// A stop whose time is over tells the callers that are left, and ends.
+#[tokio::test]
+async fn stop_whose_time_is_over_ends_with_a_clear_word() {
+    let mut fleet = Fleet::start(Size {
+        nodes: 1,
+        services: 0,
+        ..SIZE
+    })
+    .await;
+    fleet.nodes[0].kill();
+    fleet.drain_timeout_ms = 50;
+    fleet.start_node(0);
+    fleet.nodes[0].ready().await;
+    let caller = fleet.caller(0);
+    let call = Call::stream(&fleet::long_prompt(2_000), 4_000);
+    let (answer, ()) = tokio::join!(caller.send(&call), async {
+        while fleet.engines[0].get("/control/state").await["tokens"] == 0
+            && fleet.engines[1].get("/control/state").await["tokens"] == 0
+        {
+            sleep(POLL).await;
+        }
+        fleet.nodes[0].terminate();
+    });
+    let answer = answer.expect("an answer");
+    let last = answer.text.trim_end().rsplit("\n\n").next();
+    let last = last.expect("an event");
+    assert!(last.starts_with("event: error\n"), "{last}");
+    assert!(
+        last.contains("\"stopping\"") && last.contains("\"unknown\""),
+        "{last}"
+    );
+    assert!(!answer.text.contains("[DONE]"));
+    assert!(fleet.nodes[0].ended().await.success());
+}
