--- a/crates/briarbank/tests/streams.rs
+++ b/crates/briarbank/tests/streams.rs
@@ -159,3 +159,34 @@
     }
     panic!("{}", node.get("/dump").await);
 }
+
+#[tokio::test]
+async fn stream_that_nobody_waits_for_is_cancelled_at_its_engine() {
+    let fleet = Fleet::start(SIZE).await;
+    let caller = fleet.caller(0);
+    let call = Call::stream(&long_prompt(2_000), 4_000);
+    let begun = async {
+        loop {
+            for engine in &fleet.engines {
+                if engine.get("/control/state").await["tokens"] != 0 {
+                    return;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        answer = caller.send(&call) => panic!("ended too early: {answer:?}"),
+        () = begun => {}
+    }
+    drop(caller);
+    loop {
+        for engine in &fleet.engines {
+            let state = engine.get("/control/state").await;
+            if state["cancelled"] == 1 {
+                return;
+            }
+            assert_eq!(state["finished"], 0, "it ran to its end");
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
