Show that a new owner waits for the lease of a former one

Cause: a mutant without the wait passed 500 random histories a test, since the margin of birth times covers leases shorter than twice the clocks' bound. Change: leases of 2 s in the histories, and a directed history: an owner is cut off and dropped from the list, and callers use it and its successor at once. Seen: with the wait taken out (is_clear always true) request 5 runs twice at the first seeds; with it, 20 seeds pass.

--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -693,7 +693,7 @@
             ..conf::Options::default()
         },
         owner: owner::Options {
-            lease: Duration::from_millis(1500),
+            lease: Duration::from_secs(2),
             ask_every: Duration::from_millis(300),
             ask_again: Duration::from_millis(100),
             retry_window: Duration::from_secs(14),
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -74,6 +74,25 @@
     assert_eq!(tally.completed, 40, "{tally:?}");
 }
 
+/// An owner is cut off and dropped from the list while its lease still runs.
+#[test]
+fn new_owner_waits_for_the_lease_of_one_that_is_cut_off() {
+    let mut ops = vec![
+        Op::Wait { ms: 3000 },
+        Op::NoPlatform { at: 0, on: true },
+        Op::Split { mask: 1 },
+        Op::Publish { at: 0, state: None },
+        Op::Wait { ms: 1550 },
+    ];
+    for _ in 0..20 {
+        ops.push(Op::Call { at: 0, dated: true });
+        ops.push(Op::Repeat { at: 1, request: 0 });
+    }
+    for seed in 0..20 {
+        play(3, seed, &ops);
+    }
+}
+
 /// A first try was refused as not run by a node without records while a second one, sent
 /// before the first was answered, ran.
 #[test]
