Split the spread of values by job

Change: adoption and schedule are modules of their own; the module's page says what a starting node can't know. No change of behaviour: the tests of conf, member, recovery, division and subset pass as before.

--- a/crates/core/src/conf/mod.rs
+++ b/crates/core/src/conf/mod.rs
@@ -7,7 +7,12 @@
 //! [`Spread`] decides which nodes read the platform and how the others learn
 //! what was read. [`Log`] holds what is in force, [`Delta`] is the form in
 //! which changes travel. The caller carries messages and reads the platform.
+//!
+//! A starting node compares with its peers before a value comes into force.
+//! One that reaches no peer can't know of newer values than the platform
+//! gives it; one whose peers told of a newer value waits until it has it.
 
+mod adoption;
 mod delta;
 mod exchange;
 mod history;
@@ -15,6 +20,7 @@
 mod message;
 mod options;
 mod readers;
+mod schedule;
 mod settling;
 mod source;
 mod spread;
