Prove preemption, stragglers and the bounds of the parts

Cause: only histories touched preemption and moves, and the parts had no tests. Change: nine named tests for preemption, stragglers and silent streams; seven for the limiter, the retry budget, quantiles, load and affinity (500 cases each, seeds fixed). The first found that a class without a share could keep its only stream from giving way; mended (tables of the policies unchanged).

--- a/crates/core/src/router/preempt.rs
+++ b/crates/core/src/router/preempt.rs
@@ -110,5 +110,5 @@
 /// Whether a class keeps its share of the running requests without one of them.
 fn has_spare(entry: &Entry, class: usize, total: usize) -> bool {
     let kept = entry.class.profile.share_ratio * KEPT_RATIO * total as f64;
-    class as f64 > kept + 1.0
+    class as f64 - 1.0 >= kept
 }
--- a/crates/core/tests/router/main.rs
+++ b/crates/core/tests/router/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod decisions;
+mod faults;
 mod history;
 mod properties;
 mod shares;
