Keep a cut-off minority from taking all limits

Change: Division's sharers count, of which only the larger side's shrink; the dump shows them. Before: one of four cut off for 60 s divides by 1 (test fails); after: by 4, the other three by 3.

--- a/crates/core/src/node/control.rs
+++ b/crates/core/src/node/control.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::conf::{self, Adopted, Key};
+use crate::division::Division;
 use crate::ids::{Revision, ServerName};
 use crate::member;
 use crate::node::event::Action;
@@ -134,10 +135,18 @@
 
     /// Tells the router among how many nodes the servers are divided.
     fn share(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let count = self.members.live_count().max(1);
+        let count = self.sharing();
         self.route(now, router::Event::Sharing(count), actions);
     }
 
+    /// Number of hosts among which limits are divided.
+    ///
+    /// The smaller side of a partition does not take over the parts of the larger.
+    pub(crate) fn sharing(&self) -> usize {
+        let division = Division::new(self.hosts(), |host| self.members.usable(host));
+        division.sharers().len().max(1)
+    }
+
     fn adopt(&mut self, now: Instant, adopted: Adopted, actions: &mut Vec<Action>) {
         match adopted {
             Adopted::Hosts(view) => {
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -78,6 +78,8 @@
     pub owner: owner::Dump,
     /// Hosts that take part, as far as is known here.
     pub live_hosts: usize,
+    /// Hosts among which the limits of servers and workspaces are divided.
+    pub sharing_hosts: usize,
     /// Servers known to be leaving.
     pub leaving_servers: Vec<ServerName>,
     /// Whether the node watches the platform.
@@ -230,6 +232,7 @@
             forwarded: self.forwarded.len(),
             owner: self.owner.dump(now),
             live_hosts: self.members.live_count(),
+            sharing_hosts: self.sharing(),
             leaving_servers: self.members.leaving_servers().cloned().collect(),
             watching: self.spread.watching(),
             refused: Key::ALL
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -231,6 +231,11 @@
         self.checker.tally
     }
 
+    /// Number of hosts among which a node divides limits.
+    pub(crate) fn sharing(&self, at: usize) -> usize {
+        self.places[at].node.dump(self.now).sharing_hosts
+    }
+
     fn dumps(&self) -> Vec<briarbank_core::node::Dump> {
         self.places.iter().map(|p| p.node.dump(self.now)).collect()
     }
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -74,6 +74,17 @@
     assert_eq!(tally.completed, 40, "{tally:?}");
 }
 
+/// One of four is cut off: it must not take the limits of the other three as well.
+#[test]
+fn smaller_side_of_a_partition_keeps_its_part_of_limits() {
+    let mut fleet = Fleet::new(4, 1);
+    fleet.run_for(Duration::from_secs(3));
+    assert_eq!(fleet.sharing(0), 4);
+    fleet.apply(&Op::Split { mask: 1 });
+    fleet.run_for(Duration::from_secs(60));
+    assert_eq!((fleet.sharing(0), fleet.sharing(1)), (4, 3));
+}
+
 /// An owner is cut off and dropped from the list while its lease still runs.
 #[test]
 fn new_owner_waits_for_the_lease_of_one_that_is_cut_off() {
