--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -1,11 +1,9 @@
 //! Documents that the platform publishes.
 
-use std::sync::Arc;
-
 use briarbank_core::catalog::{
     Catalog, Fleet, Profile, Server, TIER_COUNT, Target, TargetKind, Workspace,
 };
-use briarbank_core::conf::Documents;
+use briarbank_core::conf::{Documents, InvalidDocument};
 use briarbank_core::hosts::{Host, HostView};
 use briarbank_core::ids::Revision;
 use serde::{Deserialize, Serialize};
@@ -92,16 +90,16 @@
 pub struct Published;
 
 impl Documents for Published {
-    fn hosts(&self, revision: Revision, bytes: &[u8]) -> Result<HostView, Arc<str>> {
-        parse_hosts(revision, bytes).map_err(|e| Arc::from(e.to_string()))
+    fn hosts(&self, revision: Revision, bytes: &[u8]) -> Result<HostView, InvalidDocument> {
+        parse_hosts(revision, bytes).map_err(|e| InvalidDocument::new(&e))
     }
 
-    fn servers(&self, revision: Revision, bytes: &[u8]) -> Result<Fleet, Arc<str>> {
-        parse_servers(revision, bytes).map_err(|e| Arc::from(e.to_string()))
+    fn servers(&self, revision: Revision, bytes: &[u8]) -> Result<Fleet, InvalidDocument> {
+        parse_servers(revision, bytes).map_err(|e| InvalidDocument::new(&e))
     }
 
-    fn config(&self, revision: Revision, bytes: &[u8]) -> Result<Catalog, Arc<str>> {
-        parse_config(revision, bytes).map_err(|e| Arc::from(e.to_string()))
+    fn config(&self, revision: Revision, bytes: &[u8]) -> Result<Catalog, InvalidDocument> {
+        parse_config(revision, bytes).map_err(|e| InvalidDocument::new(&e))
     }
 }
 
--- a/crates/core/src/conf/log.rs
+++ b/crates/core/src/conf/log.rs
@@ -3,11 +3,39 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use quick_error::quick_error;
+
 use crate::catalog::{Catalog, Fleet};
 use crate::conf::message::Key;
 use crate::hosts::HostView;
 use crate::ids::Revision;
 
+quick_error! {
+    /// A published document that can't come into force.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum InvalidDocument {
+        /// It does not decode, or its content breaks a rule.
+        Refused(reason: Arc<str>) {
+            display("{reason}")
+        }
+    }
+}
+
+impl InvalidDocument {
+    /// Takes the text of the decoder's error.
+    #[must_use]
+    pub fn new(error: &dyn std::error::Error) -> Self {
+        Self::Refused(Arc::from(error.to_string()))
+    }
+
+    /// Why it was refused.
+    #[must_use]
+    pub fn reason(&self) -> &Arc<str> {
+        let Self::Refused(reason) = self;
+        reason
+    }
+}
+
 /// Decodes and checks published documents.
 ///
 /// Errors are text for operators; the log keeps them for the dump.
@@ -17,19 +45,19 @@
     /// # Errors
     ///
     /// Why the document is invalid.
-    fn hosts(&self, revision: Revision, bytes: &[u8]) -> Result<HostView, Arc<str>>;
+    fn hosts(&self, revision: Revision, bytes: &[u8]) -> Result<HostView, InvalidDocument>;
     /// Decodes the server list.
     ///
     /// # Errors
     ///
     /// Why the document is invalid.
-    fn servers(&self, revision: Revision, bytes: &[u8]) -> Result<Fleet, Arc<str>>;
+    fn servers(&self, revision: Revision, bytes: &[u8]) -> Result<Fleet, InvalidDocument>;
     /// Decodes the configuration.
     ///
     /// # Errors
     ///
     /// Why the document is invalid.
-    fn config(&self, revision: Revision, bytes: &[u8]) -> Result<Catalog, Arc<str>>;
+    fn config(&self, revision: Revision, bytes: &[u8]) -> Result<Catalog, InvalidDocument>;
 }
 
 /// A value that has just come into force.
@@ -125,7 +153,8 @@
                 );
                 Some(adopted)
             }
-            Err(error) => {
+            Err(invalid) => {
+                let error = Arc::clone(invalid.reason());
                 self.refused.insert(key, Refused { revision, error });
                 None
             }
@@ -138,7 +167,7 @@
     key: Key,
     revision: Revision,
     bytes: &[u8],
-) -> Result<Adopted, Arc<str>> {
+) -> Result<Adopted, InvalidDocument> {
     Ok(match key {
         Key::Hosts => Adopted::Hosts(Arc::new(documents.hosts(revision, bytes)?)),
         Key::Servers => Adopted::Servers(Arc::new(documents.servers(revision, bytes)?)),
--- a/crates/core/src/conf/mod.rs
+++ b/crates/core/src/conf/mod.rs
@@ -26,7 +26,7 @@
 mod spread;
 
 pub use delta::{DOCUMENT_BYTES_MAX, Delta, Edit};
-pub use log::{Adopted, Documents, Log, Refused};
+pub use log::{Adopted, Documents, InvalidDocument, Log, Refused};
 pub use message::{Digest, Key, Message};
 pub use options::Options;
 pub use spread::{Output, Spread};
--- a/crates/core/src/conf/spread.rs
+++ b/crates/core/src/conf/spread.rs
@@ -43,19 +43,19 @@
 /// use std::sync::Arc;
 /// use std::time::{Duration, Instant};
 /// use briarbank_core::catalog::{Catalog, Fleet};
-/// use briarbank_core::conf::{Documents, Key, Options, Output, Spread};
+/// use briarbank_core::conf::{Documents, InvalidDocument, Key, Options, Output, Spread};
 /// use briarbank_core::hosts::HostView;
 /// use briarbank_core::ids::Revision;
 ///
 /// struct Empty;
 /// impl Documents for Empty {
-///     fn hosts(&self, revision: Revision, _: &[u8]) -> Result<HostView, Arc<str>> {
+///     fn hosts(&self, revision: Revision, _: &[u8]) -> Result<HostView, InvalidDocument> {
 ///         Ok(HostView::new(revision, Vec::new()))
 ///     }
-///     fn servers(&self, revision: Revision, _: &[u8]) -> Result<Fleet, Arc<str>> {
+///     fn servers(&self, revision: Revision, _: &[u8]) -> Result<Fleet, InvalidDocument> {
 ///         Ok(Fleet { revision, ..Fleet::default() })
 ///     }
-///     fn config(&self, revision: Revision, _: &[u8]) -> Result<Catalog, Arc<str>> {
+///     fn config(&self, revision: Revision, _: &[u8]) -> Result<Catalog, InvalidDocument> {
 ///         Ok(Catalog { revision, ..Catalog::default() })
 ///     }
 /// }
--- a/crates/core/tests/fleet/documents.rs
+++ b/crates/core/tests/fleet/documents.rs
@@ -5,7 +5,7 @@
 use briarbank_core::catalog::{
     Catalog, Fleet, Profile, Server, ServerState, Target, TargetKind, Workspace,
 };
-use briarbank_core::conf;
+use briarbank_core::conf::{self, InvalidDocument};
 use briarbank_core::hosts::HostView;
 use briarbank_core::ids::Revision;
 
@@ -19,11 +19,11 @@
 pub(crate) struct Documents {}
 
 impl conf::Documents for Documents {
-    fn hosts(&self, _: Revision, bytes: &[u8]) -> Result<HostView, Arc<str>> {
-        serde_json::from_slice(bytes).map_err(|e| Arc::from(e.to_string()))
+    fn hosts(&self, _: Revision, bytes: &[u8]) -> Result<HostView, InvalidDocument> {
+        serde_json::from_slice(bytes).map_err(|e| InvalidDocument::new(&e))
     }
 
-    fn servers(&self, revision: Revision, _: &[u8]) -> Result<Fleet, Arc<str>> {
+    fn servers(&self, revision: Revision, _: &[u8]) -> Result<Fleet, InvalidDocument> {
         let server = Server {
             name: "server".into(),
             zone: "zone".into(),
@@ -39,7 +39,7 @@
         })
     }
 
-    fn config(&self, revision: Revision, _: &[u8]) -> Result<Catalog, Arc<str>> {
+    fn config(&self, revision: Revision, _: &[u8]) -> Result<Catalog, InvalidDocument> {
         let profile = Profile {
             name: "slips".into(),
             tier: 0,
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -81,7 +81,7 @@
     fleet.run_for(Duration::from_secs(3));
     assert_eq!(fleet.sharing(0), 4);
     fleet.apply(&Op::Split { mask: 1 });
-    fleet.run_for(Duration::from_secs(60));
+    fleet.run_for(Duration::from_mins(1));
     assert_eq!((fleet.sharing(0), fleet.sharing(1)), (4, 3));
 }
 
--- a/crates/core/tests/recovery_fleet/documents.rs
+++ b/crates/core/tests/recovery_fleet/documents.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use briarbank_core::catalog::{Catalog, Fleet};
-use briarbank_core::conf::{Adopted, Documents, Key};
+use briarbank_core::conf::{Adopted, Documents, InvalidDocument, Key};
 use briarbank_core::hosts::HostView;
 use briarbank_core::ids::Revision;
 
@@ -13,20 +13,22 @@
 /// Takes every document but those that begin with [`INVALID`].
 pub(crate) struct Fake;
 
-fn check(bytes: &[u8]) -> Result<(), Arc<str>> {
+fn check(bytes: &[u8]) -> Result<(), InvalidDocument> {
     if bytes.starts_with(INVALID) {
-        return Err(Arc::from("made invalid by the test"));
+        return Err(InvalidDocument::Refused(Arc::from(
+            "made invalid by the test",
+        )));
     }
     Ok(())
 }
 
 impl Documents for Fake {
-    fn hosts(&self, revision: Revision, bytes: &[u8]) -> Result<HostView, Arc<str>> {
-        let hosts = serde_json::from_slice(bytes).map_err(|e| Arc::from(e.to_string()))?;
+    fn hosts(&self, revision: Revision, bytes: &[u8]) -> Result<HostView, InvalidDocument> {
+        let hosts = serde_json::from_slice(bytes).map_err(|e| InvalidDocument::new(&e))?;
         Ok(HostView::new(revision, hosts))
     }
 
-    fn servers(&self, revision: Revision, bytes: &[u8]) -> Result<Fleet, Arc<str>> {
+    fn servers(&self, revision: Revision, bytes: &[u8]) -> Result<Fleet, InvalidDocument> {
         check(bytes)?;
         Ok(Fleet {
             revision,
@@ -34,7 +36,7 @@
         })
     }
 
-    fn config(&self, revision: Revision, bytes: &[u8]) -> Result<Catalog, Arc<str>> {
+    fn config(&self, revision: Revision, bytes: &[u8]) -> Result<Catalog, InvalidDocument> {
         check(bytes)?;
         Ok(Catalog {
             revision,
