--- a/crates/standin/examples/speed/documents.rs
+++ b/crates/standin/examples/speed/documents.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 
 /// Slots of each engine.
-pub(crate) const SLOTS: u32 = 2_000;
+pub(crate) const SLOTS: u32 = 4_000;
 
 /// Addresses that the documents name.
 #[derive(Clone, Copy, Debug)]
--- a/crates/standin/examples/speed/memory.rs
+++ b/crates/standin/examples/speed/memory.rs
@@ -16,6 +16,8 @@
 const STREAMS: usize = 5_000;
 /// Time between tokens of each stream.
 const TOKEN_US: u64 = 79_000;
+/// Pause between the starts of two streams.
+const START_PAUSE: Duration = Duration::from_millis(1);
 /// Longest wait for all streams to be open.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(40);
 /// Pause between looks at the number of open streams.
@@ -43,6 +45,8 @@
     let mut readers = JoinSet::new();
     for prompt in long_prompts(STREAMS, MAX_TOKENS) {
         readers.spawn(read(address, prompt, Arc::clone(&opened)));
+        // A burst would overflow the listeners' queues.
+        tokio::time::sleep(START_PAUSE).await;
     }
     let opening = async {
         while opened.load(Ordering::Relaxed) < STREAMS {
--- a/crates/standin/examples/speed/streams.rs
+++ b/crates/standin/examples/speed/streams.rs
@@ -12,8 +12,13 @@
 use crate::bench::{Bench, Call, PACED_TOKEN_US, SEED, send};
 use crate::failures::{Failed, Failures, reason};
 
-/// Length of each rung.
-const PHASE: Duration = Duration::from_secs(6);
+/// Time in which the streams of a rung are opened, one after another: a burst
+/// would overflow the listeners' queues and measure the repeats of TCP.
+const OPENING: Duration = Duration::from_secs(1);
+/// Time from a rung's begin after which tokens are counted.
+const WARM_UP: Duration = Duration::from_secs(2);
+/// Time in which tokens are counted.
+const PHASE: Duration = Duration::from_secs(5);
 /// Rates that the engines are set to, all together.
 const RATES_PER_S: [u32; 4] = [100_000, 200_000, 300_000, 400_000];
 /// Streams that are open at once.
@@ -81,14 +86,17 @@
     let counts = Arc::new(Counts::default());
     let before = bench.node.processor_s();
     let begin = Instant::now();
+    let end = begin + WARM_UP + PHASE;
     let mut streams = JoinSet::new();
     for number in 0..STREAMS {
         let entry = entries[number % entries.len()];
         let (prompts, counts) = (Arc::clone(prompts), Arc::clone(&counts));
+        let opening = OPENING.mul_f64(number as f64 / STREAMS as f64);
         streams.spawn(async move {
+            tokio::time::sleep(opening).await;
             let client = Client::default();
             for round in 0.. {
-                if begin.elapsed() >= PHASE {
+                if Instant::now() >= end {
                     break;
                 }
                 let prompt = &prompts[(number + round * 7) % prompts.len()];
@@ -108,7 +116,7 @@
     format!("{per_s:.0}/s, {whole} whole, {failures}, node {cores:.2} cores, {memory_mb:.0} MB")
 }
 
-/// Reads an answer to its end; counts tokens within the phase.
+/// Reads an answer to its end; counts tokens between warm-up and end.
 async fn read_stream(
     client: &Client,
     entry: SocketAddr,
@@ -135,7 +143,7 @@
         newlines += bytes.split(|b| *b == b'\n').skip(1).count() as u64;
         // Two newlines end an event.
         let so_far = newlines / 2;
-        if begin.elapsed() < PHASE {
+        if (WARM_UP..WARM_UP + PHASE).contains(&begin.elapsed()) {
             counts.tokens.fetch_add(so_far - events, Ordering::Relaxed);
         }
         events = so_far;
