--- a/crates/core/src/node/control.rs
+++ b/crates/core/src/node/control.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::conf::{self, Adopted, Key};
+use crate::division::Division;
 use crate::ids::{Revision, ServerName};
 use crate::member;
 use crate::node::event::Action;
@@ -11,6 +12,9 @@
 use crate::peer::{Envelope, Message};
 use crate::router;
 
+/// Most peers remembered by a node that knows no host list.
+const INTRODUCED_LIMIT: usize = 16;
+
 impl Node {
     /// Does what is due in all parts.
     pub(crate) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -40,9 +44,13 @@
     pub(crate) fn peer(&mut self, now: Instant, envelope: Envelope, actions: &mut Vec<Action>) {
         let Envelope {
             from,
+            address,
             incarnation,
             message,
         } = envelope;
+        if self.hosts().hosts.is_empty() && self.introduced.len() < INTRODUCED_LIMIT {
+            self.introduced.insert(from.clone(), address);
+        }
         match message {
             Message::Owner(message) => {
                 self.owner
@@ -127,13 +135,22 @@
 
     /// Tells the router among how many nodes the servers are divided.
     fn share(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let count = self.members.live_count().max(1);
+        let count = self.sharing();
         self.route(now, router::Event::Sharing(count), actions);
     }
 
+    /// Number of hosts among which limits are divided.
+    ///
+    /// The smaller side of a partition does not take over the parts of the larger.
+    pub(crate) fn sharing(&self) -> usize {
+        let division = Division::new(self.hosts(), |host| self.members.usable(host));
+        division.sharers().len().max(1)
+    }
+
     fn adopt(&mut self, now: Instant, adopted: Adopted, actions: &mut Vec<Action>) {
         match adopted {
             Adopted::Hosts(view) => {
+                self.introduced.clear();
                 self.members.hosts(now, &view);
                 self.spread.hosts(now, &view);
                 self.owner.adopt(now, view, actions);
--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -1,6 +1,7 @@
 //! The composed state machine.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -77,6 +78,8 @@
     pub owner: owner::Dump,
     /// Hosts that take part, as far as is known here.
     pub live_hosts: usize,
+    /// Hosts among which the limits of servers and workspaces are divided.
+    pub sharing_hosts: usize,
     /// Servers known to be leaving.
     pub leaving_servers: Vec<ServerName>,
     /// Whether the node watches the platform.
@@ -110,6 +113,8 @@
     pub(crate) forwarded: BTreeMap<CallId, Forwarded>,
     pub(crate) catalog: Option<Arc<crate::catalog::Catalog>>,
     pub(crate) fleet: Arc<crate::catalog::Fleet>,
+    /// Peers that spoke to a node that knows no host list yet.
+    pub(crate) introduced: BTreeMap<HostName, SocketAddr>,
     pub(crate) stopping: bool,
     pub(crate) stopped: bool,
 }
@@ -156,6 +161,7 @@
             forwarded: BTreeMap::new(),
             catalog: None,
             fleet: Arc::default(),
+            introduced: BTreeMap::new(),
             stopping: false,
             stopped: false,
         }
@@ -179,6 +185,13 @@
         self.owner.view()
     }
 
+    /// Address of another node, from the host list or, without one, from its messages.
+    #[must_use]
+    pub fn peer_address(&self, host: &HostName) -> Option<SocketAddr> {
+        let listed = self.hosts().get(host).map(|h| h.peer_address);
+        listed.or_else(|| self.introduced.get(host).copied())
+    }
+
     /// Configuration in force.
     #[must_use]
     pub fn catalog(&self) -> Option<&Arc<crate::catalog::Catalog>> {
@@ -219,6 +232,7 @@
             forwarded: self.forwarded.len(),
             owner: self.owner.dump(now),
             live_hosts: self.members.live_count(),
+            sharing_hosts: self.sharing(),
             leaving_servers: self.members.leaving_servers().cloned().collect(),
             watching: self.spread.watching(),
             refused: Key::ALL
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -74,6 +74,68 @@
     assert_eq!(tally.completed, 40, "{tally:?}");
 }
 
+/// One of four is cut off: it must not take the limits of the other three as well.
+#[test]
+fn smaller_side_of_a_partition_keeps_its_part_of_limits() {
+    let mut fleet = Fleet::new(4, 1);
+    fleet.run_for(Duration::from_secs(3));
+    assert_eq!(fleet.sharing(0), 4);
+    fleet.apply(&Op::Split { mask: 1 });
+    fleet.run_for(Duration::from_secs(60));
+    assert_eq!((fleet.sharing(0), fleet.sharing(1)), (4, 3));
+}
+
+/// An owner is cut off and dropped from the list while its lease still runs.
+#[test]
+fn new_owner_waits_for_the_lease_of_one_that_is_cut_off() {
+    let mut ops = vec![
+        Op::Wait { ms: 3000 },
+        Op::NoPlatform { at: 0, on: true },
+        Op::Split { mask: 1 },
+        Op::Publish { at: 0, state: None },
+        Op::Wait { ms: 1550 },
+    ];
+    for _ in 0..20 {
+        ops.push(Op::Call { at: 0, dated: true });
+        ops.push(Op::Repeat { at: 1, request: 0 });
+    }
+    for seed in 0..20 {
+        play(3, seed, &ops);
+    }
+}
+
+/// A first try was refused as not run by a node without records while a second one, sent
+/// before the first was answered, ran.
+#[test]
+fn first_try_that_its_caller_did_not_wait_for() {
+    let ops = [
+        Op::NoPlatform { at: 2, on: true },
+        Op::Cut { from: 2, to: 0 },
+        Op::Restart {
+            at: 2,
+            clock_error_ms: 0,
+        },
+        Op::Wait { ms: 545 },
+        Op::Call { at: 3, dated: true },
+        Op::Call { at: 0, dated: true },
+        Op::Publish { at: 0, state: None },
+        Op::Heal,
+        Op::Call {
+            at: 3,
+            dated: false,
+        },
+        Op::Wait { ms: 677 },
+        Op::Call {
+            at: 0,
+            dated: false,
+        },
+        Op::Call { at: 3, dated: true },
+        Op::Call { at: 0, dated: true },
+        Op::Repeat { at: 0, request: 1 },
+    ];
+    play(5, 23, &ops);
+}
+
 macro_rules! history_tests {
     ($($name:ident: $size:literal, $seed:literal;)*) => {$(
         #[test]
--- a/crates/node/src/call/answer.rs
+++ b/crates/node/src/call/answer.rs
@@ -1,15 +1,21 @@
 //! The answer of a call over all its attempts, as its caller sees it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use briarbank_core::call::{Outcome, Refusal, StoredAnswer};
 use bytes::{Bytes, BytesMut};
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::time::timeout;
 
 use super::reply::{CHUNKS_MAX, Chunks, ReplySender};
 use super::{Reply, ReplyAnswer, ReplyBody};
 use crate::refusal;
 
+/// Longest time for which a caller may take nothing of its answer.
+const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The caller no longer reads its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct CallerLeft;
@@ -23,6 +29,7 @@
     tokens: u32,
     transcript: Transcript,
     unsent: BytesMut,
+    complete: bool,
     kept: Option<BytesMut>,
     limit_bytes: usize,
 }
@@ -43,6 +50,7 @@
             tokens: 0,
             transcript: Transcript::default(),
             unsent: BytesMut::new(),
+            complete: false,
             kept: None,
             limit_bytes,
         }
@@ -116,6 +124,17 @@
         }
     }
 
+    /// Takes the last part of the streamed answer, to be given by [`Self::flush`].
+    pub(crate) fn push_last(&mut self, chunk: &[u8]) {
+        self.push(chunk);
+        self.complete = true;
+    }
+
+    /// Whether nothing may follow what was taken so far.
+    pub(super) fn is_complete(&self) -> bool {
+        self.complete
+    }
+
     /// Gives the caller what it has not been given yet.
     ///
     /// Dropping the future loses nothing: the next flush gives it.
@@ -128,10 +147,14 @@
             return Ok(());
         }
         let chunks = self.chunks.as_ref().ok_or(CallerLeft)?;
-        let permit = chunks.reserve().await;
-        let unsent = self.unsent.split().freeze();
-        permit.map_err(|_error| CallerLeft)?.send(unsent);
-        Ok(())
+        if let Some(permit) = room(chunks).await {
+            permit.send(self.unsent.split().freeze());
+            return Ok(());
+        }
+        // Nothing more is given to a caller that stalled, nor waited for.
+        self.chunks = None;
+        self.unsent.clear();
+        Err(CallerLeft)
     }
 
     /// Gives the caller the next part of a streamed answer.
@@ -157,6 +180,7 @@
 
     /// Gives the caller a whole answer.
     pub(crate) fn whole(&mut self, status: u16, content_type: Arc<str>, body: Bytes) {
+        self.complete = true;
         self.send(Reply::Answer(ReplyAnswer {
             status,
             content_type,
@@ -173,7 +197,13 @@
     }
 
     /// Gives the caller its final refusal, as an event when a stream has begun.
+    ///
+    /// A caller that has the whole answer, or is about to, is told nothing else.
     pub(super) async fn refuse(&mut self, refusal: Refusal) {
+        if self.complete {
+            let _ = self.flush().await;
+            return;
+        }
         if self.started() {
             let _ = self.chunk(&refusal::event(&refusal)).await;
             return;
@@ -181,3 +211,12 @@
         self.send(Reply::Refusal(refusal));
     }
 }
+
+/// Room for one chunk; `None` when the caller is gone or stalls.
+async fn room(chunks: &mpsc::Sender<Bytes>) -> Option<mpsc::Permit<'_, Bytes>> {
+    match chunks.try_reserve() {
+        Ok(permit) => Some(permit),
+        Err(TrySendError::Closed(())) => None,
+        Err(TrySendError::Full(())) => timeout(STALL_TIMEOUT, chunks.reserve()).await.ok()?.ok(),
+    }
+}
--- a/crates/node/src/call/meter.rs
+++ b/crates/node/src/call/meter.rs
@@ -4,12 +4,14 @@
 
 use briarbank_core::call::{Call, Outcome, Reason};
 use briarbank_core::ids::ProfileName;
-use metrics::{counter, histogram};
+use metrics::{Histogram, counter, histogram};
 
 use crate::order::Targets;
 
+/// Label of calls whose profile is not in the configuration in force.
+const UNKNOWN_PROFILE: &str = "-";
+
 /// Times and counts of one call, recorded at its end.
-#[derive(Debug)]
 pub(crate) struct Meter {
     profile: ProfileName,
     /// Whether the whole answer of a plain service is due like a first token.
@@ -18,23 +20,34 @@
     targets: Option<Targets>,
     attempts: u32,
     sent: bool,
+    completed: bool,
     first_token: Option<Instant>,
     last_token: Option<Instant>,
     tokens: u32,
+    /// Found once: it is recorded for each read of a stream.
+    between_tokens: Option<Histogram>,
 }
 
 impl Meter {
-    pub(super) fn new(call: &Call) -> Self {
+    /// Profiles that are not `known` share a label, so that callers can't make up labels.
+    pub(super) fn new(call: &Call, known: bool) -> Self {
+        let profile = if known {
+            call.profile.clone()
+        } else {
+            ProfileName::new(UNKNOWN_PROFILE)
+        };
         Self {
-            profile: call.profile.clone(),
+            profile,
             is_service: call.max_tokens == 0,
             received: call.received,
             targets: None,
             attempts: 0,
             sent: false,
+            completed: false,
             first_token: None,
             last_token: None,
             tokens: 0,
+            between_tokens: None,
         }
     }
 
@@ -69,16 +82,22 @@
                     .record(now.duration_since(self.received));
             }
             Some(last) => {
-                histogram!("briarbank_between_tokens_seconds", "profile" => self.label())
-                    .record(now.duration_since(last) / new);
+                let between = self.between_tokens.get_or_insert_with(|| {
+                    let profile = self.profile.as_str().to_owned();
+                    histogram!("briarbank_between_tokens_seconds", "profile" => profile)
+                });
+                between.record(now.duration_since(last) / new);
             }
         }
         self.last_token = Some(now);
         self.tokens = total;
     }
 
-    /// The whole answer was given to the caller.
-    pub(super) fn completed(&self) {
+    /// The whole answer was given to the caller; counts once.
+    pub(super) fn completed(&mut self) {
+        if std::mem::replace(&mut self.completed, true) {
+            return;
+        }
         let whole = self.received.elapsed();
         let profile = self.label();
         histogram!("briarbank_whole_seconds", "profile" => profile.clone()).record(whole);
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -17,8 +17,9 @@
 use super::request;
 use super::stream::StreamEnd;
 use crate::call::{Answer, Inbound, Meter};
-use crate::control::{Control, Progress};
+use crate::control::Control;
 use crate::order::Attempt;
+use crate::progress::Progress;
 
 /// Content type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -275,7 +276,7 @@
 
     /// Hands on the last part of a stream, after the answer is kept for repeats.
     async fn last_chunk(&mut self, chunk: Bytes) -> AttemptEnd {
-        self.answer.push(&chunk);
+        self.answer.push_last(&chunk);
         if !self.attempt.idempotent
             && let Some(stored) = self.answer.stored()
         {
