Bind replies of the fake to the process that asked

The daemon's replies come on the call's own stream, so the case can't occur there (trace kept as late_answers_do_not_reach_calls_of_a_new_process). Ruled out: the core, which only sees the call that the fake names. Change: the fake's calls are unique over restarts; the node tells the router its zone.

--- a/crates/core/src/node/state.rs
+++ b/crates/core/src/node/state.rs
@@ -145,7 +145,8 @@
             zone,
             incarnation,
         } = identity.clone();
-        let router = Router::new(options.router, incarnation, seed);
+        let mut router = Router::new(options.router, incarnation, seed);
+        router.set_zone(zone.clone());
         let spread = Spread::new(host.clone(), zone, options.spread, seed);
         let members = Members::new(host.clone(), incarnation, options.members, seed);
         let owner = Owner::new(host, incarnation, options.owner, now, wall_ms);
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -66,7 +66,6 @@
     node: Node,
     incarnation: Incarnation,
     calls: BTreeMap<CallId, Arrived>,
-    next_call: u64,
     paused_until: Instant,
     clock_error_ms: i64,
     reads_stale: bool,
@@ -89,6 +88,8 @@
     double_percent: u32,
     delay_ms: u64,
     requests: Vec<Request>,
+    /// Calls of all nodes; as on real connections, no answer reaches another process's call.
+    next_call: u64,
     next_caller_call: u64,
     service_faults: bool,
     last_reason: Option<Reason>,
@@ -115,6 +116,7 @@
             double_percent: 0,
             delay_ms: 5,
             requests: Vec::new(),
+            next_call: 0,
             next_caller_call: 0,
             service_faults: true,
             last_reason: None,
@@ -145,7 +147,6 @@
             node: Node::new(identity, options(), documents, self.now, wall_ms, seed),
             incarnation,
             calls: BTreeMap::new(),
-            next_call: 0,
             paused_until: self.now,
             clock_error_ms,
             reads_stale: false,
@@ -467,8 +468,8 @@
     fn arrive(&mut self, at: usize, arrived: Arrived, first_try: bool) {
         let request = self.requests[arrived.request].id.clone();
         let place = &mut self.places[at];
-        place.next_call += 1;
-        let id = CallId(place.next_call);
+        self.next_call += 1;
+        let id = CallId(self.next_call);
         let origin = match arrived.from {
             None => Origin::Caller,
             Some((from, _)) => Origin::Peer(host_name(from)),
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use briarbank_core::hosts::HostState;
 use fleet::{Fleet, Op, Tally, ops};
 use proptest::test_runner::{Config, TestCaseError, TestRng, TestRunner};
 
@@ -136,6 +137,47 @@
     play(5, 23, &ops);
 }
 
+/// Both nodes restart while calls are forwarded between them.
+#[test]
+fn late_answers_do_not_reach_calls_of_a_new_process() {
+    let restart = |at| Op::Restart {
+        at,
+        clock_error_ms: 0,
+    };
+    let ops = [
+        Op::Wait { ms: 551 },
+        Op::Pause { at: 4, ms: 1170 },
+        Op::Wait { ms: 232 },
+        Op::Call {
+            at: 0,
+            dated: false,
+        },
+        Op::Repeat { at: 0, request: 0 },
+        Op::Wait { ms: 1251 },
+        restart(2),
+        Op::Wait { ms: 722 },
+        Op::Call { at: 2, dated: true },
+        Op::Call {
+            at: 0,
+            dated: false,
+        },
+        Op::Wait { ms: 606 },
+        Op::Publish {
+            at: 4,
+            state: Some(HostState::Live),
+        },
+        Op::SkewedCall {
+            at: 2,
+            skew_ms: 695,
+        },
+        restart(2),
+        Op::Wait { ms: 543 },
+        Op::Repeat { at: 0, request: 0 },
+        Op::Repeat { at: 2, request: 1 },
+    ];
+    play(5, 23, &ops);
+}
+
 macro_rules! history_tests {
     ($($name:ident: $size:literal, $seed:literal;)*) => {$(
         #[test]
