Split the ownership state machine and its fake by job

Change: asking, confirming, joining and deciding have files of their own; asked_by is shorter; the fake's callers, faults and network too. Behaviour as before; docs/PROOFS.md begun.

--- a/crates/core/src/owner/confirm.rs
+++ b/crates/core/src/owner/confirm.rs
@@ -1,164 +1,17 @@
-//! Asking committees for confirmation, and answering owners that ask.
+//! Confirming owners of slots, and taking confirmations.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::hosts::HostView;
-use crate::ids::{HostName, Incarnation, Revision};
+use crate::ids::{HostName, Revision};
 use crate::node::Action;
 use crate::owner::lease::Confirmation;
 use crate::owner::message::{HeldSlot, Message, SlotAck, SlotAsk};
 use crate::owner::promise::{Grant, Holder};
-use crate::owner::slots::{Slot, SlotMap};
-use crate::owner::state::{Asked, Owner, send};
-
-/// Most requests for confirmation whose answers are awaited.
-const ASKED_LIMIT: usize = 4096;
-
-/// Slots to ask one host for.
-#[derive(Debug, Default)]
-struct Wish {
-    held: Vec<HeldSlot>,
-    wanted: Vec<SlotAsk>,
-}
+use crate::owner::slots::Slot;
+use crate::owner::state::{Owner, send};
 
 impl Owner {
-    /// Asks the committees of owned slots, all or just those not held.
-    pub(crate) fn ask(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let is_due = now >= self.next_ask;
-        if !is_due && now < self.next_wanted_ask {
-            return;
-        }
-        if is_due {
-            self.next_ask = now + self.options.ask_every;
-        }
-        self.next_wanted_ask = now + self.options.ask_again;
-        self.asked
-            .retain(|_, asked| asked.at + self.options.lease > now);
-        let slots: Vec<Slot> = self.leases.keys().copied().collect();
-        let mut wishes: BTreeMap<HostName, Wish> = BTreeMap::new();
-        for slot in slots {
-            self.wish(now, slot, is_due, &mut wishes);
-        }
-        for (to, wish) in wishes {
-            self.send_ask(now, &to, wish, actions);
-        }
-    }
-
-    /// Adds one slot to what each of its committee's members is asked for.
-    fn wish(
-        &mut self,
-        now: Instant,
-        slot: Slot,
-        is_due: bool,
-        wishes: &mut BTreeMap<HostName, Wish>,
-    ) {
-        let index = usize::from(slot.0);
-        let settled = self.settled.get(index).copied().unwrap_or_default();
-        let stint = self.stints.get(index).copied().unwrap_or_default();
-        let is_settled = self.is_settled(now, slot);
-        if is_settled && !is_due {
-            return;
-        }
-        if is_settled {
-            self.wish_held(now, HeldSlot { slot, stint }, wishes);
-        } else {
-            self.wish_wanted(
-                now,
-                &SlotAsk {
-                    slot,
-                    stint,
-                    settled,
-                },
-                wishes,
-            );
-        }
-        self.evaluate(now, slot);
-    }
-
-    /// Asks the slot's committee to go on confirming it.
-    fn wish_held(&mut self, now: Instant, held: HeldSlot, wishes: &mut BTreeMap<HostName, Wish>) {
-        let committee = self.map.committee(held.slot);
-        for member in committee.iter().filter(|m| **m != self.host) {
-            if let Some(wish) = wishes.get_mut(member) {
-                wish.held.push(held);
-                continue;
-            }
-            wishes.entry(member.clone()).or_default().held.push(held);
-        }
-        if committee.contains(&self.host) {
-            self.confirm_self(now, held.slot, held.stint, self.map.revision());
-        }
-    }
-
-    /// Asks all committees that have to confirm a slot that is not held yet.
-    fn wish_wanted(&mut self, now: Instant, ask: &SlotAsk, wishes: &mut BTreeMap<HostName, Wish>) {
-        for member in self.members(ask.slot, ask.settled) {
-            if member == self.host {
-                self.confirm_self(now, ask.slot, ask.stint, ask.settled);
-                continue;
-            }
-            wishes.entry(member).or_default().wanted.push(ask.clone());
-        }
-    }
-
-    /// Members of all committees that have to confirm the slot.
-    fn members(&self, slot: Slot, settled: Revision) -> Vec<HostName> {
-        let mut members: Vec<HostName> = self.map.committee(slot).to_vec();
-        if settled < self.map.revision() {
-            let older = self.older.range(settled.max(self.retired)..);
-            members.extend(older.flat_map(|(_, map)| map.committee(slot).iter().cloned()));
-        }
-        members.sort();
-        members.dedup();
-        members
-    }
-
-    fn confirm_self(&mut self, now: Instant, slot: Slot, stint: u32, settled: Revision) {
-        let holder = Holder {
-            host: self.host.clone(),
-            incarnation: self.incarnation,
-            stint,
-        };
-        let Some(grant) = self.promises.grant(now, slot, &holder, settled) else {
-            return;
-        };
-        let confirmation = confirmation(now, now, grant.previous.as_ref(), &grant);
-        let host = self.host.clone();
-        if let Some(lease) = self.leases.get_mut(&slot) {
-            lease.confirm(&host, confirmation);
-        }
-    }
-
-    fn send_ask(&mut self, now: Instant, to: &HostName, wish: Wish, actions: &mut Vec<Action>) {
-        if self.asked.len() >= ASKED_LIMIT {
-            self.asked.pop_first();
-        }
-        self.next_number = self.next_number.wrapping_add(1);
-        let number = self.next_number;
-        let held = wish.held.iter().map(|h| h.slot);
-        let slots = held.chain(wish.wanted.iter().map(|w| w.slot)).collect();
-        self.asked.insert(
-            number,
-            Asked {
-                to: to.clone(),
-                at: now,
-                slots,
-            },
-        );
-        let view = self.map.revision();
-        let Wish { held, wanted } = wish;
-        actions.push(send(
-            to,
-            Message::Ask {
-                view,
-                number,
-                held,
-                wanted,
-            },
-        ));
-    }
-
     /// Answers an owner that asks for confirmation.
     pub(crate) fn asked_by(
         &mut self,
@@ -183,18 +36,10 @@
             stint: h.stint,
             settled: view,
         });
-        let mut slots = Vec::new();
-        for ask in all_held.chain(wanted.iter().cloned()) {
-            if self.map.owner(ask.slot) != Some(&asker.host) {
-                continue;
-            }
-            let holder = Holder {
-                stint: ask.stint,
-                ..asker.clone()
-            };
-            let grant = self.promises.grant(now, ask.slot, &holder, ask.settled);
-            slots.extend(grant.and_then(|g| slot_ack(ask.slot, g, &ask)));
-        }
+        let asks = all_held.chain(wanted.iter().cloned());
+        let slots = asks
+            .filter_map(|ask| self.grant(now, asker, &ask))
+            .collect();
         let oldest = wanted
             .iter()
             .map(|w| w.settled)
@@ -218,6 +63,19 @@
         ));
     }
 
+    /// Confirms one slot; what has to be told of it.
+    fn grant(&mut self, now: Instant, asker: &Holder, ask: &SlotAsk) -> Option<SlotAck> {
+        if self.map.owner(ask.slot) != Some(&asker.host) {
+            return None;
+        }
+        let holder = Holder {
+            stint: ask.stint,
+            ..asker.clone()
+        };
+        let grant = self.promises.grant(now, ask.slot, &holder, ask.settled)?;
+        slot_ack(ask.slot, grant, ask)
+    }
+
     /// Takes the confirmation of a committee member.
     pub(crate) fn confirmed_by(
         &mut self,
@@ -271,86 +129,6 @@
         let latest_ms = self.clock.wall_ms(asked) + error_ms;
         (earliest_ms..=latest_ms).contains(&wall_ms)
     }
-
-    /// Tells a host list that another owner does not know.
-    pub(crate) fn view_asked(
-        &self,
-        from: &HostName,
-        revision: Revision,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(map) = self.older.get(&revision) {
-            actions.push(send(from, Message::View(HostView::clone(map.view()))));
-        }
-    }
-
-    /// Takes an older host list from another node.
-    pub(crate) fn view_told(&mut self, view: HostView) {
-        if view.revision < self.map.revision() && !view.hosts.is_empty() {
-            let view = HostView::new(view.revision, view.hosts);
-            self.remember(SlotMap::new(std::sync::Arc::new(view)));
-        }
-    }
-
-    /// Asks the other hosts which list they have, after a start.
-    pub(crate) fn greet(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if now < self.next_ask {
-            return;
-        }
-        self.next_ask = now + self.options.ask_again;
-        let (view, process) = (self.map.revision(), self.incarnation);
-        let missing = self.join.missing(self.map.view(), &self.host);
-        actions.extend(missing.map(|to| send(to, Message::Hello { view, process })));
-    }
-
-    /// Answers a host that has just started.
-    pub(crate) fn greeted(
-        &mut self,
-        from: &HostName,
-        view: Revision,
-        process: Incarnation,
-        actions: &mut Vec<Action>,
-    ) {
-        if !self.join.is_joined() {
-            self.join.hear(from, view, false);
-        }
-        let joined = self.join.is_joined();
-        let here = Message::Here {
-            view: self.map.revision(),
-            joined,
-            process,
-        };
-        actions.push(send(from, here));
-    }
-
-    /// Takes the answer of another host after a start.
-    pub(crate) fn heard(
-        &mut self,
-        now: Instant,
-        from: &HostName,
-        (view, joined): (Revision, bool),
-        process: Incarnation,
-        actions: &mut Vec<Action>,
-    ) {
-        if self.join.is_joined() || process != self.incarnation {
-            return;
-        }
-        self.join.hear(from, view, joined);
-        self.join.evaluate(self.map.view(), &self.host);
-        if self.join.is_joined() {
-            self.next_ask = now;
-            self.ask(now, actions);
-        }
-    }
-
-    /// Another host did not confirm; it is asked again.
-    pub(crate) fn refused_by(&mut self, now: Instant, from: &HostName, view: Revision) {
-        if view <= self.map.revision() {
-            return;
-        }
-        self.asked
-            .retain(|_, asked| asked.to != *from || asked.at > now);
-    }
 }
 
 fn clear_grant() -> Grant {
@@ -391,7 +169,7 @@
 }
 
 /// A confirmation whose waits are stretched by what two clocks may drift apart.
-fn confirmation(
+pub(crate) fn confirmation(
     now: Instant,
     asked: Instant,
     previous: Option<&Holder>,
--- /dev/null
+++ b/crates/core/src/owner/greet.rs
@@ -0,0 +1,93 @@
+//! Host lists that other nodes know, and joining after a start.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::hosts::HostView;
+use crate::ids::{HostName, Incarnation, Revision};
+use crate::node::Action;
+use crate::owner::message::Message;
+use crate::owner::slots::SlotMap;
+use crate::owner::state::{Owner, send};
+
+impl Owner {
+    /// Tells a host list that another owner does not know.
+    pub(crate) fn view_asked(
+        &self,
+        from: &HostName,
+        revision: Revision,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(map) = self.older.get(&revision) {
+            actions.push(send(from, Message::View(HostView::clone(map.view()))));
+        }
+    }
+
+    /// Takes an older host list from another node.
+    pub(crate) fn view_told(&mut self, view: HostView) {
+        if view.revision < self.map.revision() && !view.hosts.is_empty() {
+            let view = HostView::new(view.revision, view.hosts);
+            self.remember(SlotMap::new(Arc::new(view)));
+        }
+    }
+
+    /// Asks the other hosts which list they have, after a start.
+    pub(crate) fn greet(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if now < self.next_ask {
+            return;
+        }
+        self.next_ask = now + self.options.ask_again;
+        let (view, process) = (self.map.revision(), self.incarnation);
+        let missing = self.join.missing(self.map.view(), &self.host);
+        actions.extend(missing.map(|to| send(to, Message::Hello { view, process })));
+    }
+
+    /// Answers a host that has just started.
+    pub(crate) fn greeted(
+        &mut self,
+        from: &HostName,
+        view: Revision,
+        process: Incarnation,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.join.is_joined() {
+            self.join.hear(from, view, false);
+        }
+        let joined = self.join.is_joined();
+        let here = Message::Here {
+            view: self.map.revision(),
+            joined,
+            process,
+        };
+        actions.push(send(from, here));
+    }
+
+    /// Takes the answer of another host after a start.
+    pub(crate) fn heard(
+        &mut self,
+        now: Instant,
+        from: &HostName,
+        (view, joined): (Revision, bool),
+        process: Incarnation,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.join.is_joined() || process != self.incarnation {
+            return;
+        }
+        self.join.hear(from, view, joined);
+        self.join.evaluate(self.map.view(), &self.host);
+        if self.join.is_joined() {
+            self.next_ask = now;
+            self.ask(now, actions);
+        }
+    }
+
+    /// Another host did not confirm; it is asked again.
+    pub(crate) fn refused_by(&mut self, now: Instant, from: &HostName, view: Revision) {
+        if view <= self.map.revision() {
+            return;
+        }
+        self.asked
+            .retain(|_, asked| asked.to != *from || asked.at > now);
+    }
+}
--- a/crates/core/src/owner/mod.rs
+++ b/crates/core/src/owner/mod.rs
@@ -17,8 +17,11 @@
 //! What it leaves to its caller: delivery of messages, which may be lost,
 //! doubled, delayed and reordered, and a tick.
 
+mod ask;
 mod clock;
 mod confirm;
+mod decide;
+mod greet;
 mod handover;
 mod join;
 mod lease;
@@ -31,10 +34,11 @@
 mod transfer;
 
 pub use clock::WallClock;
+pub use decide::Begin;
 pub use handover::Handover;
 pub use message::{HeldSlot, Message, Record, RecordState, SlotAck, SlotAsk};
 pub use options::Options;
 pub use promise::{Grant, Holder, Promises};
 pub use records::{Lookup, Records};
 pub use slots::{SLOT_COUNT, Slot, SlotMap, slot_of};
-pub use state::{Begin, Dump, Owner, Place};
+pub use state::{Dump, Owner, Place};
