Direct histories at each rule of ownership

Change: four directed histories of 20 seeds each: all memory lost between two uses of dated, plain and future ids; halves with different lists.

--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -86,6 +86,68 @@
     assert_eq!((fleet.sharing(0), fleet.sharing(1)), (4, 3));
 }
 
+fn restart_all(size: usize) -> impl Iterator<Item = Op> {
+    (0..size).map(|at| Op::Restart {
+        at,
+        clock_error_ms: 0,
+    })
+}
+
+/// Uses four ids, kills all nodes, and uses the ids again through other nodes.
+fn use_kill_and_repeat(first: &Op) {
+    let mut ops = vec![Op::Wait { ms: 16_000 }];
+    ops.extend((0..4).map(|_| first.clone()));
+    ops.push(Op::Wait { ms: 100 });
+    ops.extend(restart_all(4));
+    ops.push(Op::Wait { ms: 5_000 });
+    ops.extend((0..4).map(|n| Op::Repeat { at: n, request: n }));
+    ops.push(Op::Wait { ms: 500 });
+    for seed in 0..20 {
+        play(4, seed, &ops);
+    }
+}
+
+#[test]
+fn dated_ids_are_not_run_again_after_all_memory_is_lost() {
+    use_kill_and_repeat(&Op::Call { at: 0, dated: true });
+}
+
+#[test]
+fn plain_ids_are_not_run_again_after_all_memory_is_lost() {
+    use_kill_and_repeat(&Op::Call {
+        at: 0,
+        dated: false,
+    });
+}
+
+#[test]
+fn ids_from_the_future_do_not_outlive_the_memory() {
+    use_kill_and_repeat(&Op::SkewedCall {
+        at: 0,
+        skew_ms: 7_000,
+    });
+}
+
+/// Two of four know a newer list that drops one of the others; neither half is a majority.
+#[test]
+fn halves_with_different_lists_do_not_both_own() {
+    let mut ops = vec![
+        Op::Wait { ms: 4_000 },
+        Op::NoPlatform { at: 0, on: true },
+        Op::NoPlatform { at: 1, on: true },
+        Op::Split { mask: 0b0011 },
+        Op::Publish { at: 0, state: None },
+        Op::Wait { ms: 5_000 },
+    ];
+    for _ in 0..20 {
+        ops.push(Op::Call { at: 0, dated: true });
+        ops.push(Op::Repeat { at: 2, request: 0 });
+    }
+    for seed in 0..20 {
+        play(4, seed, &ops);
+    }
+}
+
 /// An owner is cut off and dropped from the list while its lease still runs.
 #[test]
 fn new_owner_waits_for_the_lease_of_one_that_is_cut_off() {
