--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod network;
 mod op;
 mod queue;
+mod shares;
 
 pub(crate) use check::Tally;
 pub(crate) use op::{Op, ops};
