--- a/crates/briarbank/tests/owners.rs
+++ b/crates/briarbank/tests/owners.rs
@@ -29,7 +29,7 @@
 /// How long a caller waits before it repeats an id.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// Longer than a lease and the word of its committee.
+/// Longer than a lease and what its committee is bound to.
 const LONGER_THAN_LEASE: Duration = Duration::from_secs(7);
 
 /// The last that a caller was told of an id.
--- a/crates/core/src/owner/options.rs
+++ b/crates/core/src/owner/options.rs
@@ -28,7 +28,7 @@
 }
 
 impl Options {
-    /// How long a committee member keeps its word, by its own clock.
+    /// How long a committee member stands by a confirmation, by its own clock.
     ///
     /// Longer than the lease by more than two clocks drift apart.
     pub(crate) fn promise(&self) -> Duration {
--- a/crates/core/src/router/event.rs
+++ b/crates/core/src/router/event.rs
@@ -41,7 +41,7 @@
         /// The report.
         load: ServerLoad,
     },
-    /// A server is leaving, by its own word or by a peer's news.
+    /// A server is leaving, by its own statement or by a peer's news.
     ServerLeaving(ServerName),
     /// New configuration is in force.
     Catalog(Arc<Catalog>),
