--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -1,4 +1,4 @@
-//! Who is served, where, when, and when to say no, within one node.
+//! Admission, placement, retries and refusals of calls within one node.
 //!
 //! A state machine without input or output: events go in with the time, and
 //! actions come out. The caller carries out the actions in their order and sends
