Drop code of the core that does nothing

Cause: read through of the whole change: AttemptEvent::is_last had no caller, and a confirmation request can't lie after now, so that half of the condition on refused requests was never true. Ruled out: merging the small Documents of the examples, which each leave out other parts on purpose. Change: both removed; behaviour as before. Seen: clippy, docs, the ownership (100 histories a test) and router tests, and the process tests path and stops pass.

--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -178,11 +178,3 @@
         status.is_some_and(|(_, status)| status == Status::Dead)
     }
 }
-
-impl AttemptEvent {
-    /// Whether nothing follows for the attempt.
-    #[must_use]
-    pub fn is_last(self) -> bool {
-        !matches!(self, Self::Progress { .. })
-    }
-}
--- a/crates/core/src/owner/greet.rs
+++ b/crates/core/src/owner/greet.rs
@@ -83,11 +83,10 @@
     }
 
     /// Another host did not confirm; it is asked again.
-    pub(crate) fn refused_by(&mut self, now: Instant, from: &HostName, view: Revision) {
+    pub(crate) fn refused_by(&mut self, from: &HostName, view: Revision) {
         if view <= self.map.revision() {
             return;
         }
-        self.asked
-            .retain(|_, asked| asked.to != *from || asked.at > now);
+        self.asked.retain(|_, asked| asked.to != *from);
     }
 }
--- a/crates/core/src/owner/state.rs
+++ b/crates/core/src/owner/state.rs
@@ -247,7 +247,7 @@
             } => {
                 self.confirmed_by(now, from, (number, wall_ms), &views, slots, actions);
             }
-            Message::Nack { view } => self.refused_by(now, from, view),
+            Message::Nack { view } => self.refused_by(from, view),
             Message::ViewAsk(revision) => self.view_asked(from, revision, actions),
             Message::View(view) => self.view_told(view),
             Message::Hello { view, process } => self.greeted(from, view, process, actions),
