--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -14,6 +14,9 @@
 use crate::ids::{ServerName, ZoneName};
 use crate::rendezvous;
 
+/// Key of the order in which servers take short prompts, alike on all nodes.
+const LIGHT_KEY: u64 = 0x6c69_6768_7400;
+
 /// Expected time of a plain call, in milliseconds, for its cost only.
 const PLAIN_MS: f64 = 50.0;
 
@@ -29,6 +32,8 @@
     pub(crate) zone: &'a ZoneName,
     pub(crate) engine: Option<EngineSpec>,
     pub(crate) time: PromptTime,
+    /// Running mean of the tokens of prompts; longer ones are long.
+    pub(crate) mean_tokens: f64,
     /// Objective of each tier, most urgent first.
     pub(crate) targets: &'a [(u8, Duration)],
     pub(crate) options: &'a Options,
@@ -43,6 +48,8 @@
     pub(crate) ahead: f64,
     pub(crate) memory_tokens: f64,
     pub(crate) expected_ms: f64,
+    /// Whether the prompt is short.
+    pub(crate) is_light: bool,
 }
 
 /// A server and its cost, in milliseconds of delay.
@@ -107,18 +114,55 @@
             ahead: chosen.ahead,
             memory_tokens: call.prompt.as_ref().map_or(0.0, memory_tokens),
             expected_ms: chosen.expected_ms,
+            is_light: call.prompt.as_ref().is_some_and(|p| self.is_light(p)),
         })
     }
 
     fn model_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
+        let is_light = self.is_light(prompt);
+        let order = self.ranks(Some(LIGHT_KEY));
         let affinity = prompt.parts.iter().rev().nth(1).map(|(part, _)| *part);
         let ranks = self.ranks(affinity);
-        let costs = self.entries.iter().zip(ranks);
+        let costs = self.entries.iter().zip(ranks).zip(order);
         costs
-            .map(|(entry, rank)| self.model_cost(now, prompt, entry, rank))
+            .map(|((entry, rank), order)| {
+                let mut costed = self.model_cost(now, prompt, entry, rank);
+                let load = entry.load(now);
+                costed.cost_ms += if is_light {
+                    self.light_cost_ms(&load, order)
+                } else {
+                    self.long_cost_ms(&load)
+                };
+                costed
+            })
             .collect()
     }
 
+    fn is_light(&self, prompt: &Prompt) -> bool {
+        f64::from(prompt.tokens) < self.mean_tokens
+    }
+
+    /// Calls with short prompts that a server takes before they go to the next one.
+    fn light_max(&self) -> f64 {
+        let slots = self.engine.map_or(1, |engine| engine.slots);
+        (f64::from(slots) * self.options.light_ratio).max(1.0)
+    }
+
+    /// What keeps short prompts together, away from long ones.
+    fn light_cost_ms(&self, load: &Load, order: usize) -> f64 {
+        let busy_ratio = load.tokens_per_s * self.time.ms_per_token() / 1_000.0;
+        let full_ratio = load.light / self.light_max();
+        busy_ratio.min(1.0) * self.options.reading_cost_ms
+            + order as f64 * self.options.order_cost_ms
+            + (full_ratio - 1.0).max(0.0) * self.options.full_cost_ms
+    }
+
+    /// What keeps long prompts away from servers with many short ones.
+    fn long_cost_ms(&self, load: &Load) -> f64 {
+        (load.light / self.light_max()).min(1.0) * self.options.harm_cost_ms
+            + load.running * self.options.crowd_cost_ms
+    }
+
     /// Place of each server in the rendezvous order of a shared part.
     fn ranks(&self, affinity: Option<u64>) -> Vec<usize> {
         let Some(key) = affinity else {
@@ -153,13 +197,7 @@
         let wait_ms = token_ms * load.pending_tokens;
         let read_ms = token_ms * tokens;
         let expected_ms = self.time.base_ms() * entry.slowness + wait_ms + read_ms;
-        let harm_ms = read_ms * load.streaming * self.options.harm_ratio;
-        let busy_ratio = (load.tokens_per_s * token_ms / 1_000.0).min(1.0);
-        let cost_ms = expected_ms
-            + harm_ms
-            + busy_ratio * self.options.reading_cost_ms
-            + load.running * self.options.crowd_cost_ms
-            + self.zone_cost_ms(entry);
+        let cost_ms = expected_ms + self.zone_cost_ms(entry);
         Costed {
             entry,
             cost_ms,
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -16,6 +16,9 @@
 use crate::flow::table::RouteTable;
 use crate::ids::{ServerName, ServiceName, ZoneName};
 
+/// Weight of one call in the running mean of prompt tokens.
+const MEAN_WEIGHT: f64 = 0.02;
+
 /// Number of an attempt at one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct AttemptId(u64);
@@ -104,6 +107,7 @@
     memory_tokens: f64,
     expected_ms: f64,
     is_model: bool,
+    is_light: bool,
     has_begun: bool,
 }
 
@@ -124,6 +128,8 @@
     engine: Option<EngineSpec>,
     time: PromptTime,
     repeats: RepeatBudget,
+    /// Running mean of the tokens of prompts.
+    mean_tokens: f64,
     /// Objective of each tier, most urgent first.
     targets: Vec<(u8, Duration)>,
 }
@@ -154,6 +160,7 @@
                 engine: None,
                 time: PromptTime::default(),
                 repeats: RepeatBudget::new(repeats),
+                mean_tokens: 0.0,
                 targets: Vec::new(),
             });
             service.engine = spec.engine;
@@ -220,9 +227,14 @@
     }
 
     /// Counts a call that arrived for a service.
-    pub fn arrived(&mut self, now: Instant, service: &ServiceName) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.repeats.call(now);
+    pub fn arrived(&mut self, now: Instant, call: &Call) {
+        let Some(service) = self.services.get_mut(&call.service) else {
+            return;
+        };
+        service.repeats.call(now);
+        if let Some(prompt) = &call.prompt {
+            let tokens = f64::from(prompt.tokens);
+            service.mean_tokens += MEAN_WEIGHT * (tokens - service.mean_tokens);
         }
     }
 
@@ -253,6 +265,7 @@
             zone: &self.zone,
             engine: service.engine,
             time: service.time,
+            mean_tokens: service.mean_tokens,
             targets: &service.targets,
             options: &self.options,
         };
@@ -265,7 +278,7 @@
         let attempt = AttemptId(self.next_attempt);
         let instance = choice.instance;
         if let Some(entry) = self.servers.get_mut(&instance.id) {
-            entry.send(now, choice.tokens, choice.memory_tokens);
+            entry.send(now, choice.tokens, choice.memory_tokens, choice.is_light);
             let parts = call.prompt.iter().flat_map(|p| &p.parts);
             for (part, _) in parts {
                 entry.warm.touch(now, *part);
@@ -279,6 +292,7 @@
             memory_tokens: choice.memory_tokens,
             expected_ms: choice.expected_ms,
             is_model: call.prompt.is_some(),
+            is_light: choice.is_light,
             has_begun: false,
         };
         self.attempts.insert(attempt, entry);
@@ -305,7 +319,6 @@
         let time_ms = now.saturating_duration_since(attempt.sent).as_secs_f64() * 1_000.0;
         entry.own.pending_tokens = (entry.own.pending_tokens - attempt.tokens).max(0.0);
         if attempt.is_model {
-            entry.own.streaming += 1.0;
             if let Some(service) = self.services.get_mut(&entry.instance.service) {
                 let usual_ms = time_ms / entry.slowness;
                 service.time.record(attempt.tokens + attempt.ahead, usual_ms);
@@ -355,8 +368,9 @@
         entry.memory_tokens = (entry.memory_tokens - attempt.memory_tokens).max(0.0);
         if !attempt.has_begun {
             entry.own.pending_tokens = (entry.own.pending_tokens - attempt.tokens).max(0.0);
-        } else if attempt.is_model {
-            entry.own.streaming = (entry.own.streaming - 1.0).max(0.0);
+        }
+        if attempt.is_light {
+            entry.own.light = (entry.own.light - 1.0).max(0.0);
         }
         Some(attempt.server)
     }
--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -11,11 +11,11 @@
     pub server_key: u32,
     /// Calls in flight.
     pub running: u16,
-    /// Streams among them that have begun and are sensitive to pauses.
-    pub streaming: u16,
+    /// Calls in flight with short prompts.
+    pub light: u16,
     /// Prompt tokens sent whose first event has not come yet.
     pub pending_tokens: u32,
-    /// Prompt tokens to read that were sent, a second, as a running mean.
+    /// Tokens of long prompts to read that were sent, a second, as a running mean.
     pub tokens_per_s: u32,
 }
 
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -111,9 +111,13 @@
     }
 
     /// Counts a call that is sent with so many prompt tokens to read.
-    pub(crate) fn send(&mut self, now: Instant, tokens: f64, memory_tokens: f64) {
-        self.own.tokens_per_s = self.rate(now) + tokens / RATE_WINDOW.as_secs_f64();
-        self.rate_at = Some(now);
+    pub(crate) fn send(&mut self, now: Instant, tokens: f64, memory_tokens: f64, is_light: bool) {
+        if is_light {
+            self.own.light += 1.0;
+        } else {
+            self.own.tokens_per_s = self.rate(now) + tokens / RATE_WINDOW.as_secs_f64();
+            self.rate_at = Some(now);
+        }
         self.own.running += 1.0;
         self.own.pending_tokens += tokens;
         self.memory_tokens += memory_tokens;
@@ -125,7 +129,7 @@
         (self.own.running > 0.0 || tokens_per_s > 0).then_some(ServerLoad {
             server_key: self.key,
             running: self.own.running as u16,
-            streaming: self.own.streaming as u16,
+            light: self.own.light as u16,
             pending_tokens: self.own.pending_tokens as u32,
             tokens_per_s,
         })
--- a/crates/core/src/flow/table.rs
+++ b/crates/core/src/flow/table.rs
@@ -1,6 +1,6 @@
 //! Look-up of routes and keys.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +41,8 @@
     services: Vec<ServiceSpec>,
     limits: RequestLimits,
     keys: Option<HashMap<Arc<str>, WorkspaceEntry>>,
+    route_tiers: BTreeSet<u8>,
+    workspace_tiers: BTreeSet<u8>,
 }
 
 impl RouteTable {
@@ -48,6 +50,9 @@
     #[must_use]
     pub fn new(config: RouteConfig) -> Self {
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        let route_tiers = config.routes.iter().map(|r| r.tier).collect();
+        let entries = config.keys.iter().flat_map(HashMap::values);
+        let workspace_tiers = entries.filter_map(|w| w.tier).collect();
         for route in config.routes {
             let host = Arc::clone(&route.host);
             by_host.entry(host).or_default().push(Arc::new(route));
@@ -61,6 +66,8 @@
             services: config.services,
             limits: config.limits,
             keys: config.keys,
+            route_tiers,
+            workspace_tiers,
         }
     }
 
@@ -102,6 +109,15 @@
         targets.into_iter().collect()
     }
 
+    /// Urgency of a call, 0 is the most urgent: its workspace goes before its route.
+    #[must_use]
+    pub fn rank(&self, route_tier: u8, workspace_tier: Option<u8>) -> u8 {
+        let below = |tiers: &BTreeSet<u8>, tier: u8| tiers.range(..tier).count();
+        let workspace = workspace_tier.map_or(0, |tier| below(&self.workspace_tiers, tier));
+        let rank = workspace * self.route_tiers.len().max(1) + below(&self.route_tiers, route_tier);
+        u8::try_from(rank).unwrap_or(u8::MAX)
+    }
+
     /// Bounds on what callers may send.
     #[must_use]
     pub fn limits(&self) -> RequestLimits {
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -9,7 +9,7 @@
 use crate::shared::Shared;
 
 /// Time after the store's return in which entries that ended may have lapsed.
-const LAPSE_WINDOW: Duration = Duration::from_secs(3);
+const LAPSE_WINDOW: Duration = Duration::from_secs(1);
 
 /// Where values came from, for the logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -41,7 +41,8 @@
     head: request::Parts,
     admitted: Admitted,
     service: ServiceName,
-    tier: u8,
+    /// Urgency, 0 is the most urgent.
+    rank: u8,
     body: Bytes,
     began_at: Instant,
     pub(crate) deadline: Instant,
@@ -127,17 +128,17 @@
         began_at: Instant,
         in_flight: InFlight,
     ) -> Self {
-        let workspace = admitted.workspace.as_ref();
-        let tier = workspace.and_then(|w| w.tier).unwrap_or(admitted.route.tier);
+        let workspace_tier = admitted.workspace.as_ref().and_then(|w| w.tier);
+        let rank = admitted.table.rank(admitted.route.tier, workspace_tier);
         let service = admitted.route.service(shared.peers.borrow_mut().random());
         Self {
             shared: Rc::clone(shared),
-            record: record(&admitted, tier, began_at),
+            record: record(&admitted, rank, began_at),
             service: service.cloned().unwrap_or_else(|| "".into()),
             deadline: began_at + time_left(&admitted),
             head,
             admitted,
-            tier,
+            rank,
             body: Bytes::new(),
             began_at,
             tried: Vec::new(),
@@ -157,9 +158,11 @@
     /// Gets an answer from a server.
     pub(crate) async fn answer(mut self, body: Bytes) -> Response<AnswerBody> {
         self.body = body;
-        let now = std::time::Instant::now();
-        let service = self.service.clone();
-        self.shared.dispatcher.borrow_mut().arrived(now, &service);
+        let now = Instant::now();
+        let call = self.call(now);
+        let mut dispatcher = self.shared.dispatcher.borrow_mut();
+        dispatcher.arrived(now.into_std(), &call);
+        drop(dispatcher);
         if self.admitted.route.is_stream() {
             return match self.begin().await {
                 Ok(begun) if begun.head.status.is_success() => {
@@ -259,7 +262,7 @@
         let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         Call {
             service: self.service.clone(),
-            tier: self.tier,
+            tier: self.admitted.route.tier,
             target: target.saturating_sub(now - self.began_at),
             left: self.deadline - now,
             is_stream: self.admitted.route.is_stream(),
@@ -418,7 +421,7 @@
             instance: instance.id.clone(),
             left: self.deadline.saturating_duration_since(Instant::now()),
             workspace: self.admitted.workspace.as_ref().map(|w| w.name.clone()),
-            tier: self.tier,
+            rank: self.rank,
             is_model: self.admitted.head.prompt.is_some(),
             last_event: self.last_event.clone(),
         };
--- a/crates/gateway/src/caller/record.rs
+++ b/crates/gateway/src/caller/record.rs
@@ -10,7 +10,8 @@
 pub(crate) struct Record {
     pub(crate) id: Arc<str>,
     pub(crate) route: Arc<str>,
-    pub(crate) tier: u8,
+    /// Urgency, 0 is the most urgent.
+    pub(crate) rank: u8,
     /// Version of the configuration that decided.
     pub(crate) version: u64,
     pub(crate) began_at: Instant,
@@ -54,7 +55,7 @@
         let server = self.server.as_ref().map_or("-", ServerName::as_str);
         let trouble = self.trouble.as_deref().unwrap_or("-");
         tracing::info!(
-            id = %self.id, route = %self.route, tier = self.tier, version = self.version,
+            id = %self.id, route = %self.route, rank = self.rank, version = self.version,
             server, sends = self.sends, status = self.status, outcome, trouble,
             first_ms = self.first_ms, whole_ms = (whole_s * 1_000.0) as u64,
             "call: ended"
--- a/crates/gateway/src/caller/request.rs
+++ b/crates/gateway/src/caller/request.rs
@@ -154,11 +154,11 @@
 }
 
 /// The log line of a call that was admitted.
-pub(crate) fn record(admitted: &Admitted, tier: u8, began_at: Instant) -> Record {
+pub(crate) fn record(admitted: &Admitted, rank: u8, began_at: Instant) -> Record {
     Record {
         id: Arc::clone(&admitted.head.id),
         route: Arc::clone(&admitted.route.name),
-        tier,
+        rank,
         version: admitted.table.version(),
         began_at: began_at.into_std(),
         first_ms: None,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -31,8 +31,8 @@
     pub left: Duration,
     /// Workspace of the caller's key.
     pub workspace: Option<WorkspaceName>,
-    /// Tier, 0 is the most urgent.
-    pub tier: u8,
+    /// Urgency, 0 is the most urgent.
+    pub rank: u8,
     /// Whether the server is a model engine.
     pub is_model: bool,
     /// Event after which a stream goes on.
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -76,7 +76,7 @@
             json!({
                 "id": instance.id.as_str(), "service": instance.service.as_str(),
                 "address": instance.address.to_string(), "draining": instance.is_draining,
-                "running": load.running, "streaming": load.streaming,
+                "running": load.running, "light": load.light,
                 "pending_tokens": load.pending_tokens, "sound": is_sound,
             })
         })
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,6 +36,8 @@
     pub connections_max: usize,
     /// Time after the signal to stop after which the process is killed.
     pub stop_timeout: Duration,
+    /// Time after the end of a server's entry after which it gets no calls.
+    pub drain_timeout: Duration,
     /// Bounds on repeated sends, for all nodes together.
     pub repeats: RepeatOptions,
 }
