Keep long prompts off servers that hold short ones

Change: short prompts fill servers in one order that all nodes share, up to 0.6 of the slots; long ones get no server with over a tenth of that.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -34,8 +34,6 @@
     pub(crate) time: PromptTime,
     /// Running mean of the tokens of prompts; longer ones are long.
     pub(crate) mean_tokens: f64,
-    /// Objective of each tier, most urgent first.
-    pub(crate) targets: &'a [(u8, Duration)],
     pub(crate) options: &'a Options,
 }
 
@@ -128,11 +126,12 @@
             .map(|((entry, rank), order)| {
                 let mut costed = self.model_cost(now, prompt, entry, rank);
                 let load = entry.load(now);
-                costed.cost_ms += if is_light {
-                    self.light_cost_ms(&load, order)
+                if is_light {
+                    costed.cost_ms += self.light_cost_ms(&load, order);
                 } else {
-                    self.long_cost_ms(&load)
-                };
+                    costed.cost_ms += load.running * self.options.crowd_cost_ms;
+                    costed.has_room &= load.light <= self.light_max() * self.options.stray_ratio;
+                }
                 costed
             })
             .collect()
@@ -157,12 +156,6 @@
             + (full_ratio - 1.0).max(0.0) * self.options.full_cost_ms
     }
 
-    /// What keeps long prompts away from servers with many short ones.
-    fn long_cost_ms(&self, load: &Load) -> f64 {
-        (load.light / self.light_max()).min(1.0) * self.options.harm_cost_ms
-            + load.running * self.options.crowd_cost_ms
-    }
-
     /// Place of each server in the rendezvous order of a shared part.
     fn ranks(&self, affinity: Option<u64>) -> Vec<usize> {
         let Some(key) = affinity else {
@@ -250,14 +243,11 @@
         }
     }
 
-    /// Longest wait at a server, so that the call and more urgent ones are in time.
+    /// Longest wait at a server, so that the call is in time.
     fn wait_limit_ms(&self, call: &Call, costed: &Costed<'_>) -> f64 {
         let target_ms = call.target.as_secs_f64() * 1_000.0;
         let own_ms = costed.expected_ms - costed.wait_ms;
-        let own = (target_ms - own_ms).max(target_ms * self.options.wait_ratio_min);
-        let urgent = self.targets.iter().filter(|(tier, _)| *tier < call.tier);
-        let urgent = urgent.map(|(_, t)| t.as_secs_f64() * 1_000.0 * self.options.backlog_ratio);
-        urgent.fold(own, f64::min)
+        (target_ms - own_ms).max(target_ms * self.options.wait_ratio_min)
     }
 
     /// Time until the least loaded server has room again.
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -130,8 +130,6 @@
     repeats: RepeatBudget,
     /// Running mean of the tokens of prompts.
     mean_tokens: f64,
-    /// Objective of each tier, most urgent first.
-    targets: Vec<(u8, Duration)>,
 }
 
 impl Dispatcher {
@@ -161,10 +159,8 @@
                 time: PromptTime::default(),
                 repeats: RepeatBudget::new(repeats),
                 mean_tokens: 0.0,
-                targets: Vec::new(),
             });
             service.engine = spec.engine;
-            service.targets = table.targets(&spec.name);
         }
     }
 
@@ -266,7 +262,6 @@
             engine: service.engine,
             time: service.time,
             mean_tokens: service.mean_tokens,
-            targets: &service.targets,
             options: &self.options,
         };
         let choice = pool.choose(now, call, avoid)?;
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -24,8 +24,8 @@
     pub zone_cost_ms: f64,
     /// Cost to a long prompt of each call in flight at the server, in milliseconds.
     pub crowd_cost_ms: f64,
-    /// Cost to a long prompt of a server that is full of short ones, in milliseconds.
-    pub harm_cost_ms: f64,
+    /// Part of a server's short prompts beside which it is given long ones.
+    pub stray_ratio: f64,
     /// Cost to a short prompt of a server that reads long ones all the time, in milliseconds.
     pub reading_cost_ms: f64,
     /// Part of a server's slots that short prompts take before they go to the next server.
@@ -34,8 +34,6 @@
     pub order_cost_ms: f64,
     /// Cost to a short prompt of a server with twice its part of short ones, in milliseconds.
     pub full_cost_ms: f64,
-    /// Part of the most urgent objective that prompts may queue for.
-    pub backlog_ratio: f64,
     /// Least part of its own objective that a call may wait at a server.
     pub wait_ratio_min: f64,
     /// Calls beyond its slots that a plain server is sent, as a part of the slots.
@@ -60,12 +58,11 @@
             lapse_ttl: Duration::from_millis(2_500),
             zone_cost_ms: 2.0,
             crowd_cost_ms: 0.5,
-            harm_cost_ms: 400.0,
-            reading_cost_ms: 300.0,
-            light_ratio: 0.4,
-            order_cost_ms: 5.0,
-            full_cost_ms: 200.0,
-            backlog_ratio: 0.5,
+            stray_ratio: 0.1,
+            reading_cost_ms: 100.0,
+            light_ratio: 0.6,
+            order_cost_ms: 20.0,
+            full_cost_ms: 1_000.0,
             wait_ratio_min: 0.3,
             queue_ratio: 2.0,
             memory_ratio: 0.9,
--- a/crates/core/src/flow/table.rs
+++ b/crates/core/src/flow/table.rs
@@ -1,8 +1,7 @@
 //! Look-up of routes and keys.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::flow::route::{RequestLimits, Route, RouteConfig, ServiceSpec, WorkspaceEntry};
 use crate::ids::ServiceName;
@@ -95,20 +94,6 @@
         self.services.iter().find(|s| s.name == *name)
     }
 
-    /// Least objective of each tier that is routed to a service, most urgent first.
-    #[must_use]
-    pub fn targets(&self, service: &ServiceName) -> Vec<(u8, Duration)> {
-        let mut targets: BTreeMap<u8, Duration> = BTreeMap::new();
-        let routes = self.by_host.values().flatten();
-        let routes = routes.filter(|r| r.splits.iter().any(|s| s.service == *service));
-        for route in routes {
-            let target = Duration::from_millis(u64::from(route.target_ms));
-            let least = targets.entry(route.tier).or_insert(target);
-            *least = target.min(*least);
-        }
-        targets.into_iter().collect()
-    }
-
     /// Urgency of a call, 0 is the most urgent: its workspace goes before its route.
     #[must_use]
     pub fn rank(&self, route_tier: u8, workspace_tier: Option<u8>) -> u8 {
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -15,7 +15,7 @@
 use crate::caller::body::AnswerBody;
 use crate::caller::outcome::Outcome;
 use crate::caller::record::Record;
-use crate::caller::request::{Admitted, InFlight, record, time_left};
+use crate::caller::request::{Admitted, InFlight, time_left};
 use crate::caller::stream::EventStream;
 use crate::dialect::{AnswerHead, Sending};
 use crate::server::{Connection, SendError, Sent};
@@ -133,7 +133,7 @@
         let service = admitted.route.service(shared.peers.borrow_mut().random());
         Self {
             shared: Rc::clone(shared),
-            record: record(&admitted, rank, began_at),
+            record: Record::new(&admitted, rank, began_at.into_std()),
             service: service.cloned().unwrap_or_else(|| "".into()),
             deadline: began_at + time_left(&admitted),
             head,
--- a/crates/gateway/src/caller/record.rs
+++ b/crates/gateway/src/caller/record.rs
@@ -5,6 +5,8 @@
 
 use briarbank_core::ids::ServerName;
 
+use crate::caller::request::Admitted;
+
 /// What is told of a call when it ends.
 #[derive(Debug)]
 pub(crate) struct Record {
@@ -16,6 +18,9 @@
     pub(crate) version: u64,
     pub(crate) began_at: Instant,
     pub(crate) first_ms: Option<u64>,
+    /// Longest pause between two parts of the answer.
+    pub(crate) pause_ms: u64,
+    last_at: Option<Instant>,
     pub(crate) server: Option<ServerName>,
     /// Sends that reached a server or may have.
     pub(crate) sends: u32,
@@ -28,6 +33,25 @@
 }
 
 impl Record {
+    /// A record of a call that has just begun.
+    pub(crate) fn new(admitted: &Admitted, rank: u8, began_at: Instant) -> Self {
+        Self {
+            id: Arc::clone(&admitted.head.id),
+            route: Arc::clone(&admitted.route.name),
+            rank,
+            version: admitted.table.version(),
+            began_at,
+            first_ms: None,
+            pause_ms: 0,
+            last_at: None,
+            server: None,
+            sends: 0,
+            trouble: None,
+            status: 0,
+            is_whole: false,
+        }
+    }
+
     /// Takes note that the answer is complete.
     pub(crate) fn complete(&mut self) {
         self.is_whole = true;
@@ -38,6 +62,14 @@
         let ms = self.began_at.elapsed().as_millis() as u64;
         self.first_ms.get_or_insert(ms);
     }
+
+    /// Takes note of a further part of the answer.
+    pub(crate) fn part(&mut self) {
+        let now = Instant::now();
+        let pause = self.last_at.replace(now).map(|at| now - at);
+        let pause_ms = pause.map_or(0, |pause| pause.as_millis() as u64);
+        self.pause_ms = self.pause_ms.max(pause_ms);
+    }
 }
 
 impl Drop for Record {
@@ -57,7 +89,7 @@
         tracing::info!(
             id = %self.id, route = %self.route, rank = self.rank, version = self.version,
             server, sends = self.sends, status = self.status, outcome, trouble,
-            first_ms = self.first_ms, whole_ms = (whole_s * 1_000.0) as u64,
+            first_ms = self.first_ms, pause_ms = self.pause_ms, whole_ms = (whole_s * 1_000.0) as u64,
             "call: ended"
         );
     }
--- a/crates/gateway/src/caller/request.rs
+++ b/crates/gateway/src/caller/request.rs
@@ -15,7 +15,6 @@
 use crate::caller::body::AnswerBody;
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
-use crate::caller::record::Record;
 use crate::dialect::CallHead;
 use crate::shared::Shared;
 
@@ -152,20 +151,3 @@
     let timeout = Duration::from_millis(u64::from(admitted.route.timeout_ms));
     admitted.head.left.map_or(timeout, |left| left.min(timeout))
 }
-
-/// The log line of a call that was admitted.
-pub(crate) fn record(admitted: &Admitted, rank: u8, began_at: Instant) -> Record {
-    Record {
-        id: Arc::clone(&admitted.head.id),
-        route: Arc::clone(&admitted.route.name),
-        rank,
-        version: admitted.table.version(),
-        began_at: began_at.into_std(),
-        first_ms: None,
-        server: None,
-        sends: 0,
-        trouble: None,
-        status: 0,
-        is_whole: false,
-    }
-}
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -109,6 +109,7 @@
             };
             if let Some(events) = self.splitter.push(data) {
                 begun.flight.began();
+                self.exchange.record.part();
                 return Next::Events(events);
             }
         }
