--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -32,8 +32,8 @@
     pub(crate) zone: &'a ZoneName,
     pub(crate) engine: Option<EngineSpec>,
     pub(crate) time: PromptTime,
-    /// Running mean of the tokens of prompts; longer ones are long.
-    pub(crate) mean_tokens: f64,
+    /// Geometric mean of the tokens of prompts; those with more are long.
+    pub(crate) usual_tokens: f64,
     pub(crate) options: &'a Options,
 }
 
@@ -138,7 +138,7 @@
     }
 
     fn is_light(&self, prompt: &Prompt) -> bool {
-        f64::from(prompt.tokens) < self.mean_tokens
+        f64::from(prompt.tokens) < self.usual_tokens
     }
 
     /// Calls with short prompts that a server takes before they go to the next one.
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -16,7 +16,7 @@
 use crate::flow::table::RouteTable;
 use crate::ids::{ServerName, ServiceName, ZoneName};
 
-/// Weight of one call in the running mean of prompt tokens.
+/// Weight of one call in the running mean of prompt sizes.
 const MEAN_WEIGHT: f64 = 0.02;
 
 /// Number of an attempt at one node.
@@ -130,8 +130,8 @@
     repeats: RepeatBudget,
     /// Prompts seen so far.
     prompts: u32,
-    /// Running mean of the tokens of prompts.
-    mean_tokens: f64,
+    /// Running mean of the logarithm of the tokens of prompts.
+    log_tokens: f64,
 }
 
 impl Dispatcher {
@@ -161,7 +161,7 @@
                 time: PromptTime::default(),
                 repeats: RepeatBudget::new(repeats),
                 prompts: 0,
-                mean_tokens: 0.0,
+                log_tokens: 0.0,
             });
             service.engine = spec.engine;
         }
@@ -232,10 +232,10 @@
         };
         service.repeats.call(now);
         if let Some(prompt) = &call.prompt {
-            let tokens = f64::from(prompt.tokens);
+            let log_tokens = f64::from(prompt.tokens).max(1.0).ln();
             service.prompts = service.prompts.saturating_add(1);
             let weight = MEAN_WEIGHT.max(1.0 / f64::from(service.prompts));
-            service.mean_tokens += weight * (tokens - service.mean_tokens);
+            service.log_tokens += weight * (log_tokens - service.log_tokens);
         }
     }
 
@@ -266,7 +266,7 @@
             zone: &self.zone,
             engine: service.engine,
             time: service.time,
-            mean_tokens: service.mean_tokens,
+            usual_tokens: service.log_tokens.exp(),
             options: &self.options,
         };
         let choice = pool.choose(now, call, avoid)?;
