Prefer the server that holds the shared parts of a prompt

Change: places in rendezvous order are counted among the servers that take long prompts; the second one is not taken for warm; shared tokens to read count five times their time.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -23,9 +23,6 @@
 /// Bounds of the time after which a refused caller may come back.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
-/// Part of a shared prompt that the second server in rendezvous order is taken to lack.
-const SECOND_COLD_RATIO: f64 = 0.5;
-
 /// The servers of a service and what is known of them.
 pub(crate) struct Pool<'a> {
     pub(crate) entries: Vec<&'a ServerEntry>,
@@ -118,9 +115,10 @@
 
     fn model_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
         let is_light = self.is_light(prompt);
-        let order = self.ranks(Some(LIGHT_KEY));
+        let order = self.ranks(Some(LIGHT_KEY), |_| true);
         let affinity = prompt.parts.iter().rev().nth(1).map(|(part, _)| *part);
-        let ranks = self.ranks(affinity);
+        let takes = |e: &ServerEntry| is_light || self.takes_long(&e.load(now));
+        let ranks = self.ranks(affinity, takes);
         let costs = self.entries.iter().zip(ranks).zip(order);
         costs
             .map(|((entry, rank), order)| {
@@ -130,7 +128,7 @@
                     costed.cost_ms += self.light_cost_ms(&load, order);
                 } else {
                     costed.cost_ms += load.running * self.options.crowd_cost_ms;
-                    costed.has_room &= load.light <= self.light_max() * self.options.stray_ratio;
+                    costed.has_room &= self.takes_long(&load);
                 }
                 costed
             })
@@ -141,6 +139,11 @@
         f64::from(prompt.tokens) < self.usual_tokens
     }
 
+    /// Whether a server with that load is given long prompts.
+    fn takes_long(&self, load: &Load) -> bool {
+        load.light <= self.light_max() * self.options.stray_ratio
+    }
+
     /// Calls with short prompts that a server takes before they go to the next one.
     fn light_max(&self) -> f64 {
         let slots = self.engine.map_or(1, |engine| engine.slots);
@@ -157,16 +160,18 @@
     }
 
     /// Place of each server in the rendezvous order of a shared part.
-    fn ranks(&self, affinity: Option<u64>) -> Vec<usize> {
+    ///
+    /// Servers that do not take the call come last.
+    fn ranks(&self, affinity: Option<u64>, takes: impl Fn(&ServerEntry) -> bool) -> Vec<usize> {
         let Some(key) = affinity else {
             return vec![usize::MAX; self.entries.len()];
         };
-        let mut order: Vec<(u64, usize)> = self
-            .entries
-            .iter()
-            .enumerate()
-            .map(|(index, e)| (rendezvous::weight_of(key, e.name_key), index))
-            .collect();
+        let weighted = |(index, e): (usize, &&ServerEntry)| {
+            let weight = rendezvous::weight_of(key, e.name_key);
+            ((takes(e), weight), index)
+        };
+        let mut order: Vec<((bool, u64), usize)> =
+            self.entries.iter().enumerate().map(weighted).collect();
         order.sort_by_key(|(weight, _)| Reverse(*weight));
         let mut ranks = vec![0; self.entries.len()];
         for (rank, (_, index)) in order.into_iter().enumerate() {
@@ -189,8 +194,10 @@
         let token_ms = self.time.ms_per_token() * entry.slowness;
         let wait_ms = token_ms * load.pending_tokens;
         let read_ms = token_ms * tokens;
+        let own = prompt.parts.last().map_or(0.0, |(_, tokens)| f64::from(*tokens));
+        let again_ms = token_ms * (tokens - own).max(0.0) * self.options.again_ratio;
         let expected_ms = self.time.base_ms() * entry.slowness + wait_ms + read_ms;
-        let cost_ms = expected_ms + self.zone_cost_ms(entry);
+        let cost_ms = expected_ms + again_ms + self.zone_cost_ms(entry);
         Costed {
             entry,
             cost_ms,
@@ -267,13 +274,11 @@
     let mut is_chain = true;
     for (index, (part, tokens)) in prompt.parts.iter().enumerate() {
         let is_held = entry.warm.holds(now, *part);
-        is_chain &= is_held || (index < shared && rank <= 1);
+        is_chain &= is_held || (index < shared && rank == 0);
         if !is_chain {
             break;
         }
-        let is_guess = !is_held && rank == 1;
-        let part_ratio = if is_guess { 1.0 - SECOND_COLD_RATIO } else { 1.0 };
-        unread -= f64::from(*tokens) * part_ratio;
+        unread -= f64::from(*tokens);
     }
     unread.max(0.0)
 }
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -22,6 +22,9 @@
     pub lapse_ttl: Duration,
     /// Cost of another availability zone, in milliseconds of delay.
     pub zone_cost_ms: f64,
+    /// Cost of reading shared tokens that another server holds, beyond the time that it
+    /// takes, as a multiple of that time.
+    pub again_ratio: f64,
     /// Cost to a long prompt of each call in flight at the server, in milliseconds.
     pub crowd_cost_ms: f64,
     /// Part of a server's short prompts beside which it is given long ones.
@@ -58,6 +61,7 @@
             lapse_ttl: Duration::from_millis(2_500),
             zone_cost_ms: 2.0,
             crowd_cost_ms: 0.5,
+            again_ratio: 4.0,
             stray_ratio: 0.1,
             reading_cost_ms: 100.0,
             light_ratio: 0.6,
