--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -194,7 +194,10 @@
         let token_ms = self.time.ms_per_token() * entry.slowness;
         let wait_ms = token_ms * load.pending_tokens;
         let read_ms = token_ms * tokens;
-        let own = prompt.parts.last().map_or(0.0, |(_, tokens)| f64::from(*tokens));
+        let own = prompt
+            .parts
+            .last()
+            .map_or(0.0, |(_, tokens)| f64::from(*tokens));
         let again_ms = token_ms * (tokens - own).max(0.0) * self.options.again_ratio;
         let expected_ms = self.time.base_ms() * entry.slowness + wait_ms + read_ms;
         let cost_ms = expected_ms + again_ms + self.zone_cost_ms(entry);
@@ -285,6 +288,9 @@
 
 /// Memory that a call takes at its longest.
 fn memory_tokens(prompt: &Prompt) -> f64 {
-    let own = prompt.parts.last().map_or(prompt.tokens, |(_, tokens)| *tokens);
+    let own = prompt
+        .parts
+        .last()
+        .map_or(prompt.tokens, |(_, tokens)| *tokens);
     f64::from(own) + f64::from(prompt.output_max)
 }
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -321,7 +321,9 @@
         if attempt.is_model {
             if let Some(service) = self.services.get_mut(&entry.instance.service) {
                 let usual_ms = time_ms / entry.slowness;
-                service.time.record(attempt.tokens + attempt.ahead, usual_ms);
+                service
+                    .time
+                    .record(attempt.tokens + attempt.ahead, usual_ms);
             }
         }
         entry.timed(time_ms / attempt.expected_ms.max(1.0) * entry.slowness);
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -65,7 +65,7 @@
             stray_ratio: 0.1,
             reading_cost_ms: 100.0,
             light_ratio: 0.6,
-            order_cost_ms: 20.0,
+            order_cost_ms: 50.0,
             full_cost_ms: 1_000.0,
             wait_ratio_min: 0.3,
             queue_ratio: 2.0,
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -166,8 +166,8 @@
         }
         self.fault_samples = self.fault_samples.saturating_add(1);
         self.fault_ratio += FAULT_WEIGHT * (1.0 - self.fault_ratio);
-        let often = self.fault_samples >= FAULT_SAMPLES_MIN
-            && self.fault_ratio > options.fault_ratio_max;
+        let often =
+            self.fault_samples >= FAULT_SAMPLES_MIN && self.fault_ratio > options.fault_ratio_max;
         often || self.health.is_outlier(&options.outlier)
     }
 
--- /dev/null
+++ b/crates/core/tests/flow/fleet.rs
@@ -0,0 +1,114 @@
+//! Servers and calls for the tests.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use briarbank_core::flow::{
+    Call, Dispatcher, EngineSpec, Instance, Load, Options, Prompt, RouteConfig, RouteTable,
+    ServiceSpec,
+};
+use briarbank_core::ids::ServerName;
+
+pub(crate) const MODELS: &str = "models";
+pub(crate) const DESK: &str = "desk";
+
+pub(crate) fn instance(id: &str, service: &str, slots: u32) -> Instance {
+    Instance {
+        id: id.into(),
+        born_ms: 0,
+        service: service.into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "recife".into(),
+        slots,
+        is_draining: false,
+        cold_ms: 0,
+    }
+}
+
+pub(crate) fn table() -> RouteTable {
+    let engine = EngineSpec {
+        slots: 100,
+        memory_tokens: 600_000,
+        event_tokens: 5,
+    };
+    let service = |name: &str, engine| ServiceSpec {
+        name: name.into(),
+        connections_max: 100,
+        engine,
+    };
+    RouteTable::new(RouteConfig {
+        version: 1,
+        services: vec![service(MODELS, Some(engine)), service(DESK, None)],
+        ..RouteConfig::default()
+    })
+}
+
+/// A dispatcher with `models` engines and `desks` plain servers.
+pub(crate) fn dispatcher(models: usize, desks: usize) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("recife".into(), Options::default());
+    dispatcher.configure(&table());
+    for index in 0..models {
+        dispatcher.list(instance(&format!("m{index}"), MODELS, 100));
+    }
+    for index in 0..desks {
+        dispatcher.list(instance(&format!("d{index}"), DESK, 6));
+    }
+    dispatcher
+}
+
+/// A long prompt about a subject: 6,000 shared tokens and 3,000 of its own.
+pub(crate) fn sheet(subject: u64, own: u64) -> Call {
+    prompt_call(9_000, &[(1, 2_000), (1_000 + subject, 4_000), (own, 3_000)])
+}
+
+/// A short prompt: 200 shared tokens and 600 of its own.
+pub(crate) fn chat(subject: u64, own: u64) -> Call {
+    prompt_call(800, &[(2, 120), (500 + subject, 80), (own, 600)])
+}
+
+fn prompt_call(tokens: u32, parts: &[(u64, u32)]) -> Call {
+    Call {
+        service: MODELS.into(),
+        tier: 0,
+        target: Duration::from_millis(500),
+        left: Duration::from_secs(5),
+        is_stream: true,
+        prompt: Some(Prompt {
+            tokens,
+            output_max: 100,
+            parts: parts.to_vec(),
+        }),
+    }
+}
+
+pub(crate) fn slip() -> Call {
+    Call {
+        service: DESK.into(),
+        tier: 2,
+        target: Duration::from_millis(150),
+        left: Duration::from_secs(1),
+        is_stream: false,
+        prompt: None,
+    }
+}
+
+/// Lets the dispatcher learn what long and short prompts are.
+pub(crate) fn learn(dispatcher: &mut Dispatcher, now: Instant) {
+    for own in 0..40 {
+        dispatcher.arrived(now, &sheet(1, own));
+        dispatcher.arrived(now, &chat(1, own));
+    }
+}
+
+/// Load of peers on a server.
+pub(crate) fn told(dispatcher: &Dispatcher, now: Instant) -> BTreeMap<u32, Load> {
+    let mut loads: BTreeMap<u32, Load> = BTreeMap::new();
+    for load in dispatcher.told(now) {
+        loads.entry(load.server_key).or_default().add(&load);
+    }
+    loads
+}
+
+pub(crate) fn server(id: &str) -> ServerName {
+    id.into()
+}
--- /dev/null
+++ b/crates/core/tests/flow/repeats.rs
@@ -0,0 +1,41 @@
+//! All nodes together stay within the shared budget in every window.
+
+use std::time::{Duration, Instant};
+
+use briarbank_core::flow::{RepeatBudget, RepeatOptions};
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(13), ..ProptestConfig::with_cases(500) })]
+
+    /// Whatever calls and repeats come, no sliding window has too many repeats.
+    #[test]
+    fn no_window_is_exceeded(
+        nodes in 1_usize..9,
+        steps in prop::collection::vec((0_usize..9, 0_u64..400, 0_u32..4), 50..400),
+    ) {
+        let options = RepeatOptions {
+            window: Duration::from_secs(10),
+            ratio: 0.2,
+            extra: 56.0,
+            ..RepeatOptions::default()
+        };
+        let start = Instant::now();
+        let mut now = start;
+        let mut budgets = vec![RepeatBudget::new(options); nodes];
+        let (mut calls, mut repeats) = (Vec::new(), Vec::new());
+        for (node, pause_ms, wanted) in steps {
+            now += Duration::from_millis(pause_ms);
+            let budget = &mut budgets[node % nodes];
+            budget.call(now);
+            calls.push(now);
+            repeats.extend((0..wanted).filter(|_| budget.withdraw(now, nodes)).map(|_| now));
+        }
+        for end in &repeats {
+            let from = end.checked_sub(options.window).unwrap_or(start).max(start);
+            let within = |times: &[Instant]| times.iter().filter(|t| **t >= from && *t <= end).count() as f64;
+            let allowed = options.ratio * within(&calls) + options.extra;
+            prop_assert!(within(&repeats) <= allowed);
+        }
+    }
+}
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -55,7 +55,10 @@
             return;
         }
         tracing::info!(
-            version = table.version(), before = version, routes = table.route_count(), ?source,
+            version = table.version(),
+            before = version,
+            routes = table.route_count(),
+            ?source,
             "values: configuration in force"
         );
         self.dispatcher.borrow_mut().configure(&table);
@@ -69,7 +72,12 @@
         let regained = self.store.regained_at.get();
         let is_fresh = |at: Instant| now.saturating_duration_since(at) < LAPSE_WINDOW;
         let may_have_lapsed = self.store.is_lost.get() || regained.is_some_and(is_fresh);
-        tracing::info!(server, may_have_lapsed, ?source, "values: server entry ended");
+        tracing::info!(
+            server,
+            may_have_lapsed,
+            ?source,
+            "values: server entry ended"
+        );
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.unlist(now, &server.into(), may_have_lapsed);
     }
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -213,7 +213,9 @@
         };
         let mut head = begun.head;
         if begun.facts.is_sealed && head.status.is_server_error() {
-            begun.flight.failed_unless_kept(&self.shared, begun.connection, &begun.facts);
+            begun
+                .flight
+                .failed_unless_kept(&self.shared, begun.connection, &begun.facts);
         } else {
             let instance = Arc::clone(&begun.flight.instance);
             begun.flight.finished();
@@ -223,7 +225,10 @@
         self.record.status = head.status.as_u16();
         self.record.is_whole = true;
         self.record.first();
-        Ok(Response::from_parts(head, AnswerBody::from(body.to_bytes())))
+        Ok(Response::from_parts(
+            head,
+            AnswerBody::from(body.to_bytes()),
+        ))
     }
 
     /// Sends the call until a server begins to answer.
@@ -355,7 +360,10 @@
         };
         let request = self.request(&placement.instance);
         let (most, sharers) = self.connections();
-        let sending = self.shared.pool.send(&placement.instance, request, most, sharers);
+        let sending = self
+            .shared
+            .pool
+            .send(&placement.instance, request, most, sharers);
         let miss = match timeout_at(silent_at, sending).await {
             Ok(Ok(sent)) => match self.check(sent) {
                 Ok((head, facts, body, connection)) => {
@@ -434,7 +442,10 @@
     }
 
     /// Makes sure that the answer is the server's answer to this call.
-    fn check(&mut self, sent: Sent) -> Result<(response::Parts, AnswerHead, Incoming, Connection), Miss> {
+    fn check(
+        &mut self,
+        sent: Sent,
+    ) -> Result<(response::Parts, AnswerHead, Incoming, Connection), Miss> {
         let (head, body) = sent.response.into_parts();
         let facts = self.shared.dialect.read_answer(&head, &self.record.id);
         if facts.is_not_run {
--- a/crates/gateway/src/caller/guard.rs
+++ b/crates/gateway/src/caller/guard.rs
@@ -98,7 +98,8 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
         if this.guard.is_reading.get() && polled.is_ready() {
-            this.guard.take(buf.filled().get(before..).unwrap_or_default());
+            this.guard
+                .take(buf.filled().get(before..).unwrap_or_default());
         }
         polled
     }
--- a/crates/gateway/src/caller/request.rs
+++ b/crates/gateway/src/caller/request.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use rand::Rng;
 use tokio::time::{Instant, timeout_at};
 
 use crate::caller::body::AnswerBody;
@@ -21,6 +22,18 @@
 /// When callers may come back while the node can't serve them yet.
 const START_PAUSE: Duration = Duration::from_millis(300);
 
+/// Bounds of the time after which callers may come back while the store is away;
+/// an outage lasts for seconds, and most callers come back only once.
+const OUTAGE_PAUSE_S: (f64, f64) = (1.0, 2.5);
+
+/// When callers may come back while the node has no configuration.
+fn pause_without_values(shared: &Shared) -> Duration {
+    if !shared.store.is_lost.get() {
+        return START_PAUSE;
+    }
+    Duration::from_secs_f64(rand::rng().random_range(OUTAGE_PAUSE_S.0..OUTAGE_PAUSE_S.1))
+}
+
 /// Counts a call as in flight while it lives.
 pub(crate) struct InFlight(Rc<Shared>);
 
@@ -82,7 +95,10 @@
         return Err((Outcome::BadRequest, "length of the body given in two ways"));
     }
     let Some(table) = shared.table() else {
-        return Err((Outcome::NotRun(START_PAUSE), "no configuration yet"));
+        return Err((
+            Outcome::NotRun(pause_without_values(shared)),
+            "no configuration yet",
+        ));
     };
     if shared.stop.is_closed() {
         return Err((Outcome::NotRun(START_PAUSE), "node is stopping"));
@@ -96,7 +112,11 @@
     let Ok(call) = shared.dialect.read_call(head) else {
         return Err((Outcome::BadRequest, "head not usable"));
     };
-    let workspace = call.key.as_ref().and_then(|key| table.workspace(key)).cloned();
+    let workspace = call
+        .key
+        .as_ref()
+        .and_then(|key| table.workspace(key))
+        .cloned();
     if table.checks_keys() && !route.is_public && workspace.is_none() {
         return Err((Outcome::UnknownKey, "unknown key"));
     }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -62,7 +62,11 @@
     metrics::gauge!("briarbank_calls_in_flight").set(shared.in_flight.get() as f64);
     let version = shared.table().map_or(0, |t| t.version());
     metrics::gauge!("briarbank_config_version").set(version as f64);
-    let age = shared.store.read_at.get().map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64());
+    let age = shared
+        .store
+        .read_at
+        .get()
+        .map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64());
     metrics::gauge!("briarbank_store_age_seconds").set(age);
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -102,7 +102,11 @@
     parts.spawn_local(gossip::run(Rc::clone(shared), ports.beats));
     parts.spawn_local(sync::serve(Rc::clone(shared), ports.peer));
     parts.spawn_local(caller.run(ports.caller));
-    parts.spawn_local(operator::run(Rc::clone(shared), ports.ready, metrics.clone()));
+    parts.spawn_local(operator::run(
+        Rc::clone(shared),
+        ports.ready,
+        metrics.clone(),
+    ));
     if let Some(listener) = ports.operator {
         parts.spawn_local(operator::run(Rc::clone(shared), listener, metrics.clone()));
     }
--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -147,9 +147,8 @@
         let stream = briarbank_net::connect(instance.address, CONNECT_TIMEOUT).await;
         let stream = stream.map_err(SendError::Connect)?;
         let connection = Connection::start(stream, &self.tasks, open).await;
-        connection.map_err(|error| {
-            SendError::Connect(io::Error::new(io::ErrorKind::NotConnected, error))
-        })
+        connection
+            .map_err(|error| SendError::Connect(io::Error::new(io::ErrorKind::NotConnected, error)))
     }
 
     /// Keeps a connection whose answer was read to its end.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -98,7 +98,11 @@
 
 fn lost(shared: &Shared, error: &ReadError, is_known: bool) {
     metrics::counter!("briarbank_store_failures_total").increment(1);
-    let age_ms = shared.store.read_at.get().map(|at| at.elapsed().as_millis());
+    let age_ms = shared
+        .store
+        .read_at
+        .get()
+        .map(|at| at.elapsed().as_millis());
     let revision = shared.mirror.borrow().at();
     tracing::warn!(%error, revision, age_ms, is_known, "store: read failed");
     if !matches!(error, ReadError::Forgotten) {
@@ -119,7 +123,9 @@
         };
         let mut after = None;
         loop {
-            let body = self.call(&StoreRead::Page { after }, Duration::ZERO).await?;
+            let body = self
+                .call(&StoreRead::Page { after }, Duration::ZERO)
+                .await?;
             let page = self.shared.dialect.read_page(&body)?;
             if whole.at == 0 {
                 // Later pages may show later changes; the watch goes on from the first.
@@ -138,7 +144,9 @@
     async fn watch(&mut self) -> Result<(), ReadError> {
         let revision = self.shared.mirror.borrow().at();
         let wait = WATCH_WAIT;
-        let body = self.call(&StoreRead::Watch { revision, wait }, wait).await?;
+        let body = self
+            .call(&StoreRead::Watch { revision, wait }, wait)
+            .await?;
         let delta = self.shared.dialect.read_events(&body)?;
         self.shared.apply(&delta, Source::Store);
         Ok(())
--- a/crates/node/src/caller/port.rs
+++ b/crates/node/src/caller/port.rs
@@ -16,9 +16,9 @@
 use tokio_util::task::TaskTracker;
 
 use super::http::CallerHttp;
-use briarbank_net::accept;
 use crate::call::Calls;
 use crate::control::Control;
+use briarbank_net::accept;
 
 /// Time after the stop is known in which connections are still accepted, so
 /// that what callers had begun is answered.
--- a/crates/node/src/operator/port.rs
+++ b/crates/node/src/operator/port.rs
@@ -18,9 +18,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use briarbank_net::accept;
 use crate::control::Control;
 use crate::peer::SharedKey;
+use briarbank_net::accept;
 
 /// Connections of operators.
 const CONNECTIONS_MAX: usize = 64;
--- a/crates/node/src/peer/port.rs
+++ b/crates/node/src/peer/port.rs
@@ -22,8 +22,8 @@
 
 use super::links::Reports;
 use super::{CALLS_PATH, MESSAGES_PATH, SharedKey, reply};
-use briarbank_net::accept;
 use crate::call::Calls;
+use briarbank_net::accept;
 
 /// Connections from other nodes.
 const CONNECTIONS_MAX: usize = 1_024;
