--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -95,7 +95,7 @@
         let open: Vec<&Costed<'_>> = usable
             .iter()
             .copied()
-            .filter(|c| c.has_room && c.wait_ms <= self.wait_limit_ms(call, c))
+            .filter(|c| call.is_resumed || (c.has_room && c.wait_ms <= self.wait_limit_ms(call, c)))
             .collect();
         let Some(index) = best(open.clone()) else {
             return Err(Refusal::Busy(self.retry_after(call, &usable)));
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -47,8 +47,8 @@
     pub target: Duration,
     /// Time until the caller or the route gives up.
     pub left: Duration,
-    /// Whether it is answered by a stream.
-    pub is_stream: bool,
+    /// Whether it goes on with a stream that has begun.
+    pub is_resumed: bool,
     /// Set for calls of models.
     pub prompt: Option<Prompt>,
 }
--- a/crates/core/tests/flow/fleet.rs
+++ b/crates/core/tests/flow/fleet.rs
@@ -72,7 +72,7 @@
         tier: 0,
         target: Duration::from_millis(500),
         left: Duration::from_secs(5),
-        is_stream: true,
+        is_resumed: false,
         prompt: Some(Prompt {
             tokens,
             output_max: 100,
@@ -87,7 +87,7 @@
         tier: 2,
         target: Duration::from_millis(150),
         left: Duration::from_secs(1),
-        is_stream: false,
+        is_resumed: false,
         prompt: None,
     }
 }
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -270,7 +270,7 @@
             tier: self.admitted.route.tier,
             target: target.saturating_sub(now - self.began_at),
             left: self.deadline - now,
-            is_stream: self.admitted.route.is_stream(),
+            is_resumed: self.last_event.is_some(),
             prompt: self.admitted.head.prompt.clone(),
         }
     }
