--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -115,6 +115,7 @@
 
     fn model_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
         let is_light = self.is_light(prompt);
+        let light_max = self.light_max(now);
         let order = self.ranks(Some(LIGHT_KEY), |_| true);
         let affinity = prompt.parts.iter().rev().nth(1).map(|(part, _)| *part);
         let takes = |e: &ServerEntry| is_light || self.takes_long(&e.load(now));
@@ -125,7 +126,7 @@
                 let mut costed = self.model_cost(now, prompt, entry, rank);
                 let load = entry.load(now);
                 if is_light {
-                    costed.cost_ms += self.light_cost_ms(&load, order);
+                    costed.cost_ms += self.light_cost_ms(&load, order, light_max);
                 } else {
                     costed.cost_ms += load.running * self.options.crowd_cost_ms;
                     costed.has_room &= self.takes_long(&load);
@@ -141,19 +142,28 @@
 
     /// Whether a server with that load is given long prompts.
     fn takes_long(&self, load: &Load) -> bool {
-        load.light <= self.light_max() * self.options.stray_ratio
+        load.light <= self.slots() * self.options.stray_ratio
     }
 
     /// Calls with short prompts that a server takes before they go to the next one.
-    fn light_max(&self) -> f64 {
-        let slots = self.engine.map_or(1, |engine| engine.slots);
-        (f64::from(slots) * self.options.light_ratio).max(1.0)
+    ///
+    /// The less long prompts there are to read, the more servers the short ones get.
+    fn light_max(&self, now: Instant) -> f64 {
+        let rates = self.entries.iter().map(|e| e.load(now).tokens_per_s);
+        let token_s = self.time.ms_per_token() / 1_000.0;
+        let busy_ratio = rates.sum::<f64>() * token_s / self.entries.len().max(1) as f64;
+        let ratio = self.options.light_ratio_min + busy_ratio * self.options.light_ratio_slope;
+        (self.slots() * ratio.min(self.options.light_ratio_max)).max(1.0)
+    }
+
+    fn slots(&self) -> f64 {
+        self.engine.map_or(1.0, |engine| f64::from(engine.slots))
     }
 
     /// What keeps short prompts together, away from long ones.
-    fn light_cost_ms(&self, load: &Load, order: usize) -> f64 {
+    fn light_cost_ms(&self, load: &Load, order: usize, light_max: f64) -> f64 {
         let busy_ratio = load.tokens_per_s * self.time.ms_per_token() / 1_000.0;
-        let full_ratio = load.light / self.light_max();
+        let full_ratio = load.light / light_max;
         busy_ratio.min(1.0) * self.options.reading_cost_ms
             + order as f64 * self.options.order_cost_ms
             + (full_ratio - 1.0).max(0.0) * self.options.full_cost_ms
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -27,12 +27,17 @@
     pub again_ratio: f64,
     /// Cost to a long prompt of each call in flight at the server, in milliseconds.
     pub crowd_cost_ms: f64,
-    /// Part of a server's short prompts beside which it is given long ones.
+    /// Part of a server's slots with short prompts beside which it is given long ones.
     pub stray_ratio: f64,
     /// Cost to a short prompt of a server that reads long ones all the time, in milliseconds.
     pub reading_cost_ms: f64,
-    /// Part of a server's slots that short prompts take before they go to the next server.
-    pub light_ratio: f64,
+    /// Part of a server's slots that short prompts take before they go to the next
+    /// server, while there are no long prompts.
+    pub light_ratio_min: f64,
+    /// Increase of that part when all servers read long prompts all the time.
+    pub light_ratio_slope: f64,
+    /// Largest part.
+    pub light_ratio_max: f64,
     /// Cost to a short prompt of each place in the common order of servers, in milliseconds.
     pub order_cost_ms: f64,
     /// Cost to a short prompt of a server with twice its part of short ones, in milliseconds.
@@ -62,9 +67,11 @@
             zone_cost_ms: 2.0,
             crowd_cost_ms: 0.5,
             again_ratio: 4.0,
-            stray_ratio: 0.1,
+            stray_ratio: 0.06,
             reading_cost_ms: 100.0,
-            light_ratio: 0.6,
+            light_ratio_min: 0.2,
+            light_ratio_slope: 1.6,
+            light_ratio_max: 0.6,
             order_cost_ms: 50.0,
             full_cost_ms: 1_000.0,
             wait_ratio_min: 0.3,
