--- a/crates/core/src/flow/mirror.rs
+++ b/crates/core/src/flow/mirror.rs
@@ -52,7 +52,7 @@
 /// ```
 /// use briarbank_core::flow::{Change, Delta, Mirror};
 ///
-/// let change = Change { key: "op/config".into(), revision: 7, value: b"{}"[..].into() };
+/// let change = Change { key: "config".into(), revision: 7, value: b"{}"[..].into() };
 /// let delta = Delta { at: 7, is_whole: true, changes: vec![change], removals: vec![] };
 /// let mut mirror = Mirror::default();
 /// assert_eq!(mirror.apply(&delta).len(), 1);
