--- a/crates/briarbank/src/check.rs
+++ b/crates/briarbank/src/check.rs
@@ -19,6 +19,8 @@
 pub struct Selection {
     /// Settings of nodes.
     pub nodes: Vec<PathBuf>,
+    /// Settings files that the platform writes for gateways.
+    pub gateways: Vec<PathBuf>,
     /// Settings of platform stand-ins.
     pub platforms: Vec<PathBuf>,
     /// Settings of engine stand-ins.
@@ -59,6 +61,9 @@
             report.between(path, check_node(node, hosts))?;
         }
     }
+    for path in &selection.gateways {
+        report.gateway(path)?;
+    }
     report.each::<PlatformSettings>(&selection.platforms)?;
     report.each::<EngineSettings>(&selection.engines)?;
     report.each::<ServiceSettings>(&selection.services)?;
@@ -100,6 +105,14 @@
         }
     }
 
+    fn gateway(&mut self, path: &Path) -> Result<(), Error> {
+        self.checked += 1;
+        match briarbank_platform::load_settings(path) {
+            Ok(_) => Ok(writeln!(self.out, "{}: valid", path.display())?),
+            Err(error) => self.refuse(&error),
+        }
+    }
+
     fn between(&mut self, path: &Path, faults: Vec<Fault>) -> Result<(), Error> {
         if faults.is_empty() {
             return Ok(());
--- a/crates/briarbank/src/error.rs
+++ b/crates/briarbank/src/error.rs
@@ -46,6 +46,15 @@
             display("{error}")
             from()
         }
+        /// A log file can't be read.
+        LogRead(path: PathBuf, error: io::Error) {
+            source(error)
+            display("{}: can't be read: {error}", path.display())
+        }
+        /// No log line tells of the request.
+        UnknownRequest(id: String) {
+            display("request {id} is in none of the logs; is a log of each node given?")
+        }
         /// A gateway can't run.
         Gateway(error: briarbank_gateway::Error) {
             source(error)
--- a/crates/briarbank/src/flags.rs
+++ b/crates/briarbank/src/flags.rs
@@ -44,7 +44,10 @@
         }
 
         /// Run a router node on the platform, with the settings file that it names.
-        cmd gateway {}
+        cmd gateway {
+            /// Port for metrics and the state dump, at the address for callers.
+            optional --operator-port port: u16
+        }
 
         /// Validate settings and published documents, offline and together.
         ///
@@ -52,6 +55,8 @@
         cmd check {
             /// Settings of a node.
             repeated --node path: PathBuf
+            /// Settings file that the platform writes for a gateway.
+            repeated --gateway path: PathBuf
             /// Settings of a platform stand-in.
             repeated --platform path: PathBuf
             /// Settings of an engine stand-in.
@@ -92,6 +97,16 @@
             optional --settings path: PathBuf
         }
 
+        /// Print the story of one request from the logs of gateways.
+        ///
+        /// Example: briarbank explain 9c41d07be2a35f68 recife-1.log salvador-1.log
+        cmd explain {
+            /// Id of the request.
+            required id: String
+            /// Log files, one of each node; - is the standard input.
+            repeated logs: PathBuf
+        }
+
         /// Run stand-ins and two nodes in this process and show some calls.
         cmd demo {}
 
@@ -160,6 +175,7 @@
     Check(Check),
     Dump(Dump),
     Drain(Drain),
+    Explain(Explain),
     Demo(Demo),
     Load(Load),
     Standin(Standin),
@@ -174,11 +190,14 @@
 }
 
 #[derive(Debug)]
-pub struct Gateway;
+pub struct Gateway {
+    pub operator_port: Option<u16>,
+}
 
 #[derive(Debug)]
 pub struct Check {
     pub node: Vec<PathBuf>,
+    pub gateway: Vec<PathBuf>,
     pub platform: Vec<PathBuf>,
     pub engine: Vec<PathBuf>,
     pub service: Vec<PathBuf>,
@@ -204,6 +223,12 @@
     pub settings: Option<PathBuf>,
 }
 
+#[derive(Debug)]
+pub struct Explain {
+    pub id: String,
+    pub logs: Vec<PathBuf>,
+}
+
 #[derive(Debug)]
 pub struct Demo;
 
@@ -284,6 +309,7 @@
     fn from(check: Check) -> Self {
         Self {
             nodes: check.node,
+            gateways: check.gateway,
             platforms: check.platform,
             engines: check.engine,
             services: check.service,
--- a/crates/briarbank/src/gateway.rs
+++ b/crates/briarbank/src/gateway.rs
@@ -1,5 +1,8 @@
 //! The router node on the platform.
 
+use std::net::SocketAddr;
+
+use briarbank_platform::SettingsPath;
 use tokio::runtime::Builder;
 use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_subscriber::EnvFilter;
@@ -15,7 +18,7 @@
 /// # Errors
 ///
 /// Invalid settings, or a node that can't run.
-pub fn gateway(filter: &str, json: bool) -> Result<(), Error> {
+pub fn gateway(operator_port: Option<u16>, filter: &str, json: bool) -> Result<(), Error> {
     let filter = EnvFilter::try_new(filter).map_err(Error::LogFilter)?;
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
@@ -34,12 +37,15 @@
         builder.try_init()
     };
     let path = briarbank_platform::settings_path()?;
-    let settings = briarbank_platform::load_settings(&path)?;
+    let mut settings = briarbank_platform::load_settings(&path)?;
+    let ip = settings.addresses.caller.ip();
+    settings.addresses.operator = operator_port.map(|port| SocketAddr::new(ip, port));
+    let source = Box::new(SettingsPath(path));
     // One thread: the hosts have a part of a core, and a hop costs a wake-up.
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let adapter = Box::new(briarbank_platform::Adapter);
     let result = runtime.block_on(async {
-        briarbank_gateway::run(settings, adapter, shutdown()?).await?;
+        briarbank_gateway::run(settings, source, adapter, shutdown()?).await?;
         Ok(())
     });
     let lines = dropped.dropped_lines();
--- a/crates/briarbank/src/main.rs
+++ b/crates/briarbank/src/main.rs
@@ -36,8 +36,8 @@
         BriarbankCmd::Gateway(_) | BriarbankCmd::Node(_) | BriarbankCmd::Standin(_) => "info",
         _ => "warn",
     });
-    if let BriarbankCmd::Gateway(_) = flags.subcommand {
-        return briarbank::gateway(log, flags.log_json);
+    if let BriarbankCmd::Gateway(gateway) = &flags.subcommand {
+        return briarbank::gateway(gateway.operator_port, log, flags.log_json);
     }
     briarbank::init_logs(log, flags.log_json)?;
     match flags.subcommand {
@@ -48,6 +48,9 @@
             let mut out = std::io::stdout();
             briarbank::dump(&dump.operator(), dump.process(), dump.json, &mut out)
         }
+        BriarbankCmd::Explain(explain) => {
+            briarbank::explain(&explain.id, &explain.logs, &mut std::io::stdout())
+        }
         BriarbankCmd::Drain(drain) => briarbank::drain(&drain.operator(), &mut std::io::stdout()),
         BriarbankCmd::Demo(_) => briarbank::demo(&mut std::io::stdout()),
         BriarbankCmd::Load(load) => match load.subcommand {
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::flow::message::ServerLoad;
 use crate::flow::options::Options;
 use crate::flow::prompt_time::PromptTime;
-use crate::flow::repeats::RepeatBudget;
+use crate::flow::repeats::{RepeatBudget, RepeatOptions};
 use crate::flow::route::EngineSpec;
 use crate::flow::server::ServerEntry;
 use crate::flow::table::RouteTable;
@@ -167,6 +167,14 @@
         }
     }
 
+    /// Changes the bounds on repeated sends.
+    pub fn set_repeats(&mut self, repeats: RepeatOptions) {
+        self.options.repeats = repeats;
+        for service in self.services.values_mut() {
+            service.repeats.set_options(repeats);
+        }
+    }
+
     /// Takes over the entry of a server.
     pub fn list(&mut self, instance: Instance) {
         let Some(entry) = self.servers.get_mut(&instance.id) else {
@@ -318,13 +326,11 @@
         };
         let time_ms = now.saturating_duration_since(attempt.sent).as_secs_f64() * 1_000.0;
         entry.own.pending_tokens = (entry.own.pending_tokens - attempt.tokens).max(0.0);
-        if attempt.is_model {
-            if let Some(service) = self.services.get_mut(&entry.instance.service) {
-                let usual_ms = time_ms / entry.slowness;
-                service
-                    .time
-                    .record(attempt.tokens + attempt.ahead, usual_ms);
-            }
+        if attempt.is_model
+            && let Some(service) = self.services.get_mut(&entry.instance.service)
+        {
+            let tokens = attempt.tokens + attempt.ahead;
+            service.time.record(tokens, time_ms / entry.slowness);
         }
         entry.timed(time_ms / attempt.expected_ms.max(1.0) * entry.slowness);
     }
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -65,7 +65,7 @@
     is_leaving: bool,
     options: PeerOptions,
     seeds: Vec<SocketAddrV4>,
-    peers: BTreeMap<SocketAddrV4, Peer>,
+    others: BTreeMap<SocketAddrV4, Peer>,
     peak: (usize, Option<Instant>),
     rng: SmallRng,
 }
@@ -90,7 +90,7 @@
             is_leaving: false,
             options,
             seeds,
-            peers: BTreeMap::new(),
+            others: BTreeMap::new(),
             peak: (1, None),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -108,7 +108,7 @@
 
     /// Distrusts all that was heard before a pause of the process.
     pub fn woke(&mut self) {
-        for peer in self.peers.values_mut() {
+        for peer in self.others.values_mut() {
             peer.loads_at = None;
         }
     }
@@ -122,7 +122,7 @@
     ) -> (Beat, Vec<SocketAddrV4>) {
         self.forget(now);
         self.me.count = self.me.count.wrapping_add(1);
-        let heard = self.peers.values().map(|p| p.heard);
+        let heard = self.others.values().map(|p| p.heard);
         let heard = heard.choose_multiple(&mut self.rng, self.options.heard_max);
         let beat = Beat {
             sender: self.me,
@@ -135,7 +135,7 @@
     }
 
     fn targets(&mut self) -> Vec<SocketAddrV4> {
-        let known = self.peers.keys().copied();
+        let known = self.others.keys().copied();
         let mut targets = known.choose_multiple(&mut self.rng, self.options.fan_out);
         // One seed each time, so that halves of a fleet that lost each other meet again.
         let strangers = self.seeds.iter().copied();
@@ -150,7 +150,7 @@
             self.hear(now, *heard);
         }
         self.hear(now, beat.sender);
-        let Some(peer) = self.peers.get_mut(&beat.sender.address) else {
+        let Some(peer) = self.others.get_mut(&beat.sender.address) else {
             return;
         };
         if peer.heard != beat.sender {
@@ -166,7 +166,7 @@
         if heard.address == self.me.address {
             return;
         }
-        let peer = self.peers.entry(heard.address).or_insert_with(|| Peer {
+        let peer = self.others.entry(heard.address).or_insert_with(|| Peer {
             heard,
             heard_at: now,
             revision: 0,
@@ -192,7 +192,7 @@
         // Counts that others still pass on must not bring a node back: the record is
         // kept for a while after the node is taken for gone.
         let keep = self.options.gone_after * 8;
-        self.peers
+        self.others
             .retain(|_, p| now.saturating_duration_since(p.heard_at) < keep);
         let live = self.live_count(now);
         let is_old = |at: Instant| now.saturating_duration_since(at) > self.options.peak_ttl;
@@ -209,7 +209,11 @@
     /// Nodes that take part, this one included.
     #[must_use]
     pub fn live_count(&self, now: Instant) -> usize {
-        1 + self.peers.values().filter(|p| self.is_live(now, p)).count()
+        1 + self
+            .others
+            .values()
+            .filter(|p| self.is_live(now, p))
+            .count()
     }
 
     /// Nodes that limits are divided among: the most that took part of late.
@@ -223,7 +227,7 @@
     /// A live peer that knows a newer revision than `revision`.
     pub fn ahead(&mut self, now: Instant, revision: u64) -> Option<(SocketAddrV4, u64)> {
         let newest = self
-            .peers
+            .others
             .values()
             .filter(|p| now.saturating_duration_since(p.heard_at) < self.options.gone_after)
             .filter(|p| p.revision > revision)
@@ -233,7 +237,7 @@
 
     /// Any live peer.
     pub fn any(&mut self, now: Instant) -> Option<SocketAddrV4> {
-        let fresh = self.peers.values();
+        let fresh = self.others.values();
         let fresh =
             fresh.filter(|p| now.saturating_duration_since(p.heard_at) < self.options.gone_after);
         fresh.map(|p| p.heard.address).choose(&mut self.rng)
@@ -244,7 +248,7 @@
     pub fn loads(&self, now: Instant) -> BTreeMap<u32, Load> {
         let mut sums: BTreeMap<u32, Load> = BTreeMap::new();
         let mut fresh = 0_usize;
-        for peer in self.peers.values() {
+        for peer in self.others.values() {
             let age = peer.loads_at.map(|at| now.saturating_duration_since(at));
             if age.is_none_or(|age| age > self.options.load_ttl) {
                 continue;
@@ -257,14 +261,16 @@
         let others = self.live_count(now).saturating_sub(1);
         if fresh > 0 && others > fresh {
             let factor = others as f64 / fresh as f64;
-            sums.values_mut().for_each(|load| load.scale(factor));
+            for load in sums.values_mut() {
+                load.scale(factor);
+            }
         }
         sums
     }
 
     /// The peers, for the state dump: address, beats, revision, age, leaving.
     pub fn rows(&self, now: Instant) -> impl Iterator<Item = (Heard, u64, Duration, bool)> + '_ {
-        self.peers.values().map(move |p| {
+        self.others.values().map(move |p| {
             let age = now.saturating_duration_since(p.heard_at);
             (p.heard, p.revision, age, p.is_leaving)
         })
--- a/crates/core/src/flow/repeats.rs
+++ b/crates/core/src/flow/repeats.rs
@@ -69,6 +69,11 @@
         Self { options, slots }
     }
 
+    /// Changes the bounds; what was counted stays.
+    pub fn set_options(&mut self, options: RepeatOptions) {
+        self.options = options;
+    }
+
     /// Counts a call.
     pub fn call(&mut self, now: Instant) {
         if let Some(slot) = self.slot(now) {
--- a/crates/core/src/flow/warm.rs
+++ b/crates/core/src/flow/warm.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 /// Time after which a part that was not used is no longer counted on.
-const PART_TTL: Duration = Duration::from_secs(60);
+const PART_TTL: Duration = Duration::from_mins(1);
 
 /// Parts remembered for one server; the least recently used go first.
 const PARTS_MAX: usize = 2_048;
--- a/crates/core/tests/flow/fleet.rs
+++ b/crates/core/tests/flow/fleet.rs
@@ -1,6 +1,7 @@
 //! Servers and calls for the tests.
 
 use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use briarbank_core::flow::{
@@ -17,7 +18,7 @@
         id: id.into(),
         born_ms: 0,
         service: service.into(),
-        address: "127.0.0.1:9".parse().unwrap(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
         zone: "recife".into(),
         slots,
         is_draining: false,
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -247,7 +247,7 @@
     let mut dispatcher = dispatcher(0, 1);
     dispatcher.unlist(now, &server("d0"), true);
     dispatcher.list(instance("d0", crate::fleet::DESK, 6));
-    let later = now + Duration::from_secs(60);
+    let later = now + Duration::from_mins(1);
     dispatcher.expire(later);
     assert!(dispatcher.place(later, &slip(), &[]).is_ok());
 }
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarbank_core::flow::{AttemptId, Call, Fault, Instance, Placement, Refusal};
+use briarbank_core::flow::{Call, Fault, Instance, Placement, Refusal};
 use briarbank_core::ids::{ServerName, ServiceName};
 use bytes::Bytes;
 use http::{Request, Response, request, response};
@@ -13,11 +13,12 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::caller::body::AnswerBody;
+use crate::caller::flight::{Begun, Certainty, Flight, Miss, keep};
 use crate::caller::outcome::Outcome;
 use crate::caller::record::Record;
 use crate::caller::request::{Admitted, InFlight, time_left};
 use crate::caller::stream::EventStream;
-use crate::dialect::{AnswerHead, Sending};
+use crate::dialect::{AnswerHead, Claim, Sending};
 use crate::server::{Connection, SendError, Sent};
 use crate::shared::Shared;
 
@@ -31,9 +32,16 @@
 /// multiple of the expected time and of the objective.
 const SILENCE: (f64, f64) = (4.0, 2.0);
 
+/// Pauses, as a multiple of the longest one in time, after which a stream is
+/// taken up at another server.
+const STALL_GAPS: u32 = 4;
+
 /// When callers may come back if a server had no room.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
+/// An answer that was found to be the server's.
+type Checked = (response::Parts, AnswerHead, Incoming, Connection);
+
 /// A call and its attempts so far.
 pub(crate) struct Exchange {
     pub(crate) shared: Rc<Shared>,
@@ -53,73 +61,6 @@
     _in_flight: InFlight,
 }
 
-/// An attempt that reports its end, as cancelled if nothing else is known.
-pub(crate) struct Flight {
-    shared: Rc<Shared>,
-    attempt: Option<AttemptId>,
-    pub(crate) instance: Arc<Instance>,
-}
-
-impl Flight {
-    pub(crate) fn began(&self) {
-        if let Some(attempt) = self.attempt {
-            let now = std::time::Instant::now();
-            self.shared.dispatcher.borrow_mut().began(now, attempt);
-        }
-    }
-
-    pub(crate) fn finished(mut self) {
-        if let Some(attempt) = self.attempt.take() {
-            let now = std::time::Instant::now();
-            self.shared.dispatcher.borrow_mut().finished(now, attempt);
-        }
-    }
-
-    pub(crate) fn failed(mut self, fault: Fault) {
-        self.end(fault);
-    }
-
-    fn end(&mut self, fault: Fault) {
-        if let Some(attempt) = self.attempt.take() {
-            let now = std::time::Instant::now();
-            let mut dispatcher = self.shared.dispatcher.borrow_mut();
-            dispatcher.failed(now, attempt, fault);
-        }
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.end(Fault::Cancelled);
-    }
-}
-
-/// An answer that has begun.
-pub(crate) struct Begun {
-    pub(crate) flight: Flight,
-    pub(crate) connection: Connection,
-    pub(crate) head: response::Parts,
-    pub(crate) facts: AnswerHead,
-    pub(crate) body: Incoming,
-}
-
-/// An attempt that gave nothing to pass on.
-struct Miss {
-    fault: Fault,
-    certainty: Certainty,
-}
-
-/// What is known of a call that an attempt did not answer.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Certainty {
-    /// No server has seen it.
-    NotSent,
-    /// A server has seen it and will not run it.
-    NotRun,
-    /// It may have run.
-    Unknown,
-}
-
 impl Exchange {
     pub(crate) fn new(
         shared: &Rc<Shared>,
@@ -158,11 +99,7 @@
     /// Gets an answer from a server.
     pub(crate) async fn answer(mut self, body: Bytes) -> Response<AnswerBody> {
         self.body = body;
-        let now = Instant::now();
-        let call = self.call(now);
-        let mut dispatcher = self.shared.dispatcher.borrow_mut();
-        dispatcher.arrived(now.into_std(), &call);
-        drop(dispatcher);
+        self.arrived();
         if self.admitted.route.is_stream() {
             return match self.begin().await {
                 Ok(begun) if begun.head.status.is_success() => {
@@ -192,14 +129,19 @@
         }
     }
 
+    fn arrived(&self) {
+        let now = Instant::now();
+        let call = self.call(now);
+        let mut dispatcher = self.shared.dispatcher.borrow_mut();
+        dispatcher.arrived(now.into_std(), &call);
+    }
+
     async fn whole_or_refused(mut self, begun: Begun) -> Response<AnswerBody> {
-        match self.whole(begun).await {
-            Ok(response) => response,
-            Err(_) => {
-                let outcome = self.final_outcome();
-                self.refuse(outcome)
-            }
-        }
+        let Ok(response) = self.whole(begun).await else {
+            let outcome = self.final_outcome();
+            return self.refuse(outcome);
+        };
+        response
     }
 
     /// Reads a plain answer to its end; on failure tells whether to try again.
@@ -212,10 +154,10 @@
             return Err(self.may_try_again(Certainty::Unknown, &instance));
         };
         let mut head = begun.head;
-        if begun.facts.is_sealed && head.status.is_server_error() {
+        if begun.facts.claim == Claim::Answer && head.status.is_server_error() {
             begun
                 .flight
-                .failed_unless_kept(&self.shared, begun.connection, &begun.facts);
+                .failed_but_whole(&self.shared, begun.connection, &begun.facts);
         } else {
             let instance = Arc::clone(&begun.flight.instance);
             begun.flight.finished();
@@ -353,11 +295,7 @@
 
     async fn attempt(&mut self, placement: Placement) -> Result<Begun, Miss> {
         let silent_at = self.silent_at(&placement);
-        let flight = Flight {
-            shared: Rc::clone(&self.shared),
-            attempt: Some(placement.attempt),
-            instance: Arc::clone(&placement.instance),
-        };
+        let flight = Flight::new(&self.shared, &placement);
         let request = self.request(&placement.instance);
         let (most, sharers) = self.connections();
         let sending = self
@@ -442,57 +380,25 @@
     }
 
     /// Makes sure that the answer is the server's answer to this call.
-    fn check(
-        &mut self,
-        sent: Sent,
-    ) -> Result<(response::Parts, AnswerHead, Incoming, Connection), Miss> {
+    fn check(&mut self, sent: Sent) -> Result<Checked, Miss> {
         let (head, body) = sent.response.into_parts();
         let facts = self.shared.dialect.read_answer(&head, &self.record.id);
-        if facts.is_not_run {
-            let fault = if facts.is_other_instance {
-                Fault::OtherInstance
-            } else {
-                Fault::Full
-            };
-            self.record.trouble = Some(format!("not run: {}", head.status));
-            return Err(Miss {
-                fault,
-                certainty: Certainty::NotRun,
-            });
-        }
-        let is_trusted = facts.is_sealed || !head.status.is_success();
-        if !facts.is_of_call || !is_trusted {
-            self.trouble("answer is not the server's answer to this call");
-            return Err(Miss {
-                fault: Fault::Malformed,
-                certainty: Certainty::Unknown,
-            });
-        }
-        Ok((head, facts, body, sent.connection))
-    }
-}
-
-/// Pauses, as a multiple of the longest one in time, after which a stream is
-/// taken up at another server.
-const STALL_GAPS: u32 = 4;
-
-impl Flight {
-    /// Takes a server's own error, whose answer was whole.
-    fn failed_unless_kept(self, shared: &Shared, connection: Connection, facts: &AnswerHead) {
-        let instance = Arc::clone(&self.instance);
-        self.failed(Fault::Failed);
-        keep(shared, &instance, connection, facts);
-    }
-}
-
-/// Keeps a connection for the next call unless the server closes it.
-pub(crate) fn keep(
-    shared: &Shared,
-    instance: &Instance,
-    connection: Connection,
-    facts: &AnswerHead,
-) {
-    if !facts.is_last {
-        shared.pool.keep(instance, connection, facts.keep_idle);
+        let (fault, certainty, trouble) = match facts.claim {
+            Claim::Answer => return Ok((head, facts, body, sent.connection)),
+            Claim::Unproved if !head.status.is_success() => {
+                return Ok((head, facts, body, sent.connection));
+            }
+            Claim::Unproved | Claim::OtherCall => {
+                let trouble = "answer is not the server's answer to this call";
+                (Fault::Malformed, Certainty::Unknown, trouble)
+            }
+            Claim::NotRun => (Fault::Full, Certainty::NotRun, "server had no room"),
+            Claim::OtherInstance => {
+                let trouble = "another server has the address";
+                (Fault::OtherInstance, Certainty::NotRun, trouble)
+            }
+        };
+        self.trouble(trouble);
+        Err(Miss { fault, certainty })
     }
 }
--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod exchange;
+mod flight;
 mod guard;
 mod outcome;
 mod port;
--- a/crates/gateway/src/caller/port.rs
+++ b/crates/gateway/src/caller/port.rs
@@ -41,7 +41,7 @@
         let open = Rc::new(Cell::new(0_usize));
         loop {
             let (stream, _) = briarbank_net::accept(&listener).await;
-            if open.get() >= self.shared.settings.connections_max {
+            if open.get() >= self.shared.settings().connections_max {
                 metrics::counter!("briarbank_connections_refused_total").increment(1);
                 continue;
             }
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -11,7 +11,8 @@
 use briarbank_core::flow::Fault;
 
 use crate::caller::body::{AnswerBody, Cut};
-use crate::caller::exchange::{Begun, Exchange, keep};
+use crate::caller::exchange::Exchange;
+use crate::caller::flight::{Begun, keep};
 use crate::caller::outcome::Outcome;
 use crate::events::EventSplitter;
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -50,17 +50,26 @@
     pub slots: u32,
 }
 
+/// What an answer claims to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// The server's answer to this call, with its proof.
+    Answer,
+    /// An answer to this call without the server's proof.
+    Unproved,
+    /// The answer to another call.
+    OtherCall,
+    /// The server did not run the call and never will.
+    NotRun,
+    /// Another server than the one that was meant has answered; it did not run the call.
+    OtherInstance,
+}
+
 /// What the head of an answer says, beside its status.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
-    /// Whether it answers the call that was sent.
-    pub is_of_call: bool,
-    /// Whether it carries the server's proof.
-    pub is_sealed: bool,
-    /// Whether the server says that it did not run the call and never will.
-    pub is_not_run: bool,
-    /// Whether another server than the one that was meant has answered.
-    pub is_other_instance: bool,
+    /// What the answer claims to be.
+    pub claim: Claim,
     /// Whether the connection ends with the answer.
     pub is_last: bool,
     /// Time for which the server keeps the connection when idle.
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -44,6 +44,17 @@
     }
 }
 
+quick_error! {
+    /// Why settings can't be read anew.
+    #[derive(Debug)]
+    pub enum LoadError {
+        /// The source's own error.
+        Source(error: Box<dyn std::error::Error>) {
+            display("{error}")
+        }
+    }
+}
+
 quick_error! {
     /// Why bytes from the store can't be used.
     #[derive(Debug)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod events;
 mod gossip;
 mod operator;
+mod reload;
 mod run;
 mod server;
 mod settings;
@@ -22,8 +23,8 @@
 mod wake;
 
 pub use dialect::{
-    AnswerHead, CallHead, Dialect, Page, Published, ReportedLoad, Sending, StoreRead,
+    AnswerHead, CallHead, Claim, Dialect, Page, Published, ReportedLoad, Sending, StoreRead,
 };
-pub use error::{DecodeError, Error, HeadError};
+pub use error::{DecodeError, Error, HeadError, LoadError};
 pub use run::run;
-pub use settings::{Addresses, Settings};
+pub use settings::{Addresses, Settings, SettingsSource};
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -19,7 +19,7 @@
 use crate::shared::Shared;
 
 /// Longest life of a connection to these ports.
-const CONNECTION_TIMEOUT: Duration = Duration::from_secs(60);
+const CONNECTION_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Answers the balancer's question and operators for the life of the node.
 pub(crate) async fn run(shared: Rc<Shared>, listener: TcpListener, metrics: PrometheusHandle) {
@@ -96,7 +96,7 @@
         })
         .collect();
     json!({
-        "host": shared.settings.host.as_str(), "ready": shared.is_ready(),
+        "host": shared.settings().host.as_str(), "ready": shared.is_ready(),
         "config_version": shared.table().map(|t| t.version()),
         "revision": shared.mirror.borrow().at(), "store_lost": shared.store.is_lost.get(),
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,9 +12,9 @@
 use crate::caller::CallerPort;
 use crate::dialect::Dialect;
 use crate::error::Error;
-use crate::settings::Settings;
+use crate::settings::{Settings, SettingsSource};
 use crate::shared::Shared;
-use crate::{gossip, operator, store, sync};
+use crate::{gossip, operator, reload, store, sync};
 
 /// Time before the kill at which the process ends with calls in flight.
 const END_MARGIN: Duration = Duration::from_millis(300);
@@ -68,6 +68,7 @@
 /// A port can't be opened.
 pub async fn run(
     settings: Settings,
+    source: Box<dyn SettingsSource>,
     dialect: Box<dyn Dialect>,
     shutdown: impl Future<Output = ()>,
 ) -> Result<(), Error> {
@@ -77,16 +78,17 @@
     let shared = Shared::new(settings, dialect);
     let local = LocalSet::new();
     let served = local.run_until(async {
-        let mut parts = JoinSet::new();
-        start(&mut parts, &shared, ports, &metrics);
+        let mut tasks = JoinSet::new();
+        start(&mut tasks, &shared, ports, &metrics);
+        tasks.spawn_local(reload::run(Rc::clone(&shared), source));
         tokio::select! {
             () = shutdown => {}
-            ended = parts.join_next() => {
+            ended = tasks.join_next() => {
                 tracing::error!(?ended, "node: a part ended on its own");
             }
         }
         stop(&shared).await;
-        parts.shutdown().await;
+        tasks.shutdown().await;
         shared.pool.clear();
     });
     served.await;
@@ -94,24 +96,24 @@
     Ok(())
 }
 
-fn start(parts: &mut JoinSet<()>, shared: &Rc<Shared>, ports: Ports, metrics: &PrometheusHandle) {
+fn start(tasks: &mut JoinSet<()>, shared: &Rc<Shared>, ports: Ports, metrics: &PrometheusHandle) {
     let caller = CallerPort {
         shared: Rc::clone(shared),
     };
-    parts.spawn_local(store::follow(Rc::clone(shared)));
-    parts.spawn_local(gossip::run(Rc::clone(shared), ports.beats));
-    parts.spawn_local(sync::serve(Rc::clone(shared), ports.peer));
-    parts.spawn_local(caller.run(ports.caller));
-    parts.spawn_local(operator::run(
+    tasks.spawn_local(store::follow(Rc::clone(shared)));
+    tasks.spawn_local(gossip::run(Rc::clone(shared), ports.beats));
+    tasks.spawn_local(sync::serve(Rc::clone(shared), ports.peer));
+    tasks.spawn_local(caller.run(ports.caller));
+    tasks.spawn_local(operator::run(
         Rc::clone(shared),
         ports.ready,
         metrics.clone(),
     ));
     if let Some(listener) = ports.operator {
-        parts.spawn_local(operator::run(Rc::clone(shared), listener, metrics.clone()));
+        tasks.spawn_local(operator::run(Rc::clone(shared), listener, metrics.clone()));
     }
     let sweeping = Rc::clone(shared);
-    parts.spawn_local(async move {
+    tasks.spawn_local(async move {
         let mut ticks = interval(SWEEP);
         loop {
             ticks.tick().await;
@@ -122,7 +124,7 @@
 
 /// Finishes what is in flight, then returns.
 async fn stop(shared: &Shared) {
-    let killed_at = Instant::now() + shared.settings.stop_timeout;
+    let killed_at = Instant::now() + shared.settings().stop_timeout;
     tracing::info!(in_flight = shared.in_flight.get(), "node: planned stop");
     shared.stop.begin();
     shared.peers.borrow_mut().leave();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,8 @@
 use briarbank_core::flow::RepeatOptions;
 use briarbank_core::ids::{HostName, ZoneName};
 
+use crate::error::LoadError;
+
 /// Ports of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Addresses {
@@ -19,6 +21,16 @@
     pub peer: SocketAddrV4,
 }
 
+/// Where the settings come from.
+pub trait SettingsSource {
+    /// Reads the settings as they are now.
+    ///
+    /// # Errors
+    ///
+    /// They can't be read or used; those in force stay.
+    fn load(&self) -> Result<Settings, LoadError>;
+}
+
 /// Settings of a node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,7 +19,7 @@
 
 /// State of a node; borrows never live across an await.
 pub(crate) struct Shared {
-    pub(crate) settings: Settings,
+    settings: RefCell<Rc<Settings>>,
     pub(crate) dialect: Box<dyn Dialect>,
     /// The configuration in force, `None` before the first one.
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
@@ -65,7 +65,7 @@
         let tasks = TaskTracker::new();
         Rc::new(Self {
             dispatcher: RefCell::new(Dispatcher::new(settings.zone.clone(), options)),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
             dialect,
             table: RefCell::new(None),
             mirror: RefCell::new(Mirror::default()),
@@ -78,6 +78,16 @@
         })
     }
 
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes over other settings.
+    pub(crate) fn set_settings(&self, settings: Settings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// The configuration in force.
     pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
         self.table.borrow().clone()
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -159,7 +159,7 @@
     }
 
     async fn exchange(&mut self, read: &StoreRead) -> Result<Bytes, ReadError> {
-        let address = self.shared.settings.store_address;
+        let address = self.shared.settings().store_address;
         let mut sender = match self.connection.take() {
             Some(sender) if sender.is_ready() => sender,
             _ => self.connect().await?,
@@ -180,7 +180,7 @@
     }
 
     async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, ReadError> {
-        let address = self.shared.settings.store_address;
+        let address = self.shared.settings().store_address;
         let stream = briarbank_net::connect(address, CONNECT_TIMEOUT).await?;
         let (sender, connection) =
             hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
