--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -14,6 +14,9 @@
 use crate::ids::{ServerName, ZoneName};
 use crate::rendezvous;
 
+/// Longest wait that is told of, in milliseconds.
+const WAIT_MS_MAX: f64 = 60_000.0;
+
 /// Key of the order in which servers take short prompts, alike on all nodes.
 const LIGHT_KEY: u64 = 0x6c69_6768_7400;
 
@@ -98,7 +101,7 @@
             .filter(|c| call.is_resumed || (c.has_room && c.wait_ms <= self.wait_limit_ms(call, c)))
             .collect();
         let Some(index) = best(open.clone()) else {
-            return Err(Refusal::Busy(self.retry_after(call, &usable)));
+            return Err(self.busy(call, &usable));
         };
         let Some(chosen) = open.get(index) else {
             return Err(Refusal::NoServer);
@@ -270,13 +273,19 @@
         (target_ms - own_ms).max(target_ms * self.options.wait_ratio_min)
     }
 
-    /// Time until the least loaded server has room again.
-    fn retry_after(&self, call: &Call, usable: &[&Costed<'_>]) -> Duration {
+    /// The refusal, with the time until the least loaded server has room again.
+    fn busy(&self, call: &Call, usable: &[&Costed<'_>]) -> Refusal {
         let over = |c: &&Costed<'_>| (c.wait_ms - self.wait_limit_ms(call, c)).max(0.0);
         let least_ms = usable.iter().map(over).fold(f64::INFINITY, f64::min);
         let wait = if least_ms.is_finite() { least_ms } else { 0.0 };
         let longest = (call.left / 3).min(RETRY_AFTER.1).max(RETRY_AFTER.0);
-        Duration::from_secs_f64(wait / 1_000.0).clamp(RETRY_AFTER.0, longest)
+        let waits = usable.iter().map(|c| c.wait_ms);
+        let wait_ms = waits.fold(f64::INFINITY, f64::min).min(WAIT_MS_MAX);
+        Refusal::Busy {
+            retry_after: Duration::from_secs_f64(wait / 1_000.0).clamp(RETRY_AFTER.0, longest),
+            servers: usable.len(),
+            wait: Duration::from_secs_f64(wait_ms / 1_000.0),
+        }
     }
 }
 
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -69,8 +69,15 @@
 pub enum Refusal {
     /// No server of the service is known to be usable.
     NoServer,
-    /// No server would answer in time; room is expected after the given time.
-    Busy(Duration),
+    /// No server would answer in time.
+    Busy {
+        /// Time until room is expected.
+        retry_after: Duration,
+        /// Servers that were looked at.
+        servers: usize,
+        /// Shortest wait at any of them.
+        wait: Duration,
+    },
     /// All repeats of the window are used up.
     RepeatBudget,
 }
--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -37,6 +37,8 @@
     pub sender: Heard,
     /// Whether the sender is stopping as planned.
     pub is_leaving: bool,
+    /// Whether the sender follows the store and was answered.
+    pub is_watching: bool,
     /// Revision up to which the sender knows the published values.
     pub revision: u64,
     /// Load that the sender has put on servers.
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -20,6 +20,10 @@
 
 use crate::flow::backlog::Load;
 use crate::flow::message::{Beat, Heard, ServerLoad};
+use crate::rendezvous;
+
+/// Key of the order in which nodes become watchers, alike on all nodes.
+const WATCHER_KEY: u64 = 0x7761_7463_6800;
 
 /// Fixed choices of [`Peers`].
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +32,10 @@
     pub fan_out: usize,
     /// Other nodes named in each beat.
     pub heard_max: usize,
+    /// Nodes that follow the store; the others learn from them.
+    pub watchers: usize,
+    /// Watchers that must be heard for a node to rely on them.
+    pub watchers_min: usize,
     /// Time without a new count after which a node is gone.
     pub gone_after: Duration,
     /// Age beyond which a load is no longer counted.
@@ -41,6 +49,8 @@
         Self {
             fan_out: 8,
             heard_max: 12,
+            watchers: 8,
+            watchers_min: 2,
             gone_after: Duration::from_millis(2_500),
             load_ttl: Duration::from_millis(1_500),
             peak_ttl: Duration::from_secs(10),
@@ -54,6 +64,7 @@
     heard_at: Instant,
     revision: u64,
     is_leaving: bool,
+    is_watching: bool,
     loads: Vec<ServerLoad>,
     loads_at: Option<Instant>,
 }
@@ -118,6 +129,7 @@
         &mut self,
         now: Instant,
         revision: u64,
+        is_watching: bool,
         loads: Vec<ServerLoad>,
     ) -> (Beat, Vec<SocketAddrV4>) {
         self.forget(now);
@@ -127,6 +139,7 @@
         let beat = Beat {
             sender: self.me,
             is_leaving: self.is_leaving,
+            is_watching,
             revision,
             loads,
             heard,
@@ -158,6 +171,7 @@
         }
         peer.revision = peer.revision.max(beat.revision);
         peer.is_leaving = beat.is_leaving;
+        peer.is_watching = beat.is_watching;
         peer.loads = beat.loads;
         peer.loads_at = Some(now);
     }
@@ -171,6 +185,7 @@
             heard_at: now,
             revision: 0,
             is_leaving: false,
+            is_watching: false,
             loads: Vec::new(),
             loads_at: None,
         });
@@ -181,6 +196,7 @@
         }
         if heard.incarnation > peer.heard.incarnation {
             peer.is_leaving = false;
+            peer.is_watching = false;
             peer.loads.clear();
             peer.revision = 0;
         }
@@ -224,6 +240,23 @@
         self.peak.0.max(self.live_count(now))
     }
 
+    /// Whether this node should follow the store itself.
+    ///
+    /// Every node computes the same few watchers; one that hears too few of them
+    /// follows the store itself.
+    #[must_use]
+    pub fn should_watch(&self, now: Instant) -> bool {
+        let weight = |address: &SocketAddrV4| {
+            let name_key = rendezvous::key(address.to_string().as_bytes());
+            rendezvous::weight_of(WATCHER_KEY, name_key)
+        };
+        let mine = weight(&self.me.address);
+        let live = || self.others.values().filter(|p| self.is_live(now, p));
+        let before = live().filter(|p| weight(&p.heard.address) > mine).count();
+        let heard = live().filter(|p| p.is_watching).count();
+        before < self.options.watchers || heard < self.options.watchers_min
+    }
+
     /// A live peer that knows a newer revision than `revision`.
     pub fn ahead(&mut self, now: Instant, revision: u64) -> Option<(SocketAddrV4, u64)> {
         let newest = self
--- a/crates/core/tests/flow/peers.rs
+++ b/crates/core/tests/flow/peers.rs
@@ -61,7 +61,7 @@
             let Some(node) = self.nodes.get_mut(&sender) else {
                 continue;
             };
-            let (beat, targets) = node.beat(self.now, 5, vec![load]);
+            let (beat, targets) = node.beat(self.now, 5, true, vec![load]);
             self.sent_max = self.sent_max.max(targets.len());
             if self.silent.contains(&sender) {
                 continue;
@@ -135,6 +135,30 @@
     }
 }
 
+/// 86 nodes: eight follow the store; while all of those are silent, others do.
+#[test]
+fn few_nodes_follow_the_store() {
+    let mut fleet = Fleet::new(86, &[0, 40, 80]);
+    fleet.run(Duration::from_secs(4));
+    let watchers = |fleet: &Fleet| -> Vec<SocketAddrV4> {
+        let heard = fleet
+            .nodes
+            .iter()
+            .filter(|(a, _)| !fleet.silent.contains(a));
+        heard
+            .filter(|(_, n)| n.should_watch(fleet.now))
+            .map(|(a, _)| *a)
+            .collect()
+    };
+    let first = watchers(&fleet);
+    assert_eq!(first.len(), PeerOptions::default().watchers);
+    fleet.silent.clone_from(&first);
+    fleet.run(Duration::from_secs(4));
+    let second = watchers(&fleet);
+    assert_eq!(second.len(), PeerOptions::default().watchers);
+    assert!(second.iter().all(|a| !first.contains(a)));
+}
+
 #[test]
 fn a_peer_that_is_ahead_is_found() {
     let mut fleet = Fleet::new(2, &[0]);
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -150,7 +150,10 @@
         .collect::<Vec<_>>();
     assert!(!refused.is_empty());
     for refusal in refused {
-        let Refusal::Busy(pause) = refusal else {
+        let Refusal::Busy {
+            retry_after: pause, ..
+        } = refusal
+        else {
             panic!("{refusal:?}");
         };
         assert!(pause >= Duration::from_millis(100) && pause <= Duration::from_secs(2));
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -71,10 +71,14 @@
     ) -> Self {
         let workspace_tier = admitted.workspace.as_ref().and_then(|w| w.tier);
         let rank = admitted.table.rank(admitted.route.tier, workspace_tier);
-        let service = admitted.route.service(shared.peers.borrow_mut().random());
+        let (random, nodes) = {
+            let mut peers = shared.peers.borrow_mut();
+            (peers.random(), peers.live_count(began_at.into_std()))
+        };
+        let service = admitted.route.service(random);
         Self {
             shared: Rc::clone(shared),
-            record: Record::new(&admitted, rank, began_at.into_std()),
+            record: Record::new(&admitted, rank, nodes, began_at.into_std()),
             service: service.cloned().unwrap_or_else(|| "".into()),
             deadline: began_at + time_left(&admitted),
             head,
@@ -223,7 +227,7 @@
             return Outcome::Unknown;
         }
         match refusal {
-            Refusal::Busy(pause) => Outcome::NotRun(pause),
+            Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
             Refusal::NoServer | Refusal::RepeatBudget => Outcome::NotRun(FULL_PAUSE),
         }
     }
--- a/crates/gateway/src/caller/record.rs
+++ b/crates/gateway/src/caller/record.rs
@@ -16,6 +16,8 @@
     pub(crate) rank: u8,
     /// Version of the configuration that decided.
     pub(crate) version: u64,
+    /// Nodes whose load was known.
+    pub(crate) nodes: usize,
     pub(crate) began_at: Instant,
     pub(crate) first_ms: Option<u64>,
     /// Longest pause between two parts of the answer.
@@ -34,12 +36,13 @@
 
 impl Record {
     /// A record of a call that has just begun.
-    pub(crate) fn new(admitted: &Admitted, rank: u8, began_at: Instant) -> Self {
+    pub(crate) fn new(admitted: &Admitted, rank: u8, nodes: usize, began_at: Instant) -> Self {
         Self {
             id: Arc::clone(&admitted.head.id),
             route: Arc::clone(&admitted.route.name),
             rank,
             version: admitted.table.version(),
+            nodes,
             began_at,
             first_ms: None,
             pause_ms: 0,
@@ -87,7 +90,7 @@
         let server = self.server.as_ref().map_or("-", ServerName::as_str);
         let trouble = self.trouble.as_deref().unwrap_or("-");
         tracing::info!(
-            id = %self.id, route = %self.route, rank = self.rank, version = self.version,
+            id = %self.id, route = %self.route, rank = self.rank, version = self.version, nodes = self.nodes,
             server, sends = self.sends, status = self.status, outcome, trouble,
             first_ms = self.first_ms, pause_ms = self.pause_ms, whole_ms = (whole_s * 1_000.0) as u64,
             "call: ended"
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -50,7 +50,10 @@
     let now = Instant::now();
     let revision = shared.mirror.borrow().at();
     let loads = shared.dispatcher.borrow().told(now);
-    let (beat, targets) = shared.peers.borrow_mut().beat(now, revision, loads);
+    let is_watching = shared.store.is_watching.get() && !shared.store.is_lost.get();
+    let mut peers = shared.peers.borrow_mut();
+    let (beat, targets) = peers.beat(now, revision, is_watching, loads);
+    drop(peers);
     let Ok(bytes) = bincode::serde::encode_to_vec(&beat, bincode::config::standard()) else {
         tracing::warn!("peer: beat can't be encoded");
         return;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -37,6 +37,8 @@
 /// What is believed of the store.
 #[derive(Default)]
 pub(crate) struct StoreState {
+    /// Whether this node follows the store itself.
+    pub(crate) is_watching: Cell<bool>,
     /// Whether the last call failed.
     pub(crate) is_lost: Cell<bool>,
     /// When a call succeeded again after a failed one.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -28,6 +28,9 @@
 /// Wait of a watch; each call has a price, and a deaf one is noticed by peers.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// Time between two looks of a node that leaves the store to others.
+const IDLE_LOOK: Duration = Duration::from_millis(500);
+
 /// First and longest pause after a failed call.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
@@ -70,10 +73,12 @@
             () = shared.store.deaf.notified() => Err(ReadError::Silent),
         };
         match result {
-            Ok(()) => {
+            Ok(has_read) => {
                 is_known = true;
                 pause = PAUSE.0;
-                regained(&shared);
+                if has_read {
+                    regained(&shared);
+                }
             }
             Err(error) => {
                 is_known &= !matches!(error, ReadError::Forgotten);
@@ -116,7 +121,7 @@
 }
 
 impl Reader {
-    async fn read_all(&mut self) -> Result<(), ReadError> {
+    async fn read_all(&mut self) -> Result<bool, ReadError> {
         let mut whole = Delta {
             is_whole: true,
             ..Delta::default()
@@ -138,10 +143,21 @@
             after = page.last_key;
         }
         self.shared.apply(&whole, Source::Store);
-        Ok(())
+        Ok(true)
     }
 
-    async fn watch(&mut self) -> Result<(), ReadError> {
+    /// Waits for changes; false when that is left to other nodes.
+    async fn watch(&mut self) -> Result<bool, ReadError> {
+        let should_watch = self.shared.peers.borrow().should_watch(Instant::now());
+        if self.shared.store.is_watching.replace(should_watch) != should_watch {
+            tracing::info!(should_watch, "store: who follows the store has changed");
+        }
+        if !should_watch {
+            self.connection = None;
+            self.shared.store.is_lost.set(false);
+            sleep(IDLE_LOOK).await;
+            return Ok(false);
+        }
         let revision = self.shared.mirror.borrow().at();
         let wait = WATCH_WAIT;
         let body = self
@@ -149,7 +165,7 @@
             .await?;
         let delta = self.shared.dialect.read_events(&body)?;
         self.shared.apply(&delta, Source::Store);
-        Ok(())
+        Ok(true)
     }
 
     async fn call(&mut self, read: &StoreRead, wait: Duration) -> Result<Bytes, ReadError> {
