--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -270,7 +270,8 @@
     fn wait_limit_ms(&self, call: &Call, costed: &Costed<'_>) -> f64 {
         let target_ms = call.target.as_secs_f64() * 1_000.0;
         let own_ms = costed.expected_ms - costed.wait_ms;
-        (target_ms - own_ms).max(target_ms * self.options.wait_ratio_min)
+        (target_ms * self.options.target_ratio - own_ms)
+            .max(target_ms * self.options.wait_ratio_min)
     }
 
     /// The refusal, with the time until the least loaded server has room again.
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -42,6 +42,9 @@
     pub order_cost_ms: f64,
     /// Cost to a short prompt of a server with twice its part of short ones, in milliseconds.
     pub full_cost_ms: f64,
+    /// Part of its objective within which a call is expected to begin, since
+    /// predictions under load are short.
+    pub target_ratio: f64,
     /// Least part of its own objective that a call may wait at a server.
     pub wait_ratio_min: f64,
     /// Calls beyond its slots that a plain server is sent, as a part of the slots.
@@ -74,7 +77,8 @@
             light_ratio_max: 0.6,
             order_cost_ms: 50.0,
             full_cost_ms: 1_000.0,
-            wait_ratio_min: 0.3,
+            target_ratio: 0.8,
+            wait_ratio_min: 0.2,
             queue_ratio: 2.0,
             memory_ratio: 0.9,
         }
