--- a/crates/core/src/flow/backlog.rs
+++ b/crates/core/src/flow/backlog.rs
@@ -2,6 +2,9 @@
 
 use crate::flow::message::ServerLoad;
 
+/// Usual time for which a prompt is pending, in seconds.
+const PENDING_S: f64 = 0.1;
+
 /// Work in flight at a server, of one or several nodes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -16,11 +19,15 @@
 }
 
 impl Load {
-    /// Adds what a node tells.
-    pub fn add(&mut self, load: &ServerLoad) {
+    /// Adds what a node told, of which `fresh_ratio` is still as it was.
+    ///
+    /// What was pending then is over soon; the rest is taken from the rate.
+    pub fn add(&mut self, load: &ServerLoad, fresh_ratio: f64) {
         self.running += f64::from(load.running);
         self.light += f64::from(load.light);
-        self.pending_tokens += f64::from(load.pending_tokens);
+        let usual = f64::from(load.tokens_per_s) * PENDING_S;
+        self.pending_tokens +=
+            fresh_ratio * f64::from(load.pending_tokens) + (1.0 - fresh_ratio) * usual;
         self.tokens_per_s += f64::from(load.tokens_per_s);
     }
 
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -22,6 +22,9 @@
 use crate::flow::message::{Beat, Heard, ServerLoad};
 use crate::rendezvous;
 
+/// Time after which most prompts that were pending have been read.
+const PENDING_LIFE: Duration = Duration::from_millis(300);
+
 /// Key of the order in which nodes become watchers, alike on all nodes.
 const WATCHER_KEY: u64 = 0x7761_7463_6800;
 
@@ -282,13 +285,19 @@
         let mut sums: BTreeMap<u32, Load> = BTreeMap::new();
         let mut fresh = 0_usize;
         for peer in self.others.values() {
-            let age = peer.loads_at.map(|at| now.saturating_duration_since(at));
-            if age.is_none_or(|age| age > self.options.load_ttl) {
+            let Some(at) = peer.loads_at else {
+                continue;
+            };
+            let age = now.saturating_duration_since(at);
+            if age > self.options.load_ttl {
                 continue;
             }
             fresh += 1;
             for load in &peer.loads {
-                sums.entry(load.server_key).or_default().add(load);
+                let fresh_ratio = (-age.as_secs_f64() / PENDING_LIFE.as_secs_f64()).exp();
+                sums.entry(load.server_key)
+                    .or_default()
+                    .add(load, fresh_ratio);
             }
         }
         let others = self.live_count(now).saturating_sub(1);
--- a/crates/core/tests/flow/fleet.rs
+++ b/crates/core/tests/flow/fleet.rs
@@ -105,7 +105,7 @@
 pub(crate) fn told(dispatcher: &Dispatcher, now: Instant) -> BTreeMap<u32, Load> {
     let mut loads: BTreeMap<u32, Load> = BTreeMap::new();
     for load in dispatcher.told(now) {
-        loads.entry(load.server_key).or_default().add(&load);
+        loads.entry(load.server_key).or_default().add(&load, 1.0);
     }
     loads
 }
