Refuse the most urgent calls last; deaf connections are no outage

Change: the most urgent tier of a service waits up to twice its objective; a deaf connection is replaced only; entries that ended by a peer's news are kept 0.7 s less.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -269,6 +269,9 @@
     /// Longest wait at a server, so that the call is in time.
     fn wait_limit_ms(&self, call: &Call, costed: &Costed<'_>) -> f64 {
         let target_ms = call.target.as_secs_f64() * 1_000.0;
+        if call.is_most_urgent {
+            return target_ms * self.options.urgent_ratio;
+        }
         let own_ms = costed.expected_ms - costed.wait_ms;
         (target_ms * self.options.target_ratio - own_ms)
             .max(target_ms * self.options.wait_ratio_min)
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -41,8 +41,8 @@
 pub struct Call {
     /// Service that it is for.
     pub service: ServiceName,
-    /// Tier, 0 is the most urgent.
-    pub tier: u8,
+    /// Whether no other calls of the service are more urgent.
+    pub is_most_urgent: bool,
     /// Latency objective that is left; of streams up to the first event.
     pub target: Duration,
     /// Time until the caller or the route gives up.
@@ -194,16 +194,17 @@
 
     /// Drops a server whose entry is gone.
     ///
-    /// With `may_have_lapsed` the entry may have gone because the store was away;
-    /// the server is then used for some time more.
-    pub fn unlist(&mut self, now: Instant, server: &ServerName, may_have_lapsed: bool) {
+    /// With `lapse` the entry may have gone because the store was away; the server
+    /// is then used for that time more.
+    pub fn unlist(&mut self, now: Instant, server: &ServerName, lapse: Option<Duration>) {
         let Some(entry) = self.servers.get_mut(server) else {
             return;
         };
-        if may_have_lapsed && !entry.instance.is_draining {
-            entry.lapsed_until = Some(now + self.options.lapse_ttl);
-        } else {
-            self.servers.remove(server);
+        match lapse {
+            Some(lapse) if !entry.instance.is_draining => entry.lapsed_until = Some(now + lapse),
+            _ => {
+                self.servers.remove(server);
+            }
         }
     }
 
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -18,8 +18,8 @@
     pub unreachable_pause: Duration,
     /// Time for which a server that was full gets no calls.
     pub full_pause: Duration,
-    /// Time for which a server whose entry may have lapsed by an outage is still used.
-    pub lapse_ttl: Duration,
+    /// Time for which an address that another server has gets no calls.
+    pub other_instance_pause: Duration,
     /// Cost of another availability zone, in milliseconds of delay.
     pub zone_cost_ms: f64,
     /// Cost of reading shared tokens that another server holds, beyond the time that it
@@ -42,6 +42,9 @@
     pub order_cost_ms: f64,
     /// Cost to a short prompt of a server with twice its part of short ones, in milliseconds.
     pub full_cost_ms: f64,
+    /// Wait at a server that the most urgent calls accept, as a multiple of their
+    /// objective: a late answer is better than one for less urgent calls.
+    pub urgent_ratio: f64,
     /// Part of its objective within which a call is expected to begin, since
     /// predictions under load are short.
     pub target_ratio: f64,
@@ -66,7 +69,7 @@
             fault_ratio_max: 0.35,
             unreachable_pause: Duration::from_millis(500),
             full_pause: Duration::from_millis(100),
-            lapse_ttl: Duration::from_millis(2_500),
+            other_instance_pause: Duration::from_millis(2_500),
             zone_cost_ms: 2.0,
             crowd_cost_ms: 0.5,
             again_ratio: 4.0,
@@ -77,6 +80,7 @@
             light_ratio_max: 0.6,
             order_cost_ms: 50.0,
             full_cost_ms: 1_000.0,
+            urgent_ratio: 2.0,
             target_ratio: 0.8,
             wait_ratio_min: 0.2,
             queue_ratio: 2.0,
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -157,7 +157,7 @@
                 return false;
             }
             Fault::Unreachable => self.hold(now + options.unreachable_pause),
-            Fault::OtherInstance => self.hold(now + options.lapse_ttl),
+            Fault::OtherInstance => self.hold(now + options.other_instance_pause),
             Fault::Broken | Fault::Silent | Fault::Malformed | Fault::Failed => {}
         }
         if fault != Fault::Failed {
--- a/crates/core/src/flow/table.rs
+++ b/crates/core/src/flow/table.rs
@@ -94,6 +94,14 @@
         self.services.iter().find(|s| s.name == *name)
     }
 
+    /// Whether no route to the service has a more urgent tier.
+    #[must_use]
+    pub fn is_most_urgent(&self, service: &ServiceName, tier: u8) -> bool {
+        let routes = self.by_host.values().flatten();
+        let mut routes = routes.filter(|r| r.splits.iter().any(|s| s.service == *service));
+        routes.all(|r| r.tier >= tier)
+    }
+
     /// Urgency of a call, 0 is the most urgent: its workspace goes before its route.
     #[must_use]
     pub fn rank(&self, route_tier: u8, workspace_tier: Option<u8>) -> u8 {
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -11,7 +11,11 @@
 /// Time after the store's return in which entries that ended may have lapsed.
 const LAPSE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Where values came from, for the logs.
+/// Times taken off the time in which a server that may be gone still gets calls:
+/// what a call needs to reach it, and what news needs by way of peers.
+const DRAIN_MARGINS: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
+
+/// Where values came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Source {
     Store,
@@ -78,7 +82,13 @@
             ?source,
             "values: server entry ended"
         );
+        let margin = match source {
+            Source::Store => DRAIN_MARGINS.0,
+            Source::Peer => DRAIN_MARGINS.1,
+        };
+        let lapse = self.settings().drain_timeout.saturating_sub(margin);
+        let lapse = may_have_lapsed.then_some(lapse);
         let mut dispatcher = self.dispatcher.borrow_mut();
-        dispatcher.unlist(now, &server.into(), may_have_lapsed);
+        dispatcher.unlist(now, &server.into(), lapse);
     }
 }
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -51,6 +51,7 @@
     service: ServiceName,
     /// Urgency, 0 is the most urgent.
     rank: u8,
+    is_most_urgent: bool,
     body: Bytes,
     began_at: Instant,
     pub(crate) deadline: Instant,
@@ -75,15 +76,19 @@
             let mut peers = shared.peers.borrow_mut();
             (peers.random(), peers.live_count(began_at.into_std()))
         };
-        let service = admitted.route.service(random);
+        let service = admitted.route.service(random).cloned();
+        let service = service.unwrap_or_else(|| "".into());
+        let tier = admitted.route.tier;
+        let is_most_urgent = admitted.table.is_most_urgent(&service, tier);
         Self {
             shared: Rc::clone(shared),
             record: Record::new(&admitted, rank, nodes, began_at.into_std()),
-            service: service.cloned().unwrap_or_else(|| "".into()),
+            service,
             deadline: began_at + time_left(&admitted),
             head,
             admitted,
             rank,
+            is_most_urgent,
             body: Bytes::new(),
             began_at,
             tried: Vec::new(),
@@ -213,7 +218,7 @@
         let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         Call {
             service: self.service.clone(),
-            tier: self.admitted.route.tier,
+            is_most_urgent: self.is_most_urgent,
             target: target.saturating_sub(now - self.began_at),
             left: self.deadline - now,
             is_resumed: self.last_event.is_some(),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use briarbank_core::flow::{Dispatcher, Mirror, Options, PeerOptions, Peers, RouteTable};
 use tokio::sync::Notify;
@@ -13,10 +13,6 @@
 use crate::settings::Settings;
 use crate::stop::Stop;
 
-/// Time that a call may need to reach a server, taken off the time in which
-/// servers that may be gone still get calls.
-const DRAIN_MARGIN: Duration = Duration::from_millis(300);
-
 /// State of a node; borrows never live across an await.
 pub(crate) struct Shared {
     settings: RefCell<Rc<Settings>>,
@@ -61,7 +57,6 @@
         );
         let options = Options {
             repeats: settings.repeats,
-            lapse_ttl: settings.drain_timeout.saturating_sub(DRAIN_MARGIN),
             ..Options::default()
         };
         let tasks = TaskTracker::new();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -47,6 +47,7 @@
         Status(status: StatusCode) { display("refused with {status}") }
         Forgotten { display("history is no longer available") }
         Silent { display("no answer in time") }
+        Deaf { display("peers have newer values") }
         Decode(error: DecodeError) { display("{error}") from() }
         Request(error: http::Error) { display("{error}") from() }
     }
@@ -70,7 +71,7 @@
         };
         let result = tokio::select! {
             result = read => result,
-            () = shared.store.deaf.notified() => Err(ReadError::Silent),
+            () = shared.store.deaf.notified() => Err(ReadError::Deaf),
         };
         match result {
             Ok(has_read) => {
@@ -80,6 +81,10 @@
                     regained(&shared);
                 }
             }
+            Err(ReadError::Deaf) => {
+                // The connection may be dead, which says nothing of the store.
+                reader.connection = None;
+            }
             Err(error) => {
                 is_known &= !matches!(error, ReadError::Forgotten);
                 reader.connection = None;
