--- a/crates/core/examples/capacity/main.rs
+++ b/crates/core/examples/capacity/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `cargo run --release -p briarbank-core --example capacity`
 
+mod beats;
 mod control;
 mod documents;
 mod entry;
@@ -19,4 +20,5 @@
     owner::print();
     documents::print();
     entry::print();
+    beats::print();
 }
