--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::flow::backlog::Load;
-use crate::flow::dispatch::{Call, Prompt, Refusal};
+use crate::flow::call::{Call, Prompt, Refusal};
 use crate::flow::instance::Instance;
 use crate::flow::options::Options;
 use crate::flow::prompt_time::PromptTime;
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -9,6 +9,7 @@
 //! attempt went.
 
 mod backlog;
+mod call;
 mod choice;
 mod dispatch;
 mod instance;
@@ -24,7 +25,8 @@
 mod warm;
 
 pub use backlog::Load;
-pub use dispatch::{AttemptId, Call, Dispatcher, Fault, Placement, Prompt, Refusal};
+pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal};
+pub use dispatch::Dispatcher;
 pub use instance::Instance;
 pub use message::{Beat, Heard, ServerLoad};
 pub use mirror::{Change, Delta, Mirror, Removal};
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::flow::backlog::Load;
-use crate::flow::dispatch::Fault;
+use crate::flow::call::Fault;
 use crate::flow::instance::Instance;
 use crate::flow::message::ServerLoad;
 use crate::flow::options::Options;
--- a/crates/core/src/flow/table.rs
+++ b/crates/core/src/flow/table.rs
@@ -35,8 +35,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     version: u64,
-    /// By host name; longest prefix first.
-    by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// By host name and prefix.
+    by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
+    /// Most urgent tier that is routed to each service.
+    least_tiers: HashMap<ServiceName, u8>,
     services: Vec<ServiceSpec>,
     limits: RequestLimits,
     keys: Option<HashMap<Arc<str>, WorkspaceEntry>>,
@@ -48,20 +50,25 @@
     /// Arranges a configuration.
     #[must_use]
     pub fn new(config: RouteConfig) -> Self {
-        let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         let route_tiers = config.routes.iter().map(|r| r.tier).collect();
         let entries = config.keys.iter().flat_map(HashMap::values);
         let workspace_tiers = entries.filter_map(|w| w.tier).collect();
+        let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
+        let mut least_tiers: HashMap<ServiceName, u8> = HashMap::new();
         for route in config.routes {
-            let host = Arc::clone(&route.host);
-            by_host.entry(host).or_default().push(Arc::new(route));
-        }
-        for routes in by_host.values_mut() {
-            routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+            for split in &route.splits {
+                let least = least_tiers
+                    .entry(split.service.clone())
+                    .or_insert(route.tier);
+                *least = route.tier.min(*least);
+            }
+            let routes = by_host.entry(Arc::clone(&route.host)).or_default();
+            routes.insert(Arc::clone(&route.prefix), Arc::new(route));
         }
         Self {
             version: config.version,
             by_host,
+            least_tiers,
             services: config.services,
             limits: config.limits,
             keys: config.keys,
@@ -79,7 +86,7 @@
     /// Number of routes.
     #[must_use]
     pub fn route_count(&self) -> usize {
-        self.by_host.values().map(Vec::len).sum()
+        self.by_host.values().map(HashMap::len).sum()
     }
 
     /// All services.
@@ -97,9 +104,9 @@
     /// Whether no route to the service has a more urgent tier.
     #[must_use]
     pub fn is_most_urgent(&self, service: &ServiceName, tier: u8) -> bool {
-        let routes = self.by_host.values().flatten();
-        let mut routes = routes.filter(|r| r.splits.iter().any(|s| s.service == *service));
-        routes.all(|r| r.tier >= tier)
+        self.least_tiers
+            .get(service)
+            .is_none_or(|least| *least >= tier)
     }
 
     /// Urgency of a call, 0 is the most urgent: its workspace goes before its route.
@@ -117,11 +124,12 @@
         self.limits
     }
 
-    /// The route with the longest prefix that begins `path`.
+    /// The route with the longest prefix that begins `path`; prefixes end with a slash.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.by_host.get(host)?;
-        routes.iter().find(|r| path.starts_with(&*r.prefix))
+        let mut ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+        ends.find_map(|end| routes.get(path.get(..end)?))
     }
 
     /// Whether calls need keys.
--- /dev/null
+++ b/crates/gateway/src/caller/attempt.rs
@@ -0,0 +1,134 @@
+//! One attempt: the call goes to a server, and its answer is checked.
+
+use std::time::Duration;
+
+use briarbank_core::flow::{Fault, Instance, Placement};
+use bytes::Bytes;
+use http::{Request, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use crate::caller::exchange::Exchange;
+use crate::caller::flight::{Begun, Certainty, Flight, Miss};
+use crate::dialect::{AnswerHead, Claim, Sending};
+use crate::server::{Connection, SendError, Sent};
+
+/// Silence after which a call that may run twice goes to another server: as a
+/// multiple of the expected time and of the objective.
+const SILENCE: (f64, f64) = (4.0, 2.0);
+
+/// An answer that was found to be the server's.
+type Checked = (response::Parts, AnswerHead, Incoming, Connection);
+
+impl Exchange {
+    /// Sends the call to the chosen server and waits for the head of its answer.
+    pub(crate) async fn attempt(&mut self, placement: Placement) -> Result<Begun, Miss> {
+        let silent_at = self.silent_at(&placement);
+        let flight = Flight::new(&self.shared, &placement);
+        let request = self.request(&placement.instance);
+        let (most, sharers) = self.connections();
+        let sending = self
+            .shared
+            .pool
+            .send(&placement.instance, request, most, sharers);
+        let miss = match timeout_at(silent_at, sending).await {
+            Ok(Ok(sent)) => match self.check(sent) {
+                Ok((head, facts, body, connection)) => {
+                    return Ok(Begun {
+                        flight,
+                        connection,
+                        head,
+                        facts,
+                        body,
+                    });
+                }
+                Err(miss) => miss,
+            },
+            Ok(Err(error)) => self.send_failed(&error),
+            Err(_) => {
+                self.trouble("server was silent");
+                Miss {
+                    fault: Fault::Silent,
+                    certainty: Certainty::Unknown,
+                }
+            }
+        };
+        flight.failed(miss.fault);
+        Err(miss)
+    }
+
+    fn send_failed(&mut self, error: &SendError) -> Miss {
+        self.record.trouble = Some(error.to_string());
+        let fault = match error {
+            SendError::Connect(_) => Fault::Unreachable,
+            SendError::Full => Fault::Full,
+            SendError::Broken(_) => Fault::Broken,
+        };
+        let certainty = if error.is_not_sent() {
+            Certainty::NotSent
+        } else {
+            Certainty::Unknown
+        };
+        Miss { fault, certainty }
+    }
+
+    /// When a server counts as silent.
+    fn silent_at(&self, placement: &Placement) -> Instant {
+        let route = &self.admitted.route;
+        if !route.is_repeatable() || self.record.sends + 1 >= route.attempts_max {
+            return self.deadline;
+        }
+        let target = Duration::from_millis(u64::from(route.target_ms));
+        let silence = placement.expected.mul_f64(SILENCE.0);
+        let silence = silence.max(target.mul_f64(SILENCE.1));
+        self.deadline.min(Instant::now() + silence)
+    }
+
+    fn connections(&self) -> (u32, usize) {
+        let spec = self.admitted.table.service(&self.service);
+        let most = spec.map_or(u32::MAX, |s| s.connections_max);
+        let now = std::time::Instant::now();
+        (most, self.shared.peers.borrow().sharers(now))
+    }
+
+    fn request(&self, instance: &Instance) -> Request<Full<Bytes>> {
+        let sending = Sending {
+            instance: instance.id.clone(),
+            left: self.deadline.saturating_duration_since(Instant::now()),
+            workspace: self.admitted.workspace.as_ref().map(|w| w.name.clone()),
+            rank: self.rank,
+            is_model: self.admitted.head.prompt.is_some(),
+            last_event: self.last_event.clone(),
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        let path = self.head.uri.path_and_query().cloned();
+        *request.uri_mut() = path.map_or_else(|| self.head.uri.clone(), Into::into);
+        *request.headers_mut() = self.shared.dialect.server_headers(&self.head, &sending);
+        request
+    }
+
+    /// Makes sure that the answer is the server's answer to this call.
+    fn check(&mut self, sent: Sent) -> Result<Checked, Miss> {
+        let (head, body) = sent.response.into_parts();
+        let facts = self.shared.dialect.read_answer(&head, &self.record.id);
+        let (fault, certainty, trouble) = match facts.claim {
+            Claim::Answer => return Ok((head, facts, body, sent.connection)),
+            Claim::Unproved if !head.status.is_success() => {
+                return Ok((head, facts, body, sent.connection));
+            }
+            Claim::Unproved | Claim::OtherCall => {
+                let trouble = "answer is not the server's answer to this call";
+                (Fault::Malformed, Certainty::Unknown, trouble)
+            }
+            Claim::NotRun => (Fault::Full, Certainty::NotRun, "server had no room"),
+            Claim::OtherInstance => {
+                let trouble = "another server has the address";
+                (Fault::OtherInstance, Certainty::NotRun, trouble)
+            }
+        };
+        self.trouble(trouble);
+        Err(Miss { fault, certainty })
+    }
+}
--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -1,5 +1,6 @@
 //! Callers: their connections, calls and answers.
 
+mod attempt;
 mod body;
 mod exchange;
 mod flight;
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use briarbank_meter::PrometheusHandle;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -11,7 +12,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::time::timeout;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use briarbank_meter::PrometheusHandle;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{Instant, interval, sleep, sleep_until};
@@ -73,7 +73,7 @@
     shutdown: impl Future<Output = ()>,
 ) -> Result<(), Error> {
     let ports = Ports::open(&settings).await?;
-    let metrics = install_metrics();
+    let metrics = briarbank_meter::install(&SECONDS_BUCKETS);
     tracing::info!(host = %settings.host, zone = %settings.zone, caller = %settings.addresses.caller, "node: started");
     let shared = Shared::new(settings, dialect);
     let local = LocalSet::new();
@@ -143,13 +143,3 @@
         }
     }
 }
-
-fn install_metrics() -> PrometheusHandle {
-    let builder = PrometheusBuilder::new().set_buckets(&SECONDS_BUCKETS);
-    let recorder = builder.unwrap_or_default().build_recorder();
-    let handle = recorder.handle();
-    if metrics::set_global_recorder(recorder).is_err() {
-        tracing::warn!("metrics: another recorder is installed");
-    }
-    handle
-}
--- a/crates/node/src/background.rs
+++ b/crates/node/src/background.rs
@@ -5,7 +5,7 @@
 
 use briarbank_core::conf::Key;
 use briarbank_core::node::Event;
-use metrics_exporter_prometheus::PrometheusHandle;
+use briarbank_meter::PrometheusHandle;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
--- a/crates/node/src/operator/port.rs
+++ b/crates/node/src/operator/port.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use briarbank_meter::PrometheusHandle;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
@@ -12,7 +13,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
