--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -79,13 +79,6 @@
         };
         let untried = |c: &&Costed<'_>| !avoid.contains(&c.entry.instance.id);
         let sound = |c: &&Costed<'_>| c.entry.is_sound(now);
-        let best = |list: Vec<&Costed<'_>>| -> Option<usize> {
-            let least = list
-                .iter()
-                .enumerate()
-                .min_by(|a, b| a.1.cost_ms.total_cmp(&b.1.cost_ms))?;
-            Some(least.0)
-        };
         // Servers that failed of late or were tried are better than none.
         let ways: [Vec<&Costed<'_>>; 3] = [
             costed.iter().filter(sound).filter(untried).collect(),
@@ -95,17 +88,11 @@
         let Some(usable) = ways.into_iter().find(|way| !way.is_empty()) else {
             return Err(Refusal::NoServer);
         };
-        let open: Vec<&Costed<'_>> = usable
-            .iter()
-            .copied()
-            .filter(|c| call.is_resumed || (c.has_room && c.wait_ms <= self.wait_limit_ms(call, c)))
-            .collect();
-        let Some(index) = best(open.clone()) else {
+        let is_in_time = |c: &Costed<'_>| c.has_room && c.wait_ms <= self.wait_limit_ms(call, c);
+        let open = usable.iter().filter(|c| call.is_resumed || is_in_time(c));
+        let Some(chosen) = open.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms)) else {
             return Err(self.busy(call, &usable));
         };
-        let Some(chosen) = open.get(index) else {
-            return Err(Refusal::NoServer);
-        };
         Ok(Choice {
             instance: Arc::clone(&chosen.entry.instance),
             tokens: chosen.tokens,
