--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -271,14 +271,6 @@
         newest.choose(&mut self.rng)
     }
 
-    /// Any live peer.
-    pub fn any(&mut self, now: Instant) -> Option<SocketAddrV4> {
-        let fresh = self.others.values();
-        let fresh =
-            fresh.filter(|p| now.saturating_duration_since(p.heard_at) < self.options.gone_after);
-        fresh.map(|p| p.heard.address).choose(&mut self.rng)
-    }
-
     /// Load of all peers on each server, by the hash of its name.
     #[must_use]
     pub fn loads(&self, now: Instant) -> BTreeMap<u32, Load> {
