Close connections whose request head takes too long

Cause: header_timeout_ms was decoded from the configuration and used nowhere, so a caller could hold a connection with half a head for as long as it liked. Ruled out: the library's own timeout, which also runs on idle connections and can't follow a changed configuration. Change: the guard tells when an unfinished head began; the connection is dropped after the limit in force. Seen: test a_slow_head_is_cut_off_and_an_idle_connection_is_kept failed before (waited in vain) and passes after; 19 of the path's tests pass.

--- a/crates/gateway/src/caller/guard.rs
+++ b/crates/gateway/src/caller/guard.rs
@@ -12,6 +12,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Longest head that is looked at; the library refuses longer ones.
 const HEAD_BYTES_MAX: usize = 64 << 10;
@@ -22,6 +23,8 @@
     is_reading: Cell<bool>,
     head: RefCell<Vec<u8>>,
     is_ambiguous: Cell<bool>,
+    /// When the first bytes of a head came that has no end yet.
+    began_at: Cell<Option<Instant>>,
 }
 
 impl HeadGuard {
@@ -44,7 +47,18 @@
         self.is_ambiguous.get()
     }
 
+    /// When the head began that is still incomplete.
+    pub(crate) fn began_at(&self) -> Option<Instant> {
+        self.began_at.get()
+    }
+
     fn take(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if self.began_at.get().is_none() {
+            self.began_at.set(Some(Instant::now()));
+        }
         let mut head = self.head.borrow_mut();
         let searched = head.len().saturating_sub(3);
         head.extend_from_slice(bytes);
@@ -53,12 +67,14 @@
         let Some(end) = end else {
             if head.len() > HEAD_BYTES_MAX {
                 self.is_reading.set(false);
+                self.began_at.set(None);
             }
             return;
         };
         let whole = head.get(..searched + end).unwrap_or_default();
         self.is_ambiguous.set(is_ambiguous(whole));
         self.is_reading.set(false);
+        self.began_at.set(None);
         // The buffer is given back: idle connections hold no memory for it.
         *head = Vec::new();
     }
--- a/crates/gateway/src/caller/port.rs
+++ b/crates/gateway/src/caller/port.rs
@@ -2,9 +2,11 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use briarbank_core::flow::RequestLimits;
 use http::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -40,7 +42,7 @@
     pub(crate) async fn run(self, listener: TcpListener) {
         let open = Rc::new(Cell::new(0_usize));
         loop {
-            let (stream, _) = briarbank_net::accept(&listener).await;
+            let (stream, peer) = briarbank_net::accept(&listener).await;
             if open.get() >= self.shared.settings().connections_max {
                 metrics::counter!("briarbank_connections_refused_total").increment(1);
                 continue;
@@ -48,13 +50,13 @@
             open.set(open.get() + 1);
             let (port, open) = (self.clone(), Rc::clone(&open));
             self.shared.tasks.spawn_local(async move {
-                port.connection(stream).await;
+                port.connection(stream, peer).await;
                 open.set(open.get() - 1);
             });
         }
     }
 
-    async fn connection(self, stream: TcpStream) {
+    async fn connection(self, stream: TcpStream, peer: SocketAddr) {
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "caller: connection already gone");
         }
@@ -91,6 +93,11 @@
         tokio::pin!(connection);
         let served = tokio::select! {
             served = connection.as_mut() => served,
+            () = self.head_overdue(&guard) => {
+                metrics::counter!("briarbank_slow_heads_total").increment(1);
+                tracing::info!(%peer, "caller: connection closed, request head took too long");
+                return;
+            }
             () = self.over(&activity) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
@@ -109,10 +116,27 @@
         }
     }
 
+    fn limits(&self) -> RequestLimits {
+        let table = self.shared.table();
+        table.map(|t| t.limits()).unwrap_or_default()
+    }
+
+    /// Completes when a request head has been coming for too long.
+    async fn head_overdue(&self, guard: &HeadGuard) {
+        loop {
+            let header_max = Duration::from_millis(u64::from(self.limits().header_timeout_ms));
+            let began_at = guard.began_at();
+            let until = began_at.unwrap_or_else(Instant::now) + header_max;
+            if began_at.is_some() && Instant::now() >= until {
+                return;
+            }
+            sleep_until(until).await;
+        }
+    }
+
     async fn idle(&self, activity: &Activity) {
         loop {
-            let table = self.shared.table();
-            let limits = table.map(|t| t.limits()).unwrap_or_default();
+            let limits = self.limits();
             let idle_max = Duration::from_millis(u64::from(limits.idle_timeout_ms));
             if activity.calls.get() > 0 {
                 activity.last.set(Instant::now());
