Keep long prompts to few servers of their subject; spread chats over the servers they need

Chats of all nodes filled the same server before they had heard that it was full; and until a node had seen prompts of both kinds it took chats for long prompts (a model of 86 nodes showed both). Change: a long prompt may go to the first three servers in the order of its deepest shared part, to more if its subject takes up more than their time; chats go to as many first servers of their order as the sum of their load needs; the size between short and long starts at 2,000 tokens.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -23,6 +23,10 @@
 /// Expected time of a plain call, in milliseconds, for its cost only.
 const PLAIN_MS: f64 = 50.0;
 
+/// Part of its shared tokens that the second server in the order of a prompt is taken
+/// not to hold: it has them if the first one was late before.
+const SECOND_UNHELD_RATIO: f64 = 0.5;
+
 /// Bounds of the time after which a refused caller may come back.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
@@ -34,6 +38,8 @@
     pub(crate) time: PromptTime,
     /// Geometric mean of the tokens of prompts; those with more are long.
     pub(crate) usual_tokens: f64,
+    /// Prompts about the call's subject that come to all nodes, a second.
+    pub(crate) subject_per_s: f64,
     pub(crate) options: &'a Options,
 }
 
@@ -104,28 +110,68 @@
     }
 
     fn model_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
-        let is_light = self.is_light(prompt);
+        if self.is_light(prompt) {
+            self.light_costs(now, prompt)
+        } else {
+            self.long_costs(now, prompt)
+        }
+    }
+
+    fn light_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
         let light_max = self.light_max(now);
+        let spread = self.light_servers(now, light_max);
         let order = self.ranks(Some(LIGHT_KEY), |_| true);
-        let affinity = prompt.parts.iter().rev().nth(1).map(|(part, _)| *part);
-        let takes = |e: &ServerEntry| is_light || self.takes_long(&e.load(now));
-        let ranks = self.ranks(affinity, takes);
-        let costs = self.entries.iter().zip(ranks).zip(order);
+        let is_spread = |index: usize| order.get(index).is_some_and(|place| *place < spread);
+        let ranks = self.ranks(subject(prompt), is_spread);
+        let costs = self.entries.iter().zip(&order).zip(ranks);
         costs
-            .map(|((entry, rank), order)| {
+            .map(|((entry, place), rank)| {
                 let mut costed = self.model_cost(now, prompt, entry, rank);
-                let load = entry.load(now);
-                if is_light {
-                    costed.cost_ms += self.light_cost_ms(&load, order, light_max);
-                } else {
-                    costed.cost_ms += load.running * self.options.crowd_cost_ms;
-                    costed.has_room &= self.takes_long(&load);
-                }
+                let beyond = (place + 1).saturating_sub(spread);
+                costed.cost_ms += beyond as f64 * self.options.order_cost_ms;
+                costed.cost_ms += self.light_cost_ms(&entry.load(now), light_max);
                 costed
             })
             .collect()
     }
 
+    fn long_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
+        let takes = |entry: &&ServerEntry| self.takes_long(&entry.load(now));
+        let takes: Vec<bool> = self.entries.iter().map(takes).collect();
+        let does_take = |index: usize| takes.get(index).copied().unwrap_or_default();
+        let ranks = self.ranks(subject(prompt), does_take);
+        let servers_max = self.servers_max(prompt);
+        let costs = self.entries.iter().zip(&takes).zip(ranks);
+        costs
+            .map(|((entry, takes), rank)| {
+                let mut costed = self.model_cost(now, prompt, entry, rank);
+                costed.cost_ms += entry.load(now).running * self.options.crowd_cost_ms;
+                costed.has_room &= *takes && rank < servers_max;
+                costed
+            })
+            .collect()
+    }
+
+    /// Servers that a long prompt may go to; a hot subject gets more.
+    fn servers_max(&self, prompt: &Prompt) -> usize {
+        let own = prompt
+            .parts
+            .last()
+            .map_or(prompt.tokens, |(_, tokens)| *tokens);
+        let busy_ratio = self.subject_per_s * f64::from(own) * self.time.ms_per_token() / 1_000.0;
+        let needed = (busy_ratio / self.options.subject_ratio).ceil() as usize;
+        needed.max(self.options.spill_servers)
+    }
+
+    /// First servers of the common order that the short prompts in flight need.
+    ///
+    /// The sum over all servers is steadier than the load of each, which is old by
+    /// the time that a node hears of it.
+    fn light_servers(&self, now: Instant, light_max: f64) -> usize {
+        let light: f64 = self.entries.iter().map(|e| e.load(now).light).sum();
+        ((light / light_max).ceil() as usize).clamp(1, self.entries.len())
+    }
+
     fn is_light(&self, prompt: &Prompt) -> bool {
         f64::from(prompt.tokens) < self.usual_tokens
     }
@@ -150,25 +196,24 @@
         self.engine.map_or(1.0, |engine| f64::from(engine.slots))
     }
 
-    /// What keeps short prompts together, away from long ones.
-    fn light_cost_ms(&self, load: &Load, order: usize, light_max: f64) -> f64 {
+    /// What keeps short prompts off servers that read long ones or are full.
+    fn light_cost_ms(&self, load: &Load, light_max: f64) -> f64 {
         let busy_ratio = load.tokens_per_s * self.time.ms_per_token() / 1_000.0;
         let full_ratio = load.light / light_max;
         busy_ratio.min(1.0) * self.options.reading_cost_ms
-            + order as f64 * self.options.order_cost_ms
             + (full_ratio - 1.0).max(0.0) * self.options.full_cost_ms
     }
 
     /// Place of each server in the rendezvous order of a shared part.
     ///
     /// Servers that do not take the call come last.
-    fn ranks(&self, affinity: Option<u64>, takes: impl Fn(&ServerEntry) -> bool) -> Vec<usize> {
+    fn ranks(&self, affinity: Option<u64>, takes: impl Fn(usize) -> bool) -> Vec<usize> {
         let Some(key) = affinity else {
             return vec![usize::MAX; self.entries.len()];
         };
         let weighted = |(index, e): (usize, &&ServerEntry)| {
             let weight = rendezvous::weight_of(key, e.name_key);
-            ((takes(e), weight), index)
+            ((takes(index), weight), index)
         };
         let mut order: Vec<((bool, u64), usize)> =
             self.entries.iter().enumerate().map(weighted).collect();
@@ -280,18 +325,28 @@
     }
 }
 
+/// The deepest part that a prompt shares with others.
+pub(crate) fn subject(prompt: &Prompt) -> Option<u64> {
+    prompt.parts.iter().rev().nth(1).map(|(part, _)| *part)
+}
+
 /// Tokens of a prompt that a server is expected to read.
 fn unread_tokens(now: Instant, prompt: &Prompt, entry: &ServerEntry, rank: usize) -> f64 {
     let shared = prompt.parts.len().saturating_sub(1);
+    let unheld_ratio = match rank {
+        0 => 0.0,
+        1 => SECOND_UNHELD_RATIO,
+        _ => 1.0,
+    };
     let mut unread = f64::from(prompt.tokens);
     let mut is_chain = true;
     for (index, (part, tokens)) in prompt.parts.iter().enumerate() {
-        let is_held = entry.warm.holds(now, *part);
-        is_chain &= is_held || (index < shared && rank == 0);
-        if !is_chain {
-            break;
+        is_chain &= entry.warm.holds(now, *part);
+        if is_chain {
+            unread -= f64::from(*tokens);
+        } else if index < shared {
+            unread -= f64::from(*tokens) * (1.0 - unheld_ratio);
         }
-        unread -= f64::from(*tokens);
     }
     unread.max(0.0)
 }
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -6,7 +6,7 @@
 
 use crate::flow::backlog::Load;
 use crate::flow::call::{AttemptId, Call, Fault, Placement, Refusal};
-use crate::flow::choice::{Choice, Pool};
+use crate::flow::choice::{Choice, Pool, subject};
 use crate::flow::instance::Instance;
 use crate::flow::message::ServerLoad;
 use crate::flow::options::Options;
@@ -14,12 +14,20 @@
 use crate::flow::repeats::{RepeatBudget, RepeatOptions};
 use crate::flow::route::EngineSpec;
 use crate::flow::server::ServerEntry;
+use crate::flow::subjects::Subjects;
 use crate::flow::table::RouteTable;
 use crate::ids::{ServerName, ServiceName, ZoneName};
 
 /// Weight of one call in the running mean of prompt sizes.
 const MEAN_WEIGHT: f64 = 0.02;
 
+/// Size between short and long prompts before any was seen, in tokens: a page of
+/// questions is shorter, a document longer.
+const USUAL_TOKENS: f64 = 2_000.0;
+
+/// Prompts that the size assumed at the start weighs as much as.
+const USUAL_PROMPTS: u32 = 10;
+
 #[derive(Debug)]
 struct Attempt {
     server: ServerName,
@@ -52,10 +60,11 @@
     engine: Option<EngineSpec>,
     time: PromptTime,
     repeats: RepeatBudget,
-    /// Prompts seen so far.
+    /// Prompts seen so far, with those that stand for the size assumed at the start.
     prompts: u32,
     /// Running mean of the logarithm of the tokens of prompts.
     log_tokens: f64,
+    subjects: Subjects,
 }
 
 impl Dispatcher {
@@ -84,8 +93,9 @@
                 engine: None,
                 time: PromptTime::default(),
                 repeats: RepeatBudget::new(repeats),
-                prompts: 0,
-                log_tokens: 0.0,
+                prompts: USUAL_PROMPTS,
+                log_tokens: USUAL_TOKENS.ln(),
+                subjects: Subjects::default(),
             });
             service.engine = spec.engine;
         }
@@ -169,6 +179,9 @@
             service.prompts = service.prompts.saturating_add(1);
             let weight = MEAN_WEIGHT.max(1.0 / f64::from(service.prompts));
             service.log_tokens += weight * (log_tokens - service.log_tokens);
+            if let Some(subject) = subject(prompt) {
+                service.subjects.count(now, subject);
+            }
         }
     }
 
@@ -194,12 +207,15 @@
             return Err(Refusal::NoServer);
         };
         let of_service = |e: &&ServerEntry| e.instance.service == call.service && e.is_open(now);
+        let subject = call.prompt.as_ref().and_then(subject);
+        let own_per_s = subject.map_or(0.0, |subject| service.subjects.per_s(now, subject));
         let pool = Pool {
             entries: self.servers.values().filter(of_service).collect(),
             zone: &self.zone,
             engine: service.engine,
             time: service.time,
             usual_tokens: service.log_tokens.exp(),
+            subject_per_s: own_per_s * self.sharers as f64,
             options: &self.options,
         };
         let choice = pool.choose(now, call, avoid)?;
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -21,6 +21,7 @@
 mod repeats;
 mod route;
 mod server;
+mod subjects;
 mod table;
 mod warm;
 
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -25,6 +25,12 @@
     /// Cost of reading shared tokens that another server holds, beyond the time that it
     /// takes, as a multiple of that time.
     pub again_ratio: f64,
+    /// Servers, in the order of its shared parts, that a long prompt may go to; more
+    /// servers would each have to read the shared parts again.
+    pub spill_servers: usize,
+    /// Part of a server's time that prompts about one subject may take up before they
+    /// get a further server.
+    pub subject_ratio: f64,
     /// Cost to a long prompt of each call in flight at the server, in milliseconds.
     pub crowd_cost_ms: f64,
     /// Part of a server's slots with short prompts beside which it is given long ones.
@@ -73,6 +79,8 @@
             zone_cost_ms: 2.0,
             crowd_cost_ms: 0.5,
             again_ratio: 4.0,
+            spill_servers: 3,
+            subject_ratio: 0.3,
             stray_ratio: 0.06,
             reading_cost_ms: 100.0,
             light_ratio_min: 0.2,
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -1,6 +1,9 @@
 //! Routed traffic: routes, published values, peers, budgets and placement.
 
+mod day;
+mod engine;
 mod fleet;
+mod heavy;
 mod mirror;
 mod peers;
 mod placement;
