Bound log lines by kind; use the cold state of servers, drop reported loads

Cause: a burst wrote a line for every served call; the only bound was the buffer, which drops lines of failed calls as well. cold_ms and the load that servers report were decoded and used nowhere. A server that has just started counts as half as slow again until its answers tell. The reported load is no longer read: nodes learn of each other's calls sooner than of a server's own count, which a node of a large fleet hears every five seconds (12 calls a second to 60 servers).

--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -24,6 +24,10 @@
 /// Weight of one answer in the running speed.
 const SPEED_WEIGHT: f64 = 0.05;
 
+/// Time of answers of a server that has just started, as a multiple of the usual, until
+/// its answers tell better.
+const COLD_SLOWNESS: f64 = 1.5;
+
 /// Bounds of the speed of a server against the usual of its service.
 const SPEED: (f64, f64) = (0.5, 4.0);
 
@@ -55,12 +59,16 @@
         Self {
             key: (name_key >> 32) as u32,
             name_key,
-            instance: Arc::new(instance),
             own: Load::default(),
             peers: Load::default(),
             warm: Warm::default(),
             health: Health::default(),
-            slowness: 1.0,
+            slowness: if instance.cold_ms > 0 {
+                COLD_SLOWNESS
+            } else {
+                1.0
+            },
+            instance: Arc::new(instance),
             memory_tokens: 0.0,
             lapsed_until: None,
             rate_at: None,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hosts;
 pub mod ids;
 pub mod limiter;
+pub mod lines;
 pub mod load;
 pub mod member;
 pub mod node;
--- /dev/null
+++ b/crates/core/src/lines.rs
@@ -0,0 +1,50 @@
+//! How many log lines of a kind may be written.
+
+/// Lines of one kind within the current period; the caller ends each period.
+///
+/// # Examples
+///
+/// ```
+/// use briarbank_core::lines::LineBudget;
+///
+/// let mut budget = LineBudget::new(1);
+/// assert!(budget.take());
+/// assert!(!budget.take());
+/// assert_eq!(budget.end_period(), 1);
+/// assert!(budget.take());
+/// ```
+#[derive(Clone, Debug)]
+pub struct LineBudget {
+    lines_max: u32,
+    written: u32,
+    left_out: u32,
+}
+
+impl LineBudget {
+    /// Allows `lines_max` lines in each period.
+    #[must_use]
+    pub fn new(lines_max: u32) -> Self {
+        Self {
+            lines_max,
+            written: 0,
+            left_out: 0,
+        }
+    }
+
+    /// Whether one more line may be written; counts it either way.
+    pub fn take(&mut self) -> bool {
+        let has_room = self.written < self.lines_max;
+        if has_room {
+            self.written += 1;
+        } else {
+            self.left_out = self.left_out.saturating_add(1);
+        }
+        has_room
+    }
+
+    /// Begins the next period; gives the lines that were left out.
+    pub fn end_period(&mut self) -> u32 {
+        self.written = 0;
+        std::mem::take(&mut self.left_out)
+    }
+}
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -337,3 +337,18 @@
     let cold = dispatcher.place(now, &sheet(7, 1), &[]).unwrap();
     assert!(cold.expected > warm.expected, "{cold:?} {warm:?}");
 }
+
+/// A release: servers that have just started are slow at first and get fewer calls.
+#[test]
+fn a_server_that_says_it_is_cold_gets_fewer_calls() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(0, 2);
+    let cold = briarbank_core::flow::Instance {
+        cold_ms: 3_000,
+        ..instance("d9", crate::fleet::DESK, 6)
+    };
+    dispatcher.list(cold);
+    let placed = fill(&mut dispatcher, now, (0..15).map(|_| slip()));
+    let of = |name: &str| placed.iter().filter(|(_, n)| n == name).count();
+    assert!(of("d9") < of("d0") && of("d9") < of("d1"), "{placed:?}");
+}
--- /dev/null
+++ b/crates/core/tests/lines.rs
@@ -0,0 +1,22 @@
+//! Budgets of log lines.
+
+use briarbank_core::lines::LineBudget;
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// No period writes more than its part, and every line is written or counted.
+    #[test]
+    fn lines_are_bounded_and_none_is_forgotten(
+        lines_max in 0_u32..50,
+        periods in prop::collection::vec(0_u32..200, 1..10),
+    ) {
+        let mut budget = LineBudget::new(lines_max);
+        for lines in periods {
+            let written = (0..lines).filter(|_| budget.take()).count() as u32;
+            prop_assert_eq!(written, lines.min(lines_max));
+            prop_assert_eq!(budget.end_period(), lines - written);
+        }
+    }
+}
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -18,6 +18,7 @@
 use crate::caller::request::{Admitted, InFlight, time_left};
 use crate::caller::stream::EventStream;
 use crate::dialect::Claim;
+use crate::log_lines::LineKind;
 use crate::shared::Shared;
 
 /// Tries that did not reach a server, for one call.
@@ -73,7 +74,13 @@
         let is_most_urgent = admitted.table.is_most_urgent(&service, tier);
         Self {
             shared: Rc::clone(shared),
-            record: Record::new(&admitted, rank, nodes, began_at.into_std()),
+            record: Record::new(
+                &admitted,
+                rank,
+                nodes,
+                began_at.into_std(),
+                &shared.log_lines,
+            ),
             service,
             deadline: began_at + time_left(&admitted),
             head,
@@ -195,10 +202,12 @@
                 Ok(begun) => return Ok(begun),
                 Err(miss) => miss,
             };
-            tracing::info!(
-                id = %self.record.id, server = %instance.id, fault = ?miss.fault,
-                trouble = self.record.trouble.as_deref(), "call: attempt failed"
-            );
+            if self.shared.log_lines.take(LineKind::Attempt) {
+                tracing::info!(
+                    id = %self.record.id, server = %instance.id, fault = ?miss.fault,
+                    trouble = self.record.trouble.as_deref(), "call: attempt failed"
+                );
+            }
             if !self.may_try_again(miss.certainty, &instance) {
                 return Err(self.final_outcome());
             }
--- a/crates/gateway/src/caller/record.rs
+++ b/crates/gateway/src/caller/record.rs
@@ -1,11 +1,13 @@
 //! The log line of a call, written when it ends in whatever way.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
 
 use briarbank_core::ids::ServerName;
 
 use crate::caller::request::Admitted;
+use crate::log_lines::{LineKind, LogLines};
 
 /// What is told of a call when it ends.
 #[derive(Debug)]
@@ -32,11 +34,18 @@
     pub(crate) status: u16,
     /// Whether the answer is complete.
     pub(crate) is_whole: bool,
+    log_lines: Rc<LogLines>,
 }
 
 impl Record {
     /// A record of a call that has just begun.
-    pub(crate) fn new(admitted: &Admitted, rank: u8, nodes: usize, began_at: Instant) -> Self {
+    pub(crate) fn new(
+        admitted: &Admitted,
+        rank: u8,
+        nodes: usize,
+        began_at: Instant,
+        log_lines: &Rc<LogLines>,
+    ) -> Self {
         Self {
             id: Arc::clone(&admitted.head.id),
             route: Arc::clone(&admitted.route.name),
@@ -52,6 +61,7 @@
             trouble: None,
             status: 0,
             is_whole: false,
+            log_lines: Rc::clone(log_lines),
         }
     }
 
@@ -87,6 +97,14 @@
         let whole_s = self.began_at.elapsed().as_secs_f64();
         metrics::counter!("briarbank_calls_total", "outcome" => outcome).increment(1);
         metrics::histogram!("briarbank_call_seconds", "outcome" => outcome).record(whole_s);
+        let kind = if outcome == "served" {
+            LineKind::Served
+        } else {
+            LineKind::Unserved
+        };
+        if !self.log_lines.take(kind) {
+            return;
+        }
         let server = self.server.as_ref().map_or("-", ServerName::as_str);
         let trouble = self.trouble.as_deref().unwrap_or("-");
         tracing::info!(
--- a/crates/gateway/src/caller/request.rs
+++ b/crates/gateway/src/caller/request.rs
@@ -17,6 +17,7 @@
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
 use crate::dialect::CallHead;
+use crate::log_lines::LineKind;
 use crate::shared::Shared;
 
 /// When callers may come back while the node can't serve them yet.
@@ -71,7 +72,9 @@
         Err((outcome, why)) => {
             let status = outcome.status().as_u16();
             let path = head.uri.path();
-            tracing::info!(status, path, why, "call: not admitted");
+            if shared.log_lines.take(LineKind::NotAdmitted) {
+                tracing::info!(status, path, why, "call: not admitted");
+            }
             metrics::counter!("briarbank_calls_total", "outcome" => "not admitted").increment(1);
             outcome.answer(shared)
         }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -39,17 +39,6 @@
     pub last_event: Option<Arc<str>>,
 }
 
-/// Load that a server reports with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReportedLoad {
-    /// Calls that run.
-    pub running: u32,
-    /// Calls that wait.
-    pub waiting: u32,
-    /// Calls that may run at once.
-    pub slots: u32,
-}
-
 /// What an answer claims to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Claim {
@@ -74,8 +63,6 @@
     pub is_last: bool,
     /// Time for which the server keeps the connection when idle.
     pub keep_idle: Option<Duration>,
-    /// Load of the server.
-    pub load: Option<ReportedLoad>,
 }
 
 /// A read of the store.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod events;
 mod gossip;
+mod log_lines;
 mod operator;
 mod reload;
 mod run;
@@ -22,9 +23,7 @@
 mod sync;
 mod wake;
 
-pub use dialect::{
-    AnswerHead, CallHead, Claim, Dialect, Page, Published, ReportedLoad, Sending, StoreRead,
-};
+pub use dialect::{AnswerHead, CallHead, Claim, Dialect, Page, Published, Sending, StoreRead};
 pub use error::{DecodeError, Error, HeadError, LoadError};
 pub use run::run;
 pub use settings::{Addresses, Settings, SettingsSource};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,7 +22,7 @@
 /// Time between two looks at the calls in flight while stopping.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
-/// Time between two clean-ups of idle connections.
+/// Time between two clean-ups of idle connections, and between two counts of log lines.
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// Bounds of the latency histogram, in seconds.
@@ -118,6 +118,7 @@
         loop {
             ticks.tick().await;
             sweeping.pool.sweep();
+            sweeping.log_lines.end_second();
         }
     });
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -9,6 +9,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::dialect::Dialect;
+use crate::log_lines::LogLines;
 use crate::server::Pool;
 use crate::settings::Settings;
 use crate::stop::Stop;
@@ -26,6 +27,7 @@
     pub(crate) stop: Stop,
     pub(crate) tasks: TaskTracker,
     pub(crate) store: StoreState,
+    pub(crate) log_lines: Rc<LogLines>,
     /// Calls from callers that are not answered yet.
     pub(crate) in_flight: Cell<usize>,
 }
@@ -71,6 +73,7 @@
             stop: Stop::default(),
             tasks,
             store: StoreState::default(),
+            log_lines: Rc::default(),
             in_flight: Cell::new(0),
         })
     }
