--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -80,7 +80,8 @@
             return Err(Refusal::NoServer);
         }
         let costed = match &call.prompt {
-            Some(prompt) => self.model_costs(now, prompt),
+            Some(prompt) if self.is_light(prompt) => self.light_costs(now, prompt),
+            Some(prompt) => self.long_costs(now, prompt, avoid),
             None => self.plain_costs(now),
         };
         let untried = |c: &&Costed<'_>| !avoid.contains(&c.entry.instance.id);
@@ -109,14 +110,6 @@
         })
     }
 
-    fn model_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
-        if self.is_light(prompt) {
-            self.light_costs(now, prompt)
-        } else {
-            self.long_costs(now, prompt)
-        }
-    }
-
     fn light_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
         let light_max = self.light_max(now);
         let spread = self.light_servers(now, light_max);
@@ -135,18 +128,22 @@
             .collect()
     }
 
-    fn long_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
-        let takes = |entry: &&ServerEntry| self.takes_long(&entry.load(now));
+    fn long_costs(&self, now: Instant, prompt: &Prompt, avoid: &[ServerName]) -> Vec<Costed<'_>> {
+        let takes = |entry: &&ServerEntry| {
+            let is_usable = entry.is_sound(now) && !avoid.contains(&entry.instance.id);
+            is_usable && self.takes_long(&entry.load(now))
+        };
         let takes: Vec<bool> = self.entries.iter().map(takes).collect();
         let does_take = |index: usize| takes.get(index).copied().unwrap_or_default();
         let ranks = self.ranks(subject(prompt), does_take);
         let servers_max = self.servers_max(prompt);
-        let costs = self.entries.iter().zip(&takes).zip(ranks);
+        let costs = self.entries.iter().zip(ranks);
         costs
-            .map(|((entry, takes), rank)| {
+            .map(|(entry, rank)| {
                 let mut costed = self.model_cost(now, prompt, entry, rank);
-                costed.cost_ms += entry.load(now).running * self.options.crowd_cost_ms;
-                costed.has_room &= *takes && rank < servers_max;
+                let load = entry.load(now);
+                costed.cost_ms += load.running * self.options.crowd_cost_ms;
+                costed.has_room &= self.takes_long(&load) && rank < servers_max;
                 costed
             })
             .collect()
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -352,3 +352,20 @@
     let of = |name: &str| placed.iter().filter(|(_, n)| n == name).count();
     assert!(of("d9") < of("d0") && of("d9") < of("d1"), "{placed:?}");
 }
+
+/// The servers that hold a subject crash: its prompts go to the next ones in order.
+#[test]
+fn a_subject_moves_on_when_its_servers_fail() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(8, 0);
+    learn(&mut dispatcher, now);
+    let mut tried = Vec::new();
+    for own in 0..6 {
+        let placed = dispatcher.place(now, &sheet(7, 1_000 + own), &tried);
+        let placed = placed.unwrap_or_else(|refusal| panic!("after {tried:?}: {refusal:?}"));
+        assert!(!tried.contains(&placed.instance.id), "{tried:?}");
+        tried.push(placed.instance.id.clone());
+        dispatcher.failed(now, placed.attempt, Fault::Unreachable);
+    }
+    assert!(dispatcher.place(now, &sheet(7, 9_000), &[]).is_ok());
+}
