Tell with each call what the node knew of others and what it expected

Cause: a call that was late because of a stale view showed neither the age of that view nor what the node had expected of the server, so that the cause was likely, not proved. Change: call: ended has nodes, heard (peers whose load counts), view_ms (mean age of their loads) and expected_ms (to the first bytes, at the last choice). Seen: test a_view_tells_its_age; tests of core flow and of the path pass.

--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -32,7 +32,7 @@
 pub use message::{Beat, Heard, ServerLoad};
 pub use mirror::{Change, Delta, Mirror, Removal};
 pub use options::Options;
-pub use peers::{PeerOptions, Peers};
+pub use peers::{PeerOptions, Peers, View};
 pub use prompt_time::PromptTime;
 pub use repeats::{RepeatBudget, RepeatOptions};
 pub use route::{
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -61,6 +61,17 @@
     }
 }
 
+/// What a node knows of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// Nodes that take part, this one included.
+    pub nodes: usize,
+    /// Peers whose load is counted.
+    pub heard: usize,
+    /// Mean age of their loads.
+    pub mean_age: Duration,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     heard: Heard,
@@ -302,6 +313,19 @@
         sums
     }
 
+    /// What is known of other nodes.
+    #[must_use]
+    pub fn view(&self, now: Instant) -> View {
+        let told = self.others.values().filter_map(|p| p.loads_at);
+        let ages = told.map(|at| now.saturating_duration_since(at));
+        let ages: Vec<Duration> = ages.filter(|age| *age <= self.options.load_ttl).collect();
+        View {
+            nodes: self.live_count(now),
+            heard: ages.len(),
+            mean_age: ages.iter().sum::<Duration>() / ages.len().max(1) as u32,
+        }
+    }
+
     /// The peers, for the state dump: address, beats, revision, age, leaving.
     pub fn rows(&self, now: Instant) -> impl Iterator<Item = (Heard, u64, Duration, bool)> + '_ {
         self.others.values().map(move |p| {
--- a/crates/core/tests/flow/peers.rs
+++ b/crates/core/tests/flow/peers.rs
@@ -168,3 +168,22 @@
     assert_eq!(node.ahead(now, 5), None);
     assert_eq!(node.ahead(now, 4), Some((address(0), 5)));
 }
+
+/// What the log tells of a call: a view that grows old, and loads that no longer count.
+#[test]
+fn a_view_tells_its_age() {
+    let mut fleet = Fleet::new(4, &[0]);
+    fleet.run(Duration::from_secs(2));
+    let view = |fleet: &Fleet, age: Duration| {
+        let node = fleet
+            .nodes
+            .get(&address(0))
+            .map(|n| n.view(fleet.now + age));
+        node.map(|v| (v.nodes, v.heard, v.mean_age))
+    };
+    assert_eq!(view(&fleet, Duration::ZERO), Some((4, 3, Duration::ZERO)));
+    let later = Duration::from_millis(400);
+    assert_eq!(view(&fleet, later), Some((4, 3, later)));
+    let much_later = Duration::from_secs(2);
+    assert_eq!(view(&fleet, much_later), Some((4, 0, Duration::ZERO)));
+}
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -64,9 +64,9 @@
     ) -> Self {
         let workspace_tier = admitted.workspace.as_ref().and_then(|w| w.tier);
         let rank = admitted.table.rank(admitted.route.tier, workspace_tier);
-        let (random, nodes) = {
+        let (random, view) = {
             let mut peers = shared.peers.borrow_mut();
-            (peers.random(), peers.live_count(began_at.into_std()))
+            (peers.random(), peers.view(began_at.into_std()))
         };
         let service = admitted.route.service(random).cloned();
         let service = service.unwrap_or_else(|| "".into());
@@ -77,7 +77,7 @@
             record: Record::new(
                 &admitted,
                 rank,
-                nodes,
+                view,
                 began_at.into_std(),
                 &shared.log_lines,
             ),
@@ -198,6 +198,7 @@
             };
             let instance = Arc::clone(&placement.instance);
             self.record.server = Some(instance.id.clone());
+            self.record.expected_ms = Some(placement.expected.as_millis() as u64);
             let miss = match self.attempt(placement).await {
                 Ok(begun) => return Ok(begun),
                 Err(miss) => miss,
--- a/crates/gateway/src/caller/record.rs
+++ b/crates/gateway/src/caller/record.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use briarbank_core::flow::View;
 use briarbank_core::ids::ServerName;
 
 use crate::caller::request::Admitted;
@@ -18,14 +19,16 @@
     pub(crate) rank: u8,
     /// Version of the configuration that decided.
     pub(crate) version: u64,
-    /// Nodes whose load was known.
-    pub(crate) nodes: usize,
+    /// What was known of other nodes when the call came.
+    pub(crate) view: View,
     pub(crate) began_at: Instant,
     pub(crate) first_ms: Option<u64>,
     /// Longest pause between two parts of the answer.
     pub(crate) pause_ms: u64,
     last_at: Option<Instant>,
     pub(crate) server: Option<ServerName>,
+    /// Time to the first bytes that was expected when the last server was chosen.
+    pub(crate) expected_ms: Option<u64>,
     /// Sends that reached a server or may have.
     pub(crate) sends: u32,
     /// Last thing that went wrong.
@@ -42,7 +45,7 @@
     pub(crate) fn new(
         admitted: &Admitted,
         rank: u8,
-        nodes: usize,
+        view: View,
         began_at: Instant,
         log_lines: &Rc<LogLines>,
     ) -> Self {
@@ -51,12 +54,13 @@
             route: Arc::clone(&admitted.route.name),
             rank,
             version: admitted.table.version(),
-            nodes,
+            view,
             began_at,
             first_ms: None,
             pause_ms: 0,
             last_at: None,
             server: None,
+            expected_ms: None,
             sends: 0,
             trouble: None,
             status: 0,
@@ -108,8 +112,9 @@
         let server = self.server.as_ref().map_or("-", ServerName::as_str);
         let trouble = self.trouble.as_deref().unwrap_or("-");
         tracing::info!(
-            id = %self.id, route = %self.route, rank = self.rank, version = self.version, nodes = self.nodes,
-            server, sends = self.sends, status = self.status, outcome, trouble,
+            id = %self.id, route = %self.route, rank = self.rank, version = self.version,
+            nodes = self.view.nodes, heard = self.view.heard, view_ms = self.view.mean_age.as_millis() as u64,
+            server, expected_ms = self.expected_ms, sends = self.sends, status = self.status, outcome, trouble,
             first_ms = self.first_ms, pause_ms = self.pause_ms, whole_ms = (whole_s * 1_000.0) as u64,
             "call: ended"
         );
