Place long prompts that share nothing

Cause: the order of a prompt's servers is that of its deepest shared part; a prompt without one had no place in it and was refused everywhere. Change: such a prompt may go to any server in time. Seen: long_prompts_without_shared_parts_use_all_servers placed 0 of 16 before and all after; 38 tests of core flow pass.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -135,7 +135,8 @@
         };
         let takes: Vec<bool> = self.entries.iter().map(takes).collect();
         let does_take = |index: usize| takes.get(index).copied().unwrap_or_default();
-        let ranks = self.ranks(subject(prompt), does_take);
+        let subject = subject(prompt);
+        let ranks = self.ranks(subject, does_take);
         let servers_max = self.servers_max(prompt);
         let costs = self.entries.iter().zip(ranks);
         costs
@@ -143,7 +144,9 @@
                 let mut costed = self.model_cost(now, prompt, entry, rank);
                 let load = entry.load(now);
                 costed.cost_ms += load.running * self.options.crowd_cost_ms;
-                costed.has_room &= self.takes_long(&load) && rank < servers_max;
+                // A prompt that shares nothing is read in full wherever it goes.
+                let is_in_order = subject.is_none() || rank < servers_max;
+                costed.has_room &= is_in_order && self.takes_long(&load);
                 costed
             })
             .collect()
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -369,3 +369,29 @@
     }
     assert!(dispatcher.place(now, &sheet(7, 9_000), &[]).is_ok());
 }
+
+/// Long prompts that share nothing: no order binds them to few servers.
+#[test]
+fn long_prompts_without_shared_parts_use_all_servers() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(8, 0);
+    learn(&mut dispatcher, now);
+    let alone = |own: u64| {
+        let mut call = sheet(own, 20_000 + own);
+        if let Some(prompt) = &mut call.prompt {
+            prompt.parts = vec![(20_000 + own, prompt.tokens)];
+        }
+        call
+    };
+    let without_parts = |own: u64| {
+        let mut call = alone(own);
+        if let Some(prompt) = &mut call.prompt {
+            prompt.parts.clear();
+        }
+        call
+    };
+    let calls = (0..8).map(alone).chain((8..16).map(without_parts));
+    let placed = fill(&mut dispatcher, now, calls);
+    assert_eq!(placed.len(), 16);
+    assert_eq!(names(&placed).len(), 8, "{placed:?}");
+}
