Read each server's load once a decision; share what was written twice

Found on the last read of the change: a decision computed the load of each server four times (two exponentials each); the aged sum of a server's tokens and that of a subject's calls were the same code, and the age of a peer's loads was weighed again for each load; the tokens of a prompt's own part were taken in three places, once with another default; prompts that share nothing had a special case beside the order of servers. Change: candidates carry their load; RecentSum and part_left serve all three; Prompt::subject and own_tokens; without a shared part all servers are first in the order, which needs no further case. Comments of options say what the costs do since chats are spread.

--- a/crates/core/src/flow/call.rs
+++ b/crates/core/src/flow/call.rs
@@ -23,6 +23,20 @@
     pub parts: Vec<(u64, u32)>,
 }
 
+impl Prompt {
+    /// The deepest part that the prompt shares with others.
+    #[must_use]
+    pub fn subject(&self) -> Option<u64> {
+        self.parts.iter().rev().nth(1).map(|(part, _)| *part)
+    }
+
+    /// Tokens that no other prompt shares; all of them when the parts are not known.
+    #[must_use]
+    pub fn own_tokens(&self) -> u32 {
+        self.parts.last().map_or(self.tokens, |(_, tokens)| *tokens)
+    }
+}
+
 /// A call that wants a server.
 #[derive(Clone, Debug)]
 pub struct Call {
--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -32,7 +32,7 @@
 
 /// The servers of a service and what is known of them.
 pub(crate) struct Pool<'a> {
-    pub(crate) entries: Vec<&'a ServerEntry>,
+    pub(crate) candidates: Vec<Candidate<'a>>,
     pub(crate) zone: &'a ZoneName,
     pub(crate) engine: Option<EngineSpec>,
     pub(crate) time: PromptTime,
@@ -43,6 +43,12 @@
     pub(crate) options: &'a Options,
 }
 
+/// A server of the service and the load that all nodes put on it.
+pub(crate) struct Candidate<'a> {
+    pub(crate) entry: &'a ServerEntry,
+    pub(crate) load: Load,
+}
+
 /// The chosen server and what the call means to it.
 pub(crate) struct Choice {
     pub(crate) instance: Arc<Instance>,
@@ -76,13 +82,13 @@
         call: &Call,
         avoid: &[ServerName],
     ) -> Result<Choice, Refusal> {
-        if self.entries.is_empty() {
+        if self.candidates.is_empty() {
             return Err(Refusal::NoServer);
         }
         let costed = match &call.prompt {
             Some(prompt) if self.is_light(prompt) => self.light_costs(now, prompt),
             Some(prompt) => self.long_costs(now, prompt, avoid),
-            None => self.plain_costs(now),
+            None => self.plain_costs(),
         };
         let untried = |c: &&Costed<'_>| !avoid.contains(&c.entry.instance.id);
         let sound = |c: &&Costed<'_>| c.entry.is_sound(now);
@@ -111,42 +117,39 @@
     }
 
     fn light_costs(&self, now: Instant, prompt: &Prompt) -> Vec<Costed<'_>> {
-        let light_max = self.light_max(now);
-        let spread = self.light_servers(now, light_max);
+        let light_max = self.light_max();
+        let spread = self.light_servers(light_max);
         let order = self.ranks(Some(LIGHT_KEY), |_| true);
         let is_spread = |index: usize| order.get(index).is_some_and(|place| *place < spread);
-        let ranks = self.ranks(subject(prompt), is_spread);
-        let costs = self.entries.iter().zip(&order).zip(ranks);
+        let ranks = self.ranks(prompt.subject(), is_spread);
+        let costs = self.candidates.iter().zip(&order).zip(ranks);
         costs
-            .map(|((entry, place), rank)| {
-                let mut costed = self.model_cost(now, prompt, entry, rank);
+            .map(|((candidate, place), rank)| {
+                let mut costed = self.model_cost(now, prompt, candidate, rank);
                 let beyond = (place + 1).saturating_sub(spread);
                 costed.cost_ms += beyond as f64 * self.options.order_cost_ms;
-                costed.cost_ms += self.light_cost_ms(&entry.load(now), light_max);
+                costed.cost_ms += self.light_cost_ms(&candidate.load, light_max);
                 costed
             })
             .collect()
     }
 
     fn long_costs(&self, now: Instant, prompt: &Prompt, avoid: &[ServerName]) -> Vec<Costed<'_>> {
-        let takes = |entry: &&ServerEntry| {
+        let takes = |candidate: &Candidate<'_>| {
+            let entry = candidate.entry;
             let is_usable = entry.is_sound(now) && !avoid.contains(&entry.instance.id);
-            is_usable && self.takes_long(&entry.load(now))
+            is_usable && self.takes_long(&candidate.load)
         };
-        let takes: Vec<bool> = self.entries.iter().map(takes).collect();
+        let takes: Vec<bool> = self.candidates.iter().map(takes).collect();
         let does_take = |index: usize| takes.get(index).copied().unwrap_or_default();
-        let subject = subject(prompt);
-        let ranks = self.ranks(subject, does_take);
+        let ranks = self.ranks(prompt.subject(), does_take);
         let servers_max = self.servers_max(prompt);
-        let costs = self.entries.iter().zip(ranks);
+        let costs = self.candidates.iter().zip(ranks);
         costs
-            .map(|(entry, rank)| {
-                let mut costed = self.model_cost(now, prompt, entry, rank);
-                let load = entry.load(now);
-                costed.cost_ms += load.running * self.options.crowd_cost_ms;
-                // A prompt that shares nothing is read in full wherever it goes.
-                let is_in_order = subject.is_none() || rank < servers_max;
-                costed.has_room &= is_in_order && self.takes_long(&load);
+            .map(|(candidate, rank)| {
+                let mut costed = self.model_cost(now, prompt, candidate, rank);
+                costed.cost_ms += candidate.load.running * self.options.crowd_cost_ms;
+                costed.has_room &= rank < servers_max && self.takes_long(&candidate.load);
                 costed
             })
             .collect()
@@ -154,11 +157,8 @@
 
     /// Servers that a long prompt may go to; a hot subject gets more.
     fn servers_max(&self, prompt: &Prompt) -> usize {
-        let own = prompt
-            .parts
-            .last()
-            .map_or(prompt.tokens, |(_, tokens)| *tokens);
-        let busy_ratio = self.subject_per_s * f64::from(own) * self.time.ms_per_token() / 1_000.0;
+        let own = f64::from(prompt.own_tokens());
+        let busy_ratio = self.subject_per_s * own * self.time.ms_per_token() / 1_000.0;
         let needed = (busy_ratio / self.options.subject_ratio).ceil() as usize;
         needed.max(self.options.spill_servers)
     }
@@ -167,9 +167,9 @@
     ///
     /// The sum over all servers is steadier than the load of each, which is old by
     /// the time that a node hears of it.
-    fn light_servers(&self, now: Instant, light_max: f64) -> usize {
-        let light: f64 = self.entries.iter().map(|e| e.load(now).light).sum();
-        ((light / light_max).ceil() as usize).clamp(1, self.entries.len())
+    fn light_servers(&self, light_max: f64) -> usize {
+        let light: f64 = self.candidates.iter().map(|c| c.load.light).sum();
+        ((light / light_max).ceil() as usize).clamp(1, self.candidates.len())
     }
 
     fn is_light(&self, prompt: &Prompt) -> bool {
@@ -184,10 +184,10 @@
     /// Calls with short prompts that a server takes before they go to the next one.
     ///
     /// The less long prompts there are to read, the more servers the short ones get.
-    fn light_max(&self, now: Instant) -> f64 {
-        let rates = self.entries.iter().map(|e| e.load(now).tokens_per_s);
+    fn light_max(&self) -> f64 {
+        let rates = self.candidates.iter().map(|c| c.load.tokens_per_s);
         let token_s = self.time.ms_per_token() / 1_000.0;
-        let busy_ratio = rates.sum::<f64>() * token_s / self.entries.len().max(1) as f64;
+        let busy_ratio = rates.sum::<f64>() * token_s / self.candidates.len().max(1) as f64;
         let ratio = self.options.light_ratio_min + busy_ratio * self.options.light_ratio_slope;
         (self.slots() * ratio.min(self.options.light_ratio_max)).max(1.0)
     }
@@ -206,19 +206,20 @@
 
     /// Place of each server in the rendezvous order of a shared part.
     ///
-    /// Servers that do not take the call come last.
+    /// Servers that do not take the call come last. Without a shared part all come
+    /// first: the prompt is read in full wherever it goes.
     fn ranks(&self, affinity: Option<u64>, takes: impl Fn(usize) -> bool) -> Vec<usize> {
+        let mut ranks = vec![0; self.candidates.len()];
         let Some(key) = affinity else {
-            return vec![usize::MAX; self.entries.len()];
+            return ranks;
         };
-        let weighted = |(index, e): (usize, &&ServerEntry)| {
-            let weight = rendezvous::weight_of(key, e.name_key);
+        let weighted = |(index, c): (usize, &Candidate<'_>)| {
+            let weight = rendezvous::weight_of(key, c.entry.name_key);
             ((takes(index), weight), index)
         };
         let mut order: Vec<((bool, u64), usize)> =
-            self.entries.iter().enumerate().map(weighted).collect();
+            self.candidates.iter().enumerate().map(weighted).collect();
         order.sort_by_key(|(weight, _)| Reverse(*weight));
-        let mut ranks = vec![0; self.entries.len()];
         for (rank, (_, index)) in order.into_iter().enumerate() {
             if let Some(slot) = ranks.get_mut(index) {
                 *slot = rank;
@@ -231,18 +232,15 @@
         &self,
         now: Instant,
         prompt: &Prompt,
-        entry: &'a ServerEntry,
+        candidate: &Candidate<'a>,
         rank: usize,
     ) -> Costed<'a> {
-        let load = entry.load(now);
+        let Candidate { entry, load } = candidate;
         let tokens = unread_tokens(now, prompt, entry, rank);
         let token_ms = self.time.ms_per_token() * entry.slowness;
         let wait_ms = token_ms * load.pending_tokens;
         let read_ms = token_ms * tokens;
-        let own = prompt
-            .parts
-            .last()
-            .map_or(0.0, |(_, tokens)| f64::from(*tokens));
+        let own = f64::from(prompt.own_tokens());
         let again_ms = token_ms * (tokens - own).max(0.0) * self.options.again_ratio;
         let expected_ms = self.time.base_ms() * entry.slowness + wait_ms + read_ms;
         let cost_ms = expected_ms + again_ms + self.zone_cost_ms(entry);
@@ -250,14 +248,15 @@
             entry,
             cost_ms,
             wait_ms,
-            has_room: self.has_room(entry, &load),
+            has_room: self.has_room(candidate),
             tokens,
             ahead: load.pending_tokens,
             expected_ms,
         }
     }
 
-    fn has_room(&self, entry: &ServerEntry, load: &Load) -> bool {
+    fn has_room(&self, candidate: &Candidate<'_>) -> bool {
+        let Candidate { entry, load } = candidate;
         let Some(engine) = self.engine else {
             let slots = f64::from(entry.instance.slots.max(1));
             return load.running < slots * (1.0 + self.options.queue_ratio);
@@ -266,22 +265,18 @@
         load.running < f64::from(engine.slots) && entry.memory_tokens < memory
     }
 
-    fn plain_costs(&self, now: Instant) -> Vec<Costed<'_>> {
-        let cost = |entry: &&'_ ServerEntry| {
-            let load = entry.load(now);
-            let slots = f64::from(entry.instance.slots.max(1));
-            let busy_ms = PLAIN_MS * load.running / slots;
-            (load, busy_ms)
-        };
-        self.entries
+    fn plain_costs(&self) -> Vec<Costed<'_>> {
+        self.candidates
             .iter()
-            .map(|entry| {
-                let (load, busy_ms) = cost(entry);
+            .map(|candidate| {
+                let entry = candidate.entry;
+                let slots = f64::from(entry.instance.slots.max(1));
+                let busy_ms = PLAIN_MS * candidate.load.running / slots;
                 Costed {
                     entry,
                     cost_ms: busy_ms * entry.slowness + self.zone_cost_ms(entry),
                     wait_ms: 0.0,
-                    has_room: self.has_room(entry, &load),
+                    has_room: self.has_room(candidate),
                     tokens: 0.0,
                     ahead: 0.0,
                     expected_ms: PLAIN_MS + busy_ms,
@@ -325,11 +320,6 @@
     }
 }
 
-/// The deepest part that a prompt shares with others.
-pub(crate) fn subject(prompt: &Prompt) -> Option<u64> {
-    prompt.parts.iter().rev().nth(1).map(|(part, _)| *part)
-}
-
 /// Tokens of a prompt that a server is expected to read.
 fn unread_tokens(now: Instant, prompt: &Prompt, entry: &ServerEntry, rank: usize) -> f64 {
     let shared = prompt.parts.len().saturating_sub(1);
@@ -353,9 +343,5 @@
 
 /// Memory that a call takes at its longest.
 fn memory_tokens(prompt: &Prompt) -> f64 {
-    let own = prompt
-        .parts
-        .last()
-        .map_or(prompt.tokens, |(_, tokens)| *tokens);
-    f64::from(own) + f64::from(prompt.output_max)
+    f64::from(prompt.own_tokens()) + f64::from(prompt.output_max)
 }
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use crate::flow::backlog::Load;
-use crate::flow::call::{AttemptId, Call, Fault, Placement, Refusal};
-use crate::flow::choice::{Choice, Pool, subject};
+use crate::flow::call::{AttemptId, Call, Fault, Placement, Prompt, Refusal};
+use crate::flow::choice::{Candidate, Choice, Pool};
 use crate::flow::instance::Instance;
 use crate::flow::message::ServerLoad;
 use crate::flow::options::Options;
@@ -179,7 +179,7 @@
             service.prompts = service.prompts.saturating_add(1);
             let weight = MEAN_WEIGHT.max(1.0 / f64::from(service.prompts));
             service.log_tokens += weight * (log_tokens - service.log_tokens);
-            if let Some(subject) = subject(prompt) {
+            if let Some(subject) = prompt.subject() {
                 service.subjects.count(now, subject);
             }
         }
@@ -206,11 +206,16 @@
         let Some(service) = self.services.get(&call.service) else {
             return Err(Refusal::NoServer);
         };
-        let of_service = |e: &&ServerEntry| e.instance.service == call.service && e.is_open(now);
-        let subject = call.prompt.as_ref().and_then(subject);
+        let is_usable = |e: &&ServerEntry| e.instance.service == call.service && e.is_open(now);
+        let of_service = self.servers.values().filter(is_usable);
+        let candidate = |entry| Candidate {
+            entry,
+            load: ServerEntry::load(entry, now),
+        };
+        let subject = call.prompt.as_ref().and_then(Prompt::subject);
         let own_per_s = subject.map_or(0.0, |subject| service.subjects.per_s(now, subject));
         let pool = Pool {
-            entries: self.servers.values().filter(of_service).collect(),
+            candidates: of_service.map(candidate).collect(),
             zone: &self.zone,
             engine: service.engine,
             time: service.time,
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -18,6 +18,7 @@
 mod options;
 mod peers;
 mod prompt_time;
+mod recent;
 mod repeats;
 mod route;
 mod server;
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -6,6 +6,8 @@
 use crate::outlier;
 
 /// Fixed choices of [`crate::flow::Dispatcher`].
+///
+/// The defaults come from the measured rounds in docs/MEASUREMENTS.md.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Repeated sends, for each service.
@@ -37,14 +39,15 @@
     pub stray_ratio: f64,
     /// Cost to a short prompt of a server that reads long ones all the time, in milliseconds.
     pub reading_cost_ms: f64,
-    /// Part of a server's slots that short prompts take before they go to the next
-    /// server, while there are no long prompts.
+    /// Part of a server's slots that short prompts take before a further server gets
+    /// them, while there are no long prompts.
     pub light_ratio_min: f64,
     /// Increase of that part when all servers read long prompts all the time.
     pub light_ratio_slope: f64,
     /// Largest part.
     pub light_ratio_max: f64,
-    /// Cost to a short prompt of each place in the common order of servers, in milliseconds.
+    /// Cost to a short prompt of each place in the common order beyond the servers that
+    /// short prompts need, in milliseconds.
     pub order_cost_ms: f64,
     /// Cost to a short prompt of a server with twice its part of short ones, in milliseconds.
     pub full_cost_ms: f64,
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -20,6 +20,7 @@
 
 use crate::flow::backlog::Load;
 use crate::flow::message::{Beat, Heard, ServerLoad};
+use crate::flow::recent::part_left;
 use crate::rendezvous;
 
 /// Time after which most prompts that were pending have been read.
@@ -296,8 +297,8 @@
                 continue;
             }
             fresh += 1;
+            let fresh_ratio = part_left(age, PENDING_LIFE);
             for load in &peer.loads {
-                let fresh_ratio = (-age.as_secs_f64() / PENDING_LIFE.as_secs_f64()).exp();
                 sums.entry(load.server_key)
                     .or_default()
                     .add(load, fresh_ratio);
@@ -318,11 +319,12 @@
     pub fn view(&self, now: Instant) -> View {
         let told = self.others.values().filter_map(|p| p.loads_at);
         let ages = told.map(|at| now.saturating_duration_since(at));
-        let ages: Vec<Duration> = ages.filter(|age| *age <= self.options.load_ttl).collect();
+        let counted = ages.filter(|age| *age <= self.options.load_ttl);
+        let (heard, sum) = counted.fold((0, Duration::ZERO), |(n, sum), age| (n + 1, sum + age));
         View {
             nodes: self.live_count(now),
-            heard: ages.len(),
-            mean_age: ages.iter().sum::<Duration>() / ages.len().max(1) as u32,
+            heard,
+            mean_age: sum / heard.max(1) as u32,
         }
     }
 
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -8,6 +8,7 @@
 use crate::flow::instance::Instance;
 use crate::flow::message::ServerLoad;
 use crate::flow::options::Options;
+use crate::flow::recent::RecentSum;
 use crate::flow::warm::Warm;
 use crate::outlier::Health;
 use crate::rendezvous;
@@ -47,7 +48,8 @@
     pub(crate) memory_tokens: f64,
     /// Entry that went while the store was away; the server may live.
     pub(crate) lapsed_until: Option<Instant>,
-    rate_at: Option<Instant>,
+    /// Tokens of long prompts to read that this node sent of late.
+    read_tokens: Option<RecentSum>,
     fault_ratio: f64,
     fault_samples: u32,
     held_until: Option<Instant>,
@@ -71,7 +73,7 @@
             instance: Arc::new(instance),
             memory_tokens: 0.0,
             lapsed_until: None,
-            rate_at: None,
+            read_tokens: None,
             fault_ratio: 0.0,
             fault_samples: 0,
             held_until: None,
@@ -111,11 +113,8 @@
     }
 
     fn rate(&self, now: Instant) -> f64 {
-        let Some(at) = self.rate_at else {
-            return 0.0;
-        };
-        let age = now.saturating_duration_since(at).as_secs_f64();
-        self.own.tokens_per_s * (-age / RATE_WINDOW.as_secs_f64()).exp()
+        let tokens = self.read_tokens.map_or(0.0, |sum| sum.get(now));
+        tokens / RATE_WINDOW.as_secs_f64()
     }
 
     /// Counts a call that is sent with so many prompt tokens to read.
@@ -123,8 +122,8 @@
         if is_light {
             self.own.light += 1.0;
         } else {
-            self.own.tokens_per_s = self.rate(now) + tokens / RATE_WINDOW.as_secs_f64();
-            self.rate_at = Some(now);
+            let none = RecentSum::new(now, RATE_WINDOW, 0.0);
+            self.read_tokens.get_or_insert(none).add(now, tokens);
         }
         self.own.running += 1.0;
         self.own.pending_tokens += tokens;
