Time a request head where it is read

Found on the last read: the limit on slow heads was a loop beside each connection that woke every few seconds for as long as the connection was open, kept the time at which a head began although the guard's state tells whether one is coming, and would have spun with a limit of 0. Change: the guarded stream starts a timer when a head is incomplete and fails the read; idle connections wake nobody. An error that nothing made is gone. Seen: a_slow_head_is_cut_off_and_an_idle_connection_is_kept and the other 19 tests of the path pass unchanged.

--- a/crates/gateway/src/caller/guard.rs
+++ b/crates/gateway/src/caller/guard.rs
@@ -9,10 +9,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{Sleep, sleep};
 
 /// Longest head that is looked at; the library refuses longer ones.
 const HEAD_BYTES_MAX: usize = 64 << 10;
@@ -23,8 +24,6 @@
     is_reading: Cell<bool>,
     head: RefCell<Vec<u8>>,
     is_ambiguous: Cell<bool>,
-    /// When the first bytes of a head came that has no end yet.
-    began_at: Cell<Option<Instant>>,
 }
 
 impl HeadGuard {
@@ -47,18 +46,12 @@
         self.is_ambiguous.get()
     }
 
-    /// When the head began that is still incomplete.
-    pub(crate) fn began_at(&self) -> Option<Instant> {
-        self.began_at.get()
+    /// Whether a head has begun that has no end yet.
+    fn is_partial(&self) -> bool {
+        self.is_reading.get() && !self.head.borrow().is_empty()
     }
 
     fn take(&self, bytes: &[u8]) {
-        if bytes.is_empty() {
-            return;
-        }
-        if self.began_at.get().is_none() {
-            self.began_at.set(Some(Instant::now()));
-        }
         let mut head = self.head.borrow_mut();
         let searched = head.len().saturating_sub(3);
         head.extend_from_slice(bytes);
@@ -67,14 +60,12 @@
         let Some(end) = end else {
             if head.len() > HEAD_BYTES_MAX {
                 self.is_reading.set(false);
-                self.began_at.set(None);
             }
             return;
         };
         let whole = head.get(..searched + end).unwrap_or_default();
         self.is_ambiguous.set(is_ambiguous(whole));
         self.is_reading.set(false);
-        self.began_at.set(None);
         // The buffer is given back: idle connections hold no memory for it.
         *head = Vec::new();
     }
@@ -93,18 +84,39 @@
 }
 
 /// A caller's socket whose incoming heads are looked at.
-pub(crate) struct GuardedStream {
+///
+/// Reading fails once a head has been coming for longer than `head_timeout` tells.
+pub(crate) struct GuardedStream<F> {
     stream: TcpStream,
     guard: Rc<HeadGuard>,
+    head_timeout: F,
+    /// Set while a head is incomplete.
+    overdue: Option<Pin<Box<Sleep>>>,
 }
 
-impl GuardedStream {
-    pub(crate) fn new(stream: TcpStream, guard: Rc<HeadGuard>) -> Self {
-        Self { stream, guard }
+impl<F: Fn() -> Duration> GuardedStream<F> {
+    pub(crate) fn new(stream: TcpStream, guard: Rc<HeadGuard>, head_timeout: F) -> Self {
+        Self {
+            stream,
+            guard,
+            head_timeout,
+            overdue: None,
+        }
+    }
+
+    /// Whether the head that is coming has taken too long; wakes the reader when it has.
+    fn is_overdue(&mut self, cx: &mut Context<'_>) -> bool {
+        if !self.guard.is_partial() {
+            self.overdue = None;
+            return false;
+        }
+        let begin = || Box::pin(sleep((self.head_timeout)()));
+        let overdue = self.overdue.get_or_insert_with(begin);
+        overdue.as_mut().poll(cx).is_ready()
     }
 }
 
-impl AsyncRead for GuardedStream {
+impl<F: Fn() -> Duration + Unpin> AsyncRead for GuardedStream<F> {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -117,11 +129,20 @@
             this.guard
                 .take(buf.filled().get(before..).unwrap_or_default());
         }
+        if this.is_overdue(cx) {
+            metrics::counter!("briarbank_slow_heads_total").increment(1);
+            let peer = this.stream.peer_addr().ok();
+            tracing::info!(
+                ?peer,
+                "caller: connection closed, request head took too long"
+            );
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
         polled
     }
 }
 
-impl AsyncWrite for GuardedStream {
+impl<F: Unpin> AsyncWrite for GuardedStream<F> {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/gateway/src/caller/port.rs
+++ b/crates/gateway/src/caller/port.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,7 +41,7 @@
     pub(crate) async fn run(self, listener: TcpListener) {
         let open = Rc::new(Cell::new(0_usize));
         loop {
-            let (stream, peer) = briarbank_net::accept(&listener).await;
+            let (stream, _) = briarbank_net::accept(&listener).await;
             if open.get() >= self.shared.settings().connections_max {
                 metrics::counter!("briarbank_connections_refused_total").increment(1);
                 continue;
@@ -50,13 +49,13 @@
             open.set(open.get() + 1);
             let (port, open) = (self.clone(), Rc::clone(&open));
             self.shared.tasks.spawn_local(async move {
-                port.connection(stream, peer).await;
+                port.connection(stream).await;
                 open.set(open.get() - 1);
             });
         }
     }
 
-    async fn connection(self, stream: TcpStream, peer: SocketAddr) {
+    async fn connection(self, stream: TcpStream) {
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "caller: connection already gone");
         }
@@ -65,7 +64,9 @@
             calls: Cell::new(0),
             last: Cell::new(Instant::now()),
         };
-        let io = TokioIo::new(GuardedStream::new(stream, Rc::clone(&guard)));
+        let head_timeout = || Duration::from_millis(u64::from(self.limits().header_timeout_ms));
+        let stream = GuardedStream::new(stream, Rc::clone(&guard), head_timeout);
+        let io = TokioIo::new(stream);
         let service = service_fn(|incoming| {
             let (shared, guard) = (Rc::clone(&self.shared), Rc::clone(&guard));
             let activity = &activity;
@@ -93,11 +94,6 @@
         tokio::pin!(connection);
         let served = tokio::select! {
             served = connection.as_mut() => served,
-            () = self.head_overdue(&guard) => {
-                metrics::counter!("briarbank_slow_heads_total").increment(1);
-                tracing::info!(%peer, "caller: connection closed, request head took too long");
-                return;
-            }
             () = self.over(&activity) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
@@ -121,19 +117,6 @@
         table.map(|t| t.limits()).unwrap_or_default()
     }
 
-    /// Completes when a request head has been coming for too long.
-    async fn head_overdue(&self, guard: &HeadGuard) {
-        loop {
-            let header_max = Duration::from_millis(u64::from(self.limits().header_timeout_ms));
-            let began_at = guard.began_at();
-            let until = began_at.unwrap_or_else(Instant::now) + header_max;
-            if began_at.is_some() && Instant::now() >= until {
-                return;
-            }
-            sleep_until(until).await;
-        }
-    }
-
     async fn idle(&self, activity: &Activity) {
         loop {
             let limits = self.limits();
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -37,10 +37,6 @@
         Prompt {
             display("the token counts or the parts of the prompt are malformed")
         }
-        /// The length of the body is given twice.
-        Framing {
-            display("the length of the body is given in more than one way")
-        }
     }
 }
 
