Lose no request in the accept queue of a stopping node

Cause: the kernel completes handshakes before the node accepts, and closing the listener resets what waits in its queue. A second race: a connection without a first request was closed one second after the stop began, however late its caller was.

Loopback addresses of the test fleets are reserved by a bound port, where two processes could get the same one.

--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -22,7 +22,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::ExitStatus;
-use std::sync::atomic::{AtomicU8, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -34,7 +34,11 @@
 /// Maximum time from polling a node's slots to the start of its records.
 const SLOT_POLL_DELAY: Duration = Duration::from_millis(100);
 
-static FLEETS: AtomicU8 = AtomicU8::new(1);
+/// Port whose listener reserves an address; below the ports that processes use.
+const RESERVED_PORT: u16 = 19_999;
+
+/// Last byte of the first address that a process tries.
+const FIRST_HOST: u8 = 1;
 
 /// Next port, below the range that the system assigns to outgoing connections.
 static PORTS: AtomicU16 = AtomicU16::new(20_000);
@@ -43,6 +47,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     ip: IpAddr,
+    /// Holds the address for this fleet.
+    _reservation: TcpListener,
     folder: PathBuf,
     limits: Value,
     /// Drain timeout of the nodes that are started next.
@@ -86,7 +92,7 @@
 
     /// Starts all processes, with node limits that override the defaults.
     pub async fn start_with_limits(size: Size, limits: Value) -> Self {
-        let ip = unique_address();
+        let (ip, reservation) = reserve_address();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{ip}"));
         fs::create_dir_all(&folder).expect("a scratch folder");
         let platform_address = free_port(ip);
@@ -99,6 +105,7 @@
         );
         let mut fleet = Self {
             ip,
+            _reservation: reservation,
             folder,
             limits,
             drain_timeout_ms: 60_000,
@@ -261,13 +268,21 @@
     }
 }
 
-/// Returns a loopback address that no other test in any process uses.
-fn unique_address() -> IpAddr {
+/// Reserves a loopback address that no other test in any process uses.
+///
+/// The address is free again when the listener is dropped.
+fn reserve_address() -> (IpAddr, TcpListener) {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
     // 127.0.0.x stays free for other programs.
-    let second = 1 + high % 200;
-    IpAddr::V4(Ipv4Addr::new(127, second, low, fleet))
+    let first = u32::from(high) << 16 | u32::from(low) << 8 | u32::from(FIRST_HOST);
+    let mut candidates = (0_u32..).map(|index| {
+        let [_, second, third, fourth] = (first + index).to_be_bytes();
+        Ipv4Addr::new(127, second.max(1), third, fourth)
+    });
+    let reserve = |ip| TcpListener::bind((ip, RESERVED_PORT)).map(|l| (IpAddr::V4(ip), l));
+    candidates
+        .find_map(|ip| reserve(ip).ok())
+        .expect("a free address")
 }
 
 /// Returns a free port of the address, and each port only once.
--- a/crates/briarbank/tests/stops.rs
+++ b/crates/briarbank/tests/stops.rs
@@ -4,9 +4,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use fleet::{Call, Caller, Fleet, POLL, Size};
 use http::StatusCode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -124,6 +127,28 @@
     println!("{counts:?}");
 }
 
+/// Guards against closing a connection whose caller is slow to send its first request.
+#[tokio::test]
+async fn a_first_request_is_answered_late_in_a_stop() {
+    let mut fleet = Fleet::start(Size { nodes: 1, ..SIZE }).await;
+    let node = fleet.caller(0).node();
+    let mut stream = TcpStream::connect(node).await.expect("a connection");
+    // The node accepts connections in the order in which they arrive.
+    fleet.caller(0).send(&Call::stream("list", 1)).await;
+    fleet.nodes[0].terminate();
+    sleep(Duration::from_millis(1_500)).await;
+    let head = format!("GET /v1/models HTTP/1.1\r\nhost: {node}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("a write");
+    let mut answer = String::new();
+    stream
+        .read_to_string(&mut answer)
+        .await
+        .expect("an answer and its end");
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(answer.contains("\r\nconnection: close\r\n"), "{answer}");
+    assert!(fleet.nodes[0].wait_exit().await.success());
+}
+
 #[tokio::test]
 async fn second_signal_has_no_effect() {
     let mut fleet = Fleet::start(Size {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod accept;
 mod connect;
+mod drain;
 
 pub use accept::accept;
 pub use connect::{connect, set_path_timeouts};
+pub use drain::drain;
--- a/crates/node/src/caller/port.rs
+++ b/crates/node/src/caller/port.rs
@@ -10,15 +10,15 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::http::CallerHttp;
 use crate::call::Calls;
 use crate::control::Control;
-use briarbank_net::accept;
+use briarbank_net::{accept, drain};
 
 /// Time after the start of a shutdown during which connections are accepted.
 ///
@@ -60,10 +60,7 @@
             () = sleep_after(&self.stopping, ACCEPT_GRACE) => {}
             () = self.accept_all(&listener, &permits) => {}
         }
-        // Serves connections that the kernel has already accepted.
-        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            self.spawn_connection(stream, &permits);
-        }
+        drain(&listener, |stream| self.spawn_connection(stream, &permits)).await;
     }
 
     async fn accept_all(&self, listener: &TcpListener, permits: &Permits) {
@@ -100,7 +97,9 @@
             body_timeout: Duration::from_millis(self.limits.body_timeout_ms),
             over_limit,
         };
+        let first_request = Notify::new();
         let service = service_fn(|request| async {
+            first_request.notify_one();
             let mut response = http.serve(request).await;
             if over_limit || self.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
@@ -118,7 +117,7 @@
         tokio::pin!(connection);
         let served = tokio::select! {
             served = &mut connection => served,
-            () = sleep_after(&self.stopping, IDLE_GRACE) => {
+            () = self.wait_for_close(&first_request) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -127,6 +126,15 @@
             tracing::debug!(%error, "caller: serving a connection failed");
         }
     }
+
+    /// Completes when a shutdown may close the connection if it is idle.
+    ///
+    /// A caller that has just connected is about to send a request, so the connection
+    /// stays open until that arrives or the header timeout ends it.
+    async fn wait_for_close(&self, first_request: &Notify) {
+        sleep_after(&self.stopping, IDLE_GRACE).await;
+        first_request.notified().await;
+    }
 }
 
 /// Limits on the number of connections.
