--- a/crates/core/src/flow/call.rs
+++ b/crates/core/src/flow/call.rs
@@ -40,13 +40,24 @@
     }
 }
 
+/// Position of a tier among the tiers that are routed to a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TierRank {
+    /// No tier is more urgent.
+    First,
+    /// Some tiers are more urgent and some less.
+    Middle,
+    /// Some tiers are more urgent and none less.
+    Last,
+}
+
 /// A call to be dispatched.
 #[derive(Clone, Debug)]
 pub struct Call {
     /// Service that the call is for.
     pub service: ServiceName,
-    /// Whether no route to the service has a more urgent tier.
-    pub is_most_urgent: bool,
+    /// Position of the route's tier among those of the service.
+    pub tier_rank: TierRank,
     /// Remaining latency objective; of streams up to the first event.
     pub objective: Duration,
     /// Time until the deadline of the caller or the route.
--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::flow::call::{Call, Prompt, Refusal};
+use crate::flow::call::{Call, Prompt, Refusal, TierRank};
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
 use crate::flow::options::Options;
+use crate::flow::prompt_sizes::PromptSizes;
 use crate::flow::prompt_time::PromptTime;
 use crate::flow::route::EngineSpec;
 use crate::flow::server::ServerEntry;
@@ -30,6 +31,9 @@
 /// That server holds them only if the first one was too busy before.
 const SECOND_UNCACHED_RATIO: f64 = 0.5;
 
+/// Servers whose exact load is asked for before a choice.
+const PREFERRED_MAX: usize = 4;
+
 /// Bounds of the time after which a refused caller may retry.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_secs(2));
@@ -40,8 +44,7 @@
     pub(crate) zone: &'a ZoneName,
     pub(crate) engine: Option<EngineSpec>,
     pub(crate) prompt_time: PromptTime,
-    /// Geometric mean of prompt sizes; prompts with fewer tokens are short.
-    pub(crate) mean_prompt_tokens: f64,
+    pub(crate) prompt_sizes: PromptSizes,
     /// Calls per second, over all nodes, whose prompts share the call's prefix.
     pub(crate) prefix_calls_per_s: f64,
     pub(crate) options: &'a Options,
@@ -51,6 +54,18 @@
 pub(crate) struct Candidate<'a> {
     pub(crate) entry: &'a ServerEntry,
     pub(crate) load: Load,
+    /// Whether the load was told by the server's home just now.
+    pub(crate) is_exact: bool,
+}
+
+impl<'a> Candidate<'a> {
+    pub(crate) fn new(entry: &'a ServerEntry, now: Instant) -> Self {
+        Self {
+            entry,
+            load: entry.load(now),
+            is_exact: entry.exact_load(now).is_some(),
+        }
+    }
 }
 
 /// The chosen server and the load that the call adds to it.
@@ -91,7 +106,7 @@
         }
         let costs = match &call.prompt {
             Some(prompt) if self.is_short(prompt) => self.short_costs(now, prompt),
-            Some(prompt) => self.long_costs(now, prompt, avoid),
+            Some(prompt) => self.long_costs(now, call, prompt, avoid),
             None => self.plain_costs(),
         };
         let untried = |c: &&ServerCost<'_>| !avoid.contains(&c.entry.instance.id);
@@ -121,9 +136,47 @@
         })
     }
 
+    /// Returns the few servers that a call is likely to go to, by the hash of their names.
+    ///
+    /// These are the first ones in the order of the prefix, however busy they seem.
+    pub(crate) fn preferred_servers(
+        &self,
+        now: Instant,
+        call: &Call,
+        avoid: &[ServerName],
+    ) -> Vec<u32> {
+        let is_usable =
+            |c: &Candidate<'_>| c.entry.is_healthy(now) && !avoid.contains(&c.entry.instance.id);
+        let is_short = call.prompt.as_ref().is_some_and(|p| self.is_short(p));
+        let common_order = self.ranks(is_short.then_some(SHORT_PROMPT_KEY), |_| true);
+        let servers = self.short_prompt_servers(self.short_max());
+        let accepts = |index: usize| {
+            let Some(candidate) = self.candidates.get(index) else {
+                return false;
+            };
+            let is_fit = match &call.prompt {
+                Some(_) if is_short => common_order.get(index).is_some_and(|r| *r < servers),
+                Some(_) => self.accepts_long_prompts(&candidate.load),
+                None => true,
+            };
+            is_fit && is_usable(candidate)
+        };
+        let prefix_key = call.prompt.as_ref().and_then(Prompt::prefix_key);
+        let ranks = self.ranks(prefix_key, accepts);
+        let mut keys: Vec<(usize, u32)> = ranks
+            .into_iter()
+            .zip(&self.candidates)
+            .map(|(rank, c)| (rank, c.entry.key))
+            .collect();
+        keys.sort_unstable();
+        keys.truncate(PREFERRED_MAX);
+        keys.into_iter().map(|(_, key)| key).collect()
+    }
+
     fn short_costs(&self, now: Instant, prompt: &Prompt) -> Vec<ServerCost<'_>> {
         let short_max = self.short_max();
         let servers = self.short_prompt_servers(short_max);
+        let is_exact_known = self.candidates.iter().any(|c| c.is_exact);
         let order = self.ranks(Some(SHORT_PROMPT_KEY), |_| true);
         let is_needed = |index: usize| order.get(index).is_some_and(|rank| *rank < servers);
         let ranks = self.ranks(prompt.prefix_key(), is_needed);
@@ -134,6 +187,9 @@
                 let excess = (common_rank + 1).saturating_sub(servers);
                 cost.cost_ms += excess as f64 * self.options.order_cost_ms;
                 cost.cost_ms += self.short_prompt_cost_ms(&candidate.load, short_max);
+                if is_exact_known && !candidate.is_exact {
+                    cost.cost_ms += self.options.inexact_cost_ms;
+                }
                 cost
             })
             .collect()
@@ -142,6 +198,7 @@
     fn long_costs(
         &self,
         now: Instant,
+        call: &Call,
         prompt: &Prompt,
         avoid: &[ServerName],
     ) -> Vec<ServerCost<'_>> {
@@ -153,7 +210,11 @@
         let accepts: Vec<bool> = self.candidates.iter().map(accepts).collect();
         let is_accepting = |index: usize| accepts.get(index).copied().unwrap_or_default();
         let ranks = self.ranks(prompt.prefix_key(), is_accepting);
-        let servers_max = self.long_prompt_servers(prompt);
+        let servers_max = match call.tier_rank {
+            TierRank::Last => self.long_prompt_servers(prompt),
+            // Less urgent calls would start elsewhere while these are refused.
+            TierRank::First | TierRank::Middle => usize::MAX,
+        };
         let costs = self.candidates.iter().zip(ranks);
         costs
             .map(|(candidate, rank)| {
@@ -166,6 +227,13 @@
             .collect()
     }
 
+    /// Returns the fraction of their time that servers prefill long prompts.
+    fn busy_ratio(&self) -> f64 {
+        let rates = self.candidates.iter().map(|c| c.load.tokens_per_s);
+        let token_s = self.prompt_time.ms_per_token() / 1_000.0;
+        rates.sum::<f64>() * token_s / self.candidates.len().max(1) as f64
+    }
+
     /// Returns how many servers a long prompt may go to; a frequent prefix gets more.
     fn long_prompt_servers(&self, prompt: &Prompt) -> usize {
         let unshared = f64::from(prompt.unshared_tokens());
@@ -185,7 +253,7 @@
     }
 
     fn is_short(&self, prompt: &Prompt) -> bool {
-        f64::from(prompt.tokens) < self.mean_prompt_tokens
+        self.prompt_sizes.is_short(prompt.tokens)
     }
 
     /// Returns whether a server with that load is given long prompts.
@@ -197,10 +265,8 @@
     ///
     /// The fewer long prompts there are to prefill, the more servers short ones get.
     fn short_max(&self) -> f64 {
-        let rates = self.candidates.iter().map(|c| c.load.tokens_per_s);
-        let token_s = self.prompt_time.ms_per_token() / 1_000.0;
-        let busy_ratio = rates.sum::<f64>() * token_s / self.candidates.len().max(1) as f64;
-        let ratio = self.options.short_ratio_min + busy_ratio * self.options.short_ratio_slope;
+        let ratio =
+            self.options.short_ratio_min + self.busy_ratio() * self.options.short_ratio_slope;
         (self.slots() * ratio.min(self.options.short_ratio_max)).max(1.0)
     }
 
@@ -247,7 +313,7 @@
         candidate: &Candidate<'a>,
         rank: usize,
     ) -> ServerCost<'a> {
-        let Candidate { entry, load } = candidate;
+        let Candidate { entry, load, .. } = candidate;
         let tokens = uncached_tokens(now, prompt, entry, rank);
         let token_ms = self.prompt_time.ms_per_token() * entry.slowness;
         let wait_ms = token_ms * load.pending_tokens;
@@ -269,7 +335,7 @@
     }
 
     fn has_capacity(&self, candidate: &Candidate<'_>) -> bool {
-        let Candidate { entry, load } = candidate;
+        let Candidate { entry, load, .. } = candidate;
         let Some(engine) = self.engine else {
             let slots = f64::from(entry.instance.slots.max(1));
             return load.running < slots * (1.0 + self.options.queue_ratio);
@@ -309,7 +375,7 @@
     /// Returns the longest wait at a server with which the call is in time.
     fn wait_limit_ms(&self, call: &Call, cost: &ServerCost<'_>) -> f64 {
         let objective_ms = call.objective.as_secs_f64() * 1_000.0;
-        if call.is_most_urgent {
+        if call.tier_rank != TierRank::Last {
             return objective_ms * self.options.urgent_wait_ratio;
         }
         let own_ms = cost.expected_ms - cost.wait_ms;
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::flow::message::ServerLoad;
 use crate::flow::options::Options;
 use crate::flow::prefix_rates::PrefixRates;
+use crate::flow::prompt_sizes::PromptSizes;
 use crate::flow::prompt_time::PromptTime;
 use crate::flow::retry_budget::{RetryOptions, SlidingRetryBudget};
 use crate::flow::route::EngineSpec;
@@ -18,19 +19,11 @@
 use crate::flow::table::RouteTable;
 use crate::ids::{ServerName, ServiceName, ZoneName};
 
-/// Weight of one call in the running mean of prompt sizes.
-const PROMPT_SIZE_WEIGHT: f64 = 0.02;
-
-/// Mean prompt size before any prompt was seen, in tokens: a page of
-/// questions is shorter, a document is longer.
-const INITIAL_MEAN_TOKENS: f64 = 2_000.0;
-
-/// Number of prompts that the initial mean counts as.
-const INITIAL_MEAN_WEIGHT: u32 = 10;
-
 #[derive(Debug)]
 struct Attempt {
     server: ServerName,
+    /// Start of the server's process.
+    born_ms: u64,
     sent: Instant,
     /// Prompt tokens to prefill.
     tokens: f64,
@@ -62,10 +55,7 @@
     engine: Option<EngineSpec>,
     prompt_time: PromptTime,
     retry_budget: SlidingRetryBudget,
-    /// Prompts seen so far, plus [`INITIAL_MEAN_WEIGHT`].
-    prompt_count: u32,
-    /// Running mean of the logarithm of prompt sizes.
-    mean_log_tokens: f64,
+    prompt_sizes: PromptSizes,
     prefix_rates: PrefixRates,
 }
 
@@ -95,8 +85,7 @@
                 engine: None,
                 prompt_time: PromptTime::default(),
                 retry_budget: SlidingRetryBudget::new(retries),
-                prompt_count: INITIAL_MEAN_WEIGHT,
-                mean_log_tokens: INITIAL_MEAN_TOKENS.ln(),
+                prompt_sizes: PromptSizes::default(),
                 prefix_rates: PrefixRates::default(),
             });
             service.engine = spec.engine;
@@ -162,6 +151,34 @@
             .collect()
     }
 
+    /// Returns the loads of this node that changed since they were last taken.
+    pub fn take_changed_loads(&mut self, now: Instant) -> Vec<ServerLoad> {
+        self.servers
+            .values_mut()
+            .filter_map(|e| e.take_changed_load(now))
+            .collect()
+    }
+
+    /// Sets loads of other nodes, as the homes of the servers told them.
+    ///
+    /// They take precedence over those of [`Self::set_peer_loads`] for a short time.
+    pub fn set_exact_loads(&mut self, now: Instant, loads: &[ServerLoad]) {
+        for entry in self.servers.values_mut() {
+            if let Some(load) = loads.iter().find(|l| l.server_key == entry.key) {
+                entry.set_exact_load(now, load);
+            }
+        }
+    }
+
+    /// Returns the servers that a call is likely to go to, by the hash of their names.
+    ///
+    /// Their exact loads make the choice of [`Self::dispatch`] better.
+    #[must_use]
+    pub fn preferred_servers(&self, now: Instant, call: &Call, avoid: &[ServerName]) -> Vec<u32> {
+        let pool = self.pool(now, call);
+        pool.map_or_else(Vec::new, |pool| pool.preferred_servers(now, call, avoid))
+    }
+
     /// Iterates over servers by name, with total load and health.
     pub fn servers(&self, now: Instant) -> impl Iterator<Item = (&Arc<Instance>, Load, bool)> {
         self.servers
@@ -182,10 +199,7 @@
         };
         service.retry_budget.record_call(now);
         if let Some(prompt) = &call.prompt {
-            let log_tokens = f64::from(prompt.tokens).max(1.0).ln();
-            service.prompt_count = service.prompt_count.saturating_add(1);
-            let weight = PROMPT_SIZE_WEIGHT.max(1.0 / f64::from(service.prompt_count));
-            service.mean_log_tokens += weight * (log_tokens - service.mean_log_tokens);
+            service.prompt_sizes.record(prompt.tokens);
             if let Some(prefix) = prompt.prefix_key() {
                 service.prefix_rates.record_call(now, prefix);
             }
@@ -212,30 +226,28 @@
         call: &Call,
         avoid: &[ServerName],
     ) -> Result<Placement, Refusal> {
-        let Some(service) = self.services.get(&call.service) else {
-            return Err(Refusal::NoServer);
-        };
+        let pool = self.pool(now, call).ok_or(Refusal::NoServer)?;
+        let choice = pool.choose(now, call, avoid)?;
+        Ok(self.record_attempt(now, call, choice))
+    }
+
+    fn pool(&self, now: Instant, call: &Call) -> Option<Pool<'_>> {
+        let service = self.services.get(&call.service)?;
         let is_usable =
             |e: &&ServerEntry| e.instance.service == call.service && e.accepts_calls(now);
         let of_service = self.servers.values().filter(is_usable);
-        let candidate = |entry| Candidate {
-            entry,
-            load: ServerEntry::load(entry, now),
-        };
         let prefix = call.prompt.as_ref().and_then(Prompt::prefix_key);
         let own_calls_per_s =
             prefix.map_or(0.0, |prefix| service.prefix_rates.calls_per_s(now, prefix));
-        let pool = Pool {
-            candidates: of_service.map(candidate).collect(),
+        Some(Pool {
+            candidates: of_service.map(|e| Candidate::new(e, now)).collect(),
             zone: &self.zone,
             engine: service.engine,
             prompt_time: service.prompt_time,
-            mean_prompt_tokens: service.mean_log_tokens.exp(),
+            prompt_sizes: service.prompt_sizes,
             prefix_calls_per_s: own_calls_per_s * self.sharing_nodes as f64,
             options: &self.options,
-        };
-        let choice = pool.choose(now, call, avoid)?;
-        Ok(self.record_attempt(now, call, choice))
+        })
     }
 
     fn record_attempt(&mut self, now: Instant, call: &Call, choice: Choice) -> Placement {
@@ -251,6 +263,7 @@
         }
         let entry = Attempt {
             server: instance.id.clone(),
+            born_ms: instance.born_ms,
             sent: now,
             tokens: choice.tokens,
             queued_tokens: choice.queued_tokens,
@@ -282,7 +295,7 @@
             return;
         };
         let time_ms = now.saturating_duration_since(attempt.sent).as_secs_f64() * 1_000.0;
-        entry.own_load.pending_tokens = (entry.own_load.pending_tokens - attempt.tokens).max(0.0);
+        entry.record_prefill(attempt.tokens);
         if attempt.is_model
             && let Some(service) = self.services.get_mut(&entry.instance.service)
         {
@@ -332,15 +345,17 @@
     fn release_attempt(&mut self, id: AttemptId) -> Option<ServerName> {
         let attempt = self.attempts.remove(&id)?;
         let entry = self.servers.get_mut(&attempt.server)?;
-        entry.own_load.running = (entry.own_load.running - 1.0).max(0.0);
-        entry.memory_tokens = (entry.memory_tokens - attempt.memory_tokens).max(0.0);
         if !attempt.has_first_event {
-            entry.own_load.pending_tokens =
-                (entry.own_load.pending_tokens - attempt.tokens).max(0.0);
-        }
-        if attempt.is_short {
-            entry.own_load.short_prompts = (entry.own_load.short_prompts - 1.0).max(0.0);
+            entry.record_prefill(attempt.tokens);
         }
+        // The memory of a former process is gone.
+        let is_same_process = attempt.born_ms == entry.instance.born_ms;
+        let memory_tokens = if is_same_process {
+            attempt.memory_tokens
+        } else {
+            0.0
+        };
+        entry.record_end(memory_tokens, attempt.is_short);
         Some(attempt.server)
     }
 }
--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -1,4 +1,4 @@
-//! Heartbeats, which nodes exchange several times a second.
+//! Messages between nodes: heartbeats and loads.
 
 use std::net::SocketAddrV4;
 
@@ -48,3 +48,47 @@
     #[serde(rename = "heard")]
     pub entries: Vec<HeartbeatEntry>,
 }
+
+/// Loads that a node has put on servers, sent to the servers' home.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Address of the sender's peer port.
+    pub sender: SocketAddrV4,
+    /// Start of the sender's process, in milliseconds of the Unix epoch.
+    pub incarnation: u64,
+    /// Number of the report at the sender; a higher one replaces a lower one.
+    pub sequence: u32,
+    /// The loads, those that ended included.
+    pub loads: Vec<ServerLoad>,
+}
+
+/// Message between a node and the home of servers, sent after [`Self::PREFIX`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LoadMessage {
+    /// Loads of the sender.
+    Report(LoadReport),
+    /// Question for the loads that other nodes have put on servers.
+    Query {
+        /// Address of the sender's peer port.
+        sender: SocketAddrV4,
+        /// Number of the query at the sender.
+        id: u32,
+        /// Hashes of the servers' names.
+        servers: Vec<u32>,
+    },
+    /// Answer to a query, with the loads that the home knows.
+    Answer {
+        /// Number of the query.
+        id: u32,
+        /// Loads of all nodes but the one that asked.
+        loads: Vec<ServerLoad>,
+    },
+}
+
+impl LoadMessage {
+    /// Start of a datagram with a load message.
+    ///
+    /// A [`Heartbeat`] starts with an address. None has this one, and nodes that know
+    /// heartbeats only fail to decode its port.
+    pub const PREFIX: [u8; 5] = [0, 0, 0, 0, 0xff];
+}
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -14,27 +14,32 @@
 mod dispatch;
 mod instance;
 mod load;
+mod load_directory;
 mod message;
 mod mirror;
 mod options;
 mod peers;
 mod prefix_cache;
 mod prefix_rates;
+mod prompt_sizes;
 mod prompt_time;
+mod removal_log;
 mod retry_budget;
 mod route;
 mod server;
 mod table;
 
-pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal};
+pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
 pub use dispatch::Dispatcher;
 pub use instance::Instance;
 pub use load::Load;
-pub use message::{Heartbeat, HeartbeatEntry, ServerLoad};
+pub use load_directory::{LoadDirectory, REPORT_INTERVAL};
+pub use message::{Heartbeat, HeartbeatEntry, LoadMessage, LoadReport, ServerLoad};
 pub use mirror::{Change, Delta, Mirror, Removal};
 pub use options::Options;
 pub use peers::{PeerOptions, PeerView, Peers};
 pub use prompt_time::PromptTime;
+pub use removal_log::{RemovalLog, RemovalNote, RemovalRecord};
 pub use retry_budget::{RetryOptions, SlidingRetryBudget};
 pub use route::{
     EngineSpec, RequestLimits, Route, RouteConfig, RouteKind, ServiceSpec, Split, WorkspaceEntry,
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -59,7 +59,11 @@
     ///
     /// It applies in full at twice the intended number, and grows with the excess.
     pub full_cost_ms: f64,
-    /// Longest wait of the most urgent calls, as a multiple of their objective.
+    /// Cost to a short prompt of a server whose exact load is unknown, in milliseconds.
+    ///
+    /// It applies while that of another server is known.
+    pub inexact_cost_ms: f64,
+    /// Longest wait of calls that outrank others, as a multiple of their objective.
     ///
     /// Above 1, since a late answer to them is better than one to less urgent calls.
     pub urgent_wait_ratio: f64,
@@ -101,6 +105,7 @@
             short_ratio_max: 0.6,
             order_cost_ms: 50.0,
             full_cost_ms: 1_000.0,
+            inexact_cost_ms: 200.0,
             urgent_wait_ratio: 2.0,
             objective_ratio: 0.8,
             wait_ratio_min: 0.1,
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -12,7 +12,7 @@
 //! Source: van Renesse, Minsky and Hayden, "A gossip-style failure detection
 //! service", 1998.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
@@ -36,7 +36,11 @@
 /// Options of [`Peers`].
 #[derive(Clone, Copy, Debug)]
 pub struct PeerOptions {
-    /// Number of peers that each heartbeat is sent to.
+    /// Number of peers up to which each heartbeat is sent to all of them.
+    ///
+    /// In larger fleets, nodes learn loads from the homes of the servers.
+    pub mesh_peers_max: usize,
+    /// Number of peers that each heartbeat is sent to in larger fleets.
     pub fan_out: usize,
     /// Largest number of other nodes' entries in each heartbeat.
     pub entries_max: usize,
@@ -55,8 +59,9 @@
 impl Default for PeerOptions {
     fn default() -> Self {
         Self {
-            fan_out: 8,
-            entries_max: 12,
+            mesh_peers_max: 8,
+            fan_out: 3,
+            entries_max: 16,
             watchers: 8,
             watchers_min: 2,
             failure_timeout: Duration::from_millis(2_500),
@@ -97,6 +102,10 @@
     seeds: Vec<SocketAddrV4>,
     others: BTreeMap<SocketAddrV4, Peer>,
     peak: (usize, Option<Instant>),
+    /// Homes of servers by the hash of their names, until the next heartbeat.
+    homes: HashMap<u32, SocketAddrV4>,
+    /// Hash of the live nodes, and when it last changed.
+    membership: (u64, Option<Instant>),
     rng: SmallRng,
 }
 
@@ -122,6 +131,8 @@
             seeds,
             others: BTreeMap::new(),
             peak: (1, None),
+            homes: HashMap::new(),
+            membership: (0, None),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -152,6 +163,7 @@
         loads: Vec<ServerLoad>,
     ) -> (Heartbeat, Vec<SocketAddrV4>) {
         self.expire_peers(now);
+        self.homes.clear();
         self.local.count = self.local.count.wrapping_add(1);
         let entries = self.others.values().map(|p| p.entry);
         let entries = entries.choose_multiple(&mut self.rng, self.options.entries_max);
@@ -167,8 +179,13 @@
     }
 
     fn choose_receivers(&mut self) -> Vec<SocketAddrV4> {
+        let fan_out = if self.others.len() <= self.options.mesh_peers_max {
+            self.options.mesh_peers_max
+        } else {
+            self.options.fan_out
+        };
         let known = self.others.keys().copied();
-        let mut receivers = known.choose_multiple(&mut self.rng, self.options.fan_out);
+        let mut receivers = known.choose_multiple(&mut self.rng, fan_out);
         // One seed in each round lets the two sides of a network partition merge again.
         let seeds = self.seeds.iter().copied();
         let seeds = seeds.filter(|s| *s != self.local.address && !receivers.contains(s));
@@ -229,6 +246,12 @@
         let retention = self.options.failure_timeout * 8;
         self.others
             .retain(|_, p| now.saturating_duration_since(p.updated_at) < retention);
+        let live = self.others.values().filter(|p| self.is_live(now, p));
+        let hashes = live.map(|p| rendezvous::key(p.entry.address.to_string().as_bytes()));
+        let membership = hashes.fold(0, |sum: u64, hash| sum.wrapping_add(hash));
+        if self.membership.0 != membership || self.membership.1.is_none() {
+            self.membership = (membership, Some(now));
+        }
         let live = self.live_count(now);
         let is_outdated = |at: Instant| now.saturating_duration_since(at) > self.options.peak_ttl;
         if live >= self.peak.0 || self.peak.1.is_none_or(is_outdated) {
@@ -279,19 +302,59 @@
         preceding < self.options.watchers || watching < self.options.watchers_min
     }
 
-    /// Returns a random peer, not failed, that has a newer revision.
+    /// Returns whether the fleet is so large that servers have homes.
+    #[must_use]
+    pub fn has_homes(&self) -> bool {
+        self.others.len() > self.options.mesh_peers_max
+    }
+
+    /// Returns the node that keeps the load of a server, given the hash of its name.
+    ///
+    /// All nodes that know of the same live nodes compute the same home.
+    pub fn home(&mut self, now: Instant, server_key: u32) -> SocketAddrV4 {
+        if let Some(home) = self.homes.get(&server_key) {
+            return *home;
+        }
+        let weight = |address: &SocketAddrV4| {
+            let name_key = rendezvous::key(address.to_string().as_bytes());
+            rendezvous::weight_of(u64::from(server_key), name_key)
+        };
+        let live = self.others.values().filter(|p| self.is_live(now, p));
+        let live = live.map(|p| p.entry.address);
+        let nodes = live.chain((!self.is_leaving).then_some(self.local.address));
+        let home = nodes.max_by_key(weight).unwrap_or(self.local.address);
+        self.homes.insert(server_key, home);
+        home
+    }
+
+    /// Returns since when the live nodes are the same; `now` before the first heartbeat.
+    #[must_use]
+    pub fn stable_since(&self, now: Instant) -> Instant {
+        self.membership.1.unwrap_or(now)
+    }
+
+    /// Returns address and incarnation of this node.
+    #[must_use]
+    pub fn local(&self) -> HeartbeatEntry {
+        self.local
+    }
+
+    /// Returns a random live peer that has a newer revision.
+    ///
+    /// A leaving one may be gone before it answers.
     pub fn peer_with_newer_revision(
         &mut self,
         now: Instant,
         revision: u64,
     ) -> Option<(SocketAddrV4, u64)> {
-        let newer = self
+        let newer: Vec<(SocketAddrV4, u64)> = self
             .others
             .values()
-            .filter(|p| now.saturating_duration_since(p.updated_at) < self.options.failure_timeout)
+            .filter(|p| self.is_live(now, p))
             .filter(|p| p.revision > revision)
-            .map(|p| (p.entry.address, p.revision));
-        newer.choose(&mut self.rng)
+            .map(|p| (p.entry.address, p.revision))
+            .collect();
+        newer.into_iter().choose(&mut self.rng)
     }
 
     /// Returns the load of all peers on each server, by the hash of its name.
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -28,6 +28,9 @@
 /// Slowness assumed for a server that has just started, until its answers show otherwise.
 const COLD_SLOWNESS: f64 = 1.5;
 
+/// Age at which the load that a server's home told is out of date.
+const EXACT_LOAD_TTL: Duration = Duration::from_millis(50);
+
 /// Bounds of one sample of the slowness.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 4.0);
 
@@ -39,6 +42,10 @@
     pub(crate) name_key: u64,
     pub(crate) own_load: Load,
     pub(crate) peer_load: Load,
+    /// Load of other nodes as the server's home told it, and when.
+    exact_load: Option<(Load, Instant)>,
+    /// Whether the node's load changed since it was last reported.
+    is_load_changed: bool,
     pub(crate) prefix_cache: PrefixCache,
     pub(crate) health: Health,
     /// Response time as a multiple of the expected one, as a running mean.
@@ -62,6 +69,8 @@
             name_key,
             own_load: Load::default(),
             peer_load: Load::default(),
+            exact_load: None,
+            is_load_changed: false,
             prefix_cache: PrefixCache::default(),
             health: Health::default(),
             slowness: if instance.cold_ms > 0 {
@@ -109,7 +118,42 @@
     pub(crate) fn load(&self, now: Instant) -> Load {
         let mut own_load = self.own_load;
         own_load.tokens_per_s = self.prefill_rate(now);
-        own_load.sum(&self.peer_load)
+        own_load.sum(&self.exact_load(now).unwrap_or(self.peer_load))
+    }
+
+    /// Returns the load of other nodes if the server's home told it just now.
+    pub(crate) fn exact_load(&self, now: Instant) -> Option<Load> {
+        let (load, at) = self.exact_load?;
+        (now.saturating_duration_since(at) < EXACT_LOAD_TTL).then_some(load)
+    }
+
+    /// Sets the load of other nodes as the server's home told it.
+    pub(crate) fn set_exact_load(&mut self, now: Instant, load: &ServerLoad) {
+        let mut exact_load = Load::default();
+        exact_load.add(load, 1.0);
+        self.exact_load = Some((exact_load, now));
+    }
+
+    /// Returns the node's load if it changed since it was last taken, also when it ended.
+    pub(crate) fn take_changed_load(&mut self, now: Instant) -> Option<ServerLoad> {
+        let is_changed = std::mem::take(&mut self.is_load_changed);
+        is_changed.then(|| self.server_load(now))
+    }
+
+    /// Records the first event of a call with that many prompt tokens.
+    pub(crate) fn record_prefill(&mut self, tokens: f64) {
+        self.own_load.pending_tokens = (self.own_load.pending_tokens - tokens).max(0.0);
+        self.is_load_changed = true;
+    }
+
+    /// Records the end of a call.
+    pub(crate) fn record_end(&mut self, memory_tokens: f64, is_short: bool) {
+        self.own_load.running = (self.own_load.running - 1.0).max(0.0);
+        self.memory_tokens = (self.memory_tokens - memory_tokens).max(0.0);
+        if is_short {
+            self.own_load.short_prompts = (self.own_load.short_prompts - 1.0).max(0.0);
+        }
+        self.is_load_changed = true;
     }
 
     fn prefill_rate(&self, now: Instant) -> f64 {
@@ -134,18 +178,23 @@
         self.own_load.running += 1.0;
         self.own_load.pending_tokens += tokens;
         self.memory_tokens += memory_tokens;
+        self.is_load_changed = true;
     }
 
     /// Returns the load to send to peers, `None` when nothing is in flight.
     pub(crate) fn reported_load(&self, now: Instant) -> Option<ServerLoad> {
-        let tokens_per_s = self.prefill_rate(now) as u32;
-        (self.own_load.running > 0.0 || tokens_per_s > 0).then_some(ServerLoad {
+        let load = self.server_load(now);
+        (load.running > 0 || load.tokens_per_s > 0).then_some(load)
+    }
+
+    fn server_load(&self, now: Instant) -> ServerLoad {
+        ServerLoad {
             server_key: self.key,
             running: self.own_load.running as u16,
             short_prompts: self.own_load.short_prompts as u16,
             pending_tokens: self.own_load.pending_tokens as u32,
-            tokens_per_s,
-        })
+            tokens_per_s: self.prefill_rate(now) as u32,
+        }
     }
 
     /// Records a response time as a multiple of the expected one.
--- a/crates/core/src/flow/table.rs
+++ b/crates/core/src/flow/table.rs
@@ -1,8 +1,10 @@
 //! Lookup of routes and keys.
 
 use std::collections::{BTreeSet, HashMap};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
+use crate::flow::call::TierRank;
 use crate::flow::route::{RequestLimits, Route, RouteConfig, ServiceSpec, WorkspaceEntry};
 use crate::ids::ServiceName;
 
@@ -37,8 +39,8 @@
     version: u64,
     /// Routes by host name and path prefix.
     by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
-    /// Most urgent tier that is routed to each service.
-    most_urgent_tiers: HashMap<ServiceName, u8>,
+    /// Most and least urgent tier that is routed to each service.
+    tier_ranges: HashMap<ServiceName, RangeInclusive<u8>>,
     services: Vec<ServiceSpec>,
     limits: RequestLimits,
     keys: Option<HashMap<Arc<str>, WorkspaceEntry>>,
@@ -54,13 +56,13 @@
         let entries = config.keys.iter().flat_map(HashMap::values);
         let workspace_tiers = entries.filter_map(|w| w.tier).collect();
         let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
-        let mut most_urgent_tiers: HashMap<ServiceName, u8> = HashMap::new();
+        let mut tier_ranges: HashMap<ServiceName, RangeInclusive<u8>> = HashMap::new();
         for route in config.routes {
             for split in &route.splits {
-                let most_urgent = most_urgent_tiers
+                let tiers = tier_ranges
                     .entry(split.service.clone())
-                    .or_insert(route.tier);
-                *most_urgent = route.tier.min(*most_urgent);
+                    .or_insert(route.tier..=route.tier);
+                *tiers = route.tier.min(*tiers.start())..=route.tier.max(*tiers.end());
             }
             let routes = by_host.entry(Arc::clone(&route.host)).or_default();
             routes.insert(Arc::clone(&route.prefix), Arc::new(route));
@@ -68,7 +70,7 @@
         Self {
             version: config.version,
             by_host,
-            most_urgent_tiers,
+            tier_ranges,
             services: config.services,
             limits: config.limits,
             keys: config.keys,
@@ -101,12 +103,14 @@
         self.services.iter().find(|s| s.name == *name)
     }
 
-    /// Returns whether no route to the service has a more urgent tier.
+    /// Returns the position of a tier among those of the routes to the service.
     #[must_use]
-    pub fn is_most_urgent(&self, service: &ServiceName, tier: u8) -> bool {
-        self.most_urgent_tiers
-            .get(service)
-            .is_none_or(|most_urgent| *most_urgent >= tier)
+    pub fn tier_rank(&self, service: &ServiceName, tier: u8) -> TierRank {
+        match self.tier_ranges.get(service) {
+            Some(tiers) if tier > *tiers.start() && tier >= *tiers.end() => TierRank::Last,
+            Some(tiers) if tier > *tiers.start() => TierRank::Middle,
+            _ => TierRank::First,
+        }
     }
 
     /// Returns the urgency of a call; 0 is the most urgent.
--- a/crates/core/tests/flow/fleet.rs
+++ b/crates/core/tests/flow/fleet.rs
@@ -6,7 +6,7 @@
 
 use briarbank_core::flow::{
     Call, Dispatcher, EngineSpec, Instance, Load, Options, Prompt, RouteConfig, RouteTable,
-    ServiceSpec,
+    ServiceSpec, TierRank,
 };
 use briarbank_core::ids::ServerName;
 
@@ -61,20 +61,24 @@
 pub(crate) fn long_call(prefix: u64, unshared: u64) -> Call {
     prompt_call(
         9_000,
-        false,
+        TierRank::Last,
         &[(1, 2_000), (1_000 + prefix, 4_000), (unshared, 3_000)],
     )
 }
 
 /// Returns a call with a short prompt: 200 shared tokens and 600 unshared ones.
 pub(crate) fn chat(prefix: u64, unshared: u64) -> Call {
-    prompt_call(800, true, &[(2, 120), (500 + prefix, 80), (unshared, 600)])
+    prompt_call(
+        800,
+        TierRank::First,
+        &[(2, 120), (500 + prefix, 80), (unshared, 600)],
+    )
 }
 
-fn prompt_call(tokens: u32, is_most_urgent: bool, parts: &[(u64, u32)]) -> Call {
+fn prompt_call(tokens: u32, tier_rank: TierRank, parts: &[(u64, u32)]) -> Call {
     Call {
         service: MODELS.into(),
-        is_most_urgent,
+        tier_rank,
         objective: Duration::from_millis(500),
         time_left: Duration::from_secs(5),
         is_resumed: false,
@@ -90,7 +94,7 @@
 pub(crate) fn plain_call() -> Call {
     Call {
         service: DESK.into(),
-        is_most_urgent: true,
+        tier_rank: TierRank::First,
         objective: Duration::from_millis(150),
         time_left: Duration::from_secs(1),
         is_resumed: false,
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -1,11 +1,13 @@
 //! Tests of routed traffic: routes, published values, peers, retry budgets and dispatch.
 
+mod directory;
 mod engine;
 mod fleet;
 mod load;
 mod mirror;
 mod peers;
 mod placement;
+mod removals;
 mod repeats;
 mod routes;
 mod simulation;
--- a/crates/core/tests/flow/routes.rs
+++ b/crates/core/tests/flow/routes.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use briarbank_core::flow::{Route, RouteConfig, RouteKind, RouteTable, Split, WorkspaceEntry};
+use briarbank_core::flow::{
+    Route, RouteConfig, RouteKind, RouteTable, Split, TierRank, WorkspaceEntry,
+};
 use proptest::prelude::*;
 
 fn route(host: &str, prefix: &str, tier: u8) -> Route {
@@ -86,6 +88,22 @@
     assert_eq!(table.urgency(0, None), 0);
 }
 
+/// A tier outranks others unless some tier of the service is more urgent and none less.
+#[test]
+fn tiers_are_ranked_within_their_service() {
+    let routes = vec![
+        route("h", "/cell/", 0),
+        route("h", "/explain/", 1),
+        route("h", "/digest/", 2),
+    ];
+    let three = table(routes, &[]);
+    let ranks = [0, 1, 2].map(|tier| three.tier_rank(&"desk".into(), tier));
+    assert_eq!(ranks, [TierRank::First, TierRank::Middle, TierRank::Last]);
+    let one = table(vec![route("h", "/slip/", 2)], &[]);
+    assert_eq!(one.tier_rank(&"desk".into(), 2), TierRank::First);
+    assert_eq!(one.tier_rank(&"other".into(), 2), TierRank::First);
+}
+
 #[test]
 fn keys_map_to_workspaces() {
     let table = table(vec![], &[Some(0), None]);
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Delta, RouteTable};
+use briarbank_core::flow::{Delta, RemovalNote, RemovalRecord, RouteTable};
 
 use crate::dialect::Published;
 use crate::shared::SharedState;
@@ -13,35 +13,51 @@
 
 /// Time subtracted from the drain timeout of a server that may be gone.
 ///
-/// If the store reports the removal: the time that a call needs to reach the
-/// server. If a peer does: the time that a change needs to arrive through peers.
-const DRAIN_MARGINS: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(1));
+/// The store's answer takes a while to arrive, and so does a call to reach the server.
+const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+
+/// Assumed age of a removal that a peer reports without its time.
+const UNKNOWN_AGE: Duration = Duration::from_secs(1);
 
 /// Origin of published values.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Source {
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Source<'a> {
     Store,
-    Peer,
+    /// A peer, with what it knows of recent removals.
+    Peer(&'a [RemovalNote]),
+}
+
+impl Source<'_> {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer(_) => "peer",
+        }
+    }
 }
 
 impl SharedState {
     /// Applies published values that are newer than those in force.
-    pub(crate) fn apply(&self, delta: &Delta, source: Source) {
+    pub(crate) fn apply(&self, delta: &Delta, source: Source<'_>) {
         let changed = self.mirror.borrow_mut().apply(delta);
         let now = Instant::now();
         for key in changed {
             let change = self.mirror.borrow().get(&key).cloned();
             let Some(change) = change else {
-                self.remove_server_entry(now, &key, source);
+                let removal = self.removal(now, &key, source);
+                self.removals.borrow_mut().record(&key, removal);
+                self.remove_server_entry(now, &key, removal, source);
                 continue;
             };
+            self.removals.borrow_mut().forget(&key);
             match self.dialect.decode_value(&change) {
                 Ok(Published::Config(config)) => self.set_config(RouteTable::new(config), source),
                 Ok(Published::Server(instance)) => {
                     tracing::info!(
                         server = %instance.id, service = %instance.service,
                         address = %instance.address, born_ms = instance.born_ms,
-                        draining = instance.is_draining, revision = change.revision, ?source,
+                        draining = instance.is_draining, revision = change.revision,
+                        source = source.name(),
                         "values: server listed"
                     );
                     self.dispatcher.borrow_mut().add_server(instance);
@@ -49,13 +65,17 @@
                 Ok(Published::Other) => {}
                 Err(error) => {
                     tracing::warn!(%key, revision = change.revision, %error, "values: decoding an entry failed");
-                    self.remove_server_entry(now, &key, source);
+                    let removal = RemovalRecord {
+                        read_at: now,
+                        may_have_lapsed: false,
+                    };
+                    self.remove_server_entry(now, &key, removal, source);
                 }
             }
         }
     }
 
-    fn set_config(&self, table: RouteTable, source: Source) {
+    fn set_config(&self, table: RouteTable, source: Source<'_>) {
         let version = self.table.borrow().as_ref().map(|t| t.version());
         if version.is_some_and(|version| version >= table.version()) {
             return;
@@ -64,32 +84,57 @@
             version = table.version(),
             before = version,
             routes = table.route_count(),
-            ?source,
+            source = source.name(),
             "values: configuration in force"
         );
         self.dispatcher.borrow_mut().configure(&table);
         *self.table.borrow_mut() = Some(Rc::new(table));
     }
 
-    fn remove_server_entry(&self, now: Instant, key: &str, source: Source) {
+    /// Returns when the value of a key was removed and why, as far as is known.
+    fn removal(&self, now: Instant, key: &str, source: Source<'_>) -> RemovalRecord {
+        let recovered_at = self.store.recovered_at.get();
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < LAPSE_WINDOW;
+        let may_have_lapsed = self.store.is_outage(now) || recovered_at.is_some_and(is_fresh);
+        let read_at = match source {
+            Source::Store => now,
+            Source::Peer(notes) => {
+                if let Some(note) = notes.iter().find(|note| &*note.key == key) {
+                    return note.to_record(now);
+                }
+                now.checked_sub(UNKNOWN_AGE).unwrap_or(now)
+            }
+        };
+        RemovalRecord {
+            read_at,
+            may_have_lapsed,
+        }
+    }
+
+    fn remove_server_entry(
+        &self,
+        now: Instant,
+        key: &str,
+        removal: RemovalRecord,
+        source: Source<'_>,
+    ) {
         let Some(server) = self.dialect.server_of_key(key) else {
             return;
         };
-        let recovered_at = self.store.recovered_at.get();
-        let is_fresh = |at: Instant| now.saturating_duration_since(at) < LAPSE_WINDOW;
-        let may_have_lapsed = self.store.is_failing.get() || recovered_at.is_some_and(is_fresh);
+        let age = now.saturating_duration_since(removal.read_at);
+        let lapse = self.settings().drain_timeout.saturating_sub(DRAIN_MARGIN);
+        let lapse = removal
+            .may_have_lapsed
+            .then(|| lapse.saturating_sub(age))
+            .filter(|lapse| !lapse.is_zero());
         tracing::info!(
             server,
-            may_have_lapsed,
-            ?source,
+            may_have_lapsed = removal.may_have_lapsed,
+            age_ms = age.as_millis(),
+            use_for_ms = lapse.map(|lapse| lapse.as_millis()),
+            source = source.name(),
             "values: server entry removed"
         );
-        let margin = match source {
-            Source::Store => DRAIN_MARGINS.0,
-            Source::Peer => DRAIN_MARGINS.1,
-        };
-        let lapse = self.settings().drain_timeout.saturating_sub(margin);
-        let lapse = may_have_lapsed.then_some(lapse);
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.remove_server(now, &server.into(), lapse);
     }
--- a/crates/gateway/src/caller/attempt_guard.rs
+++ b/crates/gateway/src/caller/attempt_guard.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 
 use crate::dialect::AnswerHead;
+use crate::loads;
 use crate::server::Connection;
 use crate::shared::SharedState;
 
@@ -35,6 +36,7 @@
                 .dispatcher
                 .borrow_mut()
                 .record_first_event(now, attempt);
+            loads::report_changes(&self.shared);
         }
     }
 
@@ -45,6 +47,7 @@
                 .dispatcher
                 .borrow_mut()
                 .record_success(now, attempt);
+            loads::report_changes(&self.shared);
         }
     }
 
@@ -55,8 +58,11 @@
     fn report_failure(&mut self, fault: Fault) {
         if let Some(attempt) = self.attempt.take() {
             let now = Instant::now();
-            let mut dispatcher = self.shared.dispatcher.borrow_mut();
-            dispatcher.record_failure(now, attempt, fault);
+            self.shared
+                .dispatcher
+                .borrow_mut()
+                .record_failure(now, attempt, fault);
+            loads::report_changes(&self.shared);
         }
     }
 }
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarbank_core::flow::{Call, Fault, Instance, Refusal};
+use briarbank_core::flow::{Call, Fault, Instance, Refusal, TierRank};
 use briarbank_core::ids::{ServerName, ServiceName};
 use bytes::Bytes;
 use http::{Response, request};
@@ -18,6 +18,7 @@
 use crate::caller::request::{Admitted, InFlight, time_left};
 use crate::caller::stream::EventStream;
 use crate::dialect::AnswerKind;
+use crate::loads;
 use crate::log_lines::LineKind;
 use crate::shared::SharedState;
 
@@ -44,7 +45,7 @@
     pub(crate) service: ServiceName,
     /// Urgency, 0 is the most urgent.
     pub(crate) urgency: u8,
-    is_most_urgent: bool,
+    tier_rank: TierRank,
     pub(crate) body: Bytes,
     began_at: Instant,
     pub(crate) deadline: Instant,
@@ -72,7 +73,7 @@
         let service = admitted.route.pick_service(random).cloned();
         let service = service.unwrap_or_else(|| "".into());
         let tier = admitted.route.tier;
-        let is_most_urgent = admitted.table.is_most_urgent(&service, tier);
+        let tier_rank = admitted.table.tier_rank(&service, tier);
         Self {
             shared: Rc::clone(shared),
             record: CallRecord::new(
@@ -87,7 +88,7 @@
             head,
             admitted,
             urgency,
-            is_most_urgent,
+            tier_rank,
             body: Bytes::new(),
             began_at,
             tried: Vec::new(),
@@ -201,10 +202,12 @@
                 return Err(self.final_outcome());
             }
             let call = self.call_to_dispatch(now);
+            loads::query(&self.shared, &call, &self.tried).await;
             let dispatched = {
                 let mut dispatcher = self.shared.dispatcher.borrow_mut();
-                dispatcher.dispatch(now.into_std(), &call, &self.tried)
+                dispatcher.dispatch(std::time::Instant::now(), &call, &self.tried)
             };
+            loads::report_changes(&self.shared);
             let placement = match dispatched {
                 Ok(placement) => placement,
                 Err(refusal) => return Err(self.refusal_outcome(refusal)),
@@ -232,7 +235,7 @@
         let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         Call {
             service: self.service.clone(),
-            is_most_urgent: self.is_most_urgent,
+            tier_rank: self.tier_rank,
             objective: target.saturating_sub(now - self.began_at),
             time_left: self.deadline - now,
             is_resumed: self.last_event.is_some(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::Heartbeat;
+use briarbank_core::flow::{Heartbeat, REPORT_INTERVAL};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::loads;
 use crate::pause::PauseDetector;
 use crate::shared::SharedState;
 use crate::sync;
@@ -25,6 +26,12 @@
 
 /// Sends and receives heartbeats until the task is aborted.
 pub(crate) async fn run(shared: Rc<SharedState>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    if shared.socket.set(Rc::clone(&socket)).is_err() {
+        tracing::error!("peer: the port is served already");
+        return;
+    }
+    let mut reported_at = Instant::now();
     let mut ticks = interval(HEARTBEAT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
@@ -37,6 +44,10 @@
                     handle_pause(&shared, pause);
                 }
                 send_heartbeats(&shared, &socket);
+                if reported_at.elapsed() >= REPORT_INTERVAL {
+                    reported_at = Instant::now();
+                    repeat_reports(&shared, reported_at);
+                }
                 newer_heartbeats = catch_up(&shared, newer_heartbeats);
             }
             received = socket.recv_from(&mut buffer) => match received {
@@ -71,7 +82,18 @@
     dispatcher.remove_lapsed(now);
 }
 
+/// Reports all loads to the homes again, since reports may be lost and homes change.
+fn repeat_reports(shared: &SharedState, now: Instant) {
+    let loads = shared.dispatcher.borrow().reported_loads(now);
+    loads::report(shared, now, &loads);
+    shared.directory.borrow_mut().expire(now);
+}
+
 fn receive(shared: &SharedState, bytes: &[u8]) {
+    if let Some(message) = loads::strip_prefix(bytes) {
+        loads::receive(shared, message);
+        return;
+    }
     let decoded =
         bincode::serde::decode_from_slice::<Heartbeat, _>(bytes, bincode::config::standard());
     match decoded {
@@ -105,6 +127,7 @@
 fn handle_pause(shared: &SharedState, pause: Duration) {
     tracing::warn!(pause_ms = pause.as_millis(), "node: resumed after a pause");
     shared.peers.borrow_mut().discard_loads();
+    shared.directory.borrow_mut().clear();
     shared.pool.clear();
     shared.store.connection_suspect.notify_waiters();
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod events;
 mod gossip;
+mod loads;
 mod log_lines;
 mod operator;
 mod pause;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,19 +1,29 @@
 //! State shared by all tasks of a node, on a single thread.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use briarbank_core::flow::{Dispatcher, Mirror, Options, PeerOptions, Peers, RouteTable};
+use briarbank_core::flow::{
+    Dispatcher, LoadDirectory, Mirror, Options, PeerOptions, Peers, RemovalLog, RouteTable,
+};
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 
 use crate::dialect::Dialect;
+use crate::loads::Queries;
 use crate::log_lines::LogLines;
 use crate::server::Pool;
 use crate::settings::Settings;
 use crate::stop::Stop;
 
+/// Shortest failure of the store that counts as an outage.
+///
+/// Entries lapse when the store misses several heartbeats of a server in a row. After a
+/// shorter failure, such as that of one connection, a missing entry was removed.
+const OUTAGE_MIN: Duration = Duration::from_secs(1);
+
 /// State of a node; no borrow lives across an await.
 pub(crate) struct SharedState {
     settings: RefCell<Rc<Settings>>,
@@ -22,7 +32,15 @@
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) mirror: RefCell<Mirror>,
+    pub(crate) removals: RefCell<RemovalLog>,
     pub(crate) peers: RefCell<Peers>,
+    /// Loads of the servers that this node is the home of.
+    pub(crate) directory: RefCell<LoadDirectory>,
+    pub(crate) queries: RefCell<Queries>,
+    /// Number of load reports sent so far.
+    reports: Cell<u32>,
+    /// Socket of the peer port, once it is served.
+    pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) pool: Pool,
     pub(crate) stop: Stop,
     pub(crate) tasks: TaskTracker,
@@ -39,7 +57,9 @@
     pub(crate) is_watching: Cell<bool>,
     /// Whether the last request failed.
     pub(crate) is_failing: Cell<bool>,
-    /// Time of the last success that followed a failure.
+    /// Time of the first failure since the last success.
+    pub(crate) failing_since: Cell<Option<Instant>>,
+    /// Time of the last success that followed an outage.
     pub(crate) recovered_at: Cell<Option<Instant>>,
     /// Time of the last successful request.
     pub(crate) read_at: Cell<Option<Instant>>,
@@ -47,6 +67,14 @@
     pub(crate) connection_suspect: Notify,
 }
 
+impl StoreState {
+    /// Returns whether requests have failed for so long that entries may lapse.
+    pub(crate) fn is_outage(&self, now: Instant) -> bool {
+        let is_long = |since: Instant| now.saturating_duration_since(since) >= OUTAGE_MIN;
+        self.failing_since.get().is_some_and(is_long)
+    }
+}
+
 impl SharedState {
     pub(crate) fn new(settings: Settings, dialect: Box<dyn Dialect>) -> Rc<Self> {
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -68,7 +96,12 @@
             dialect,
             table: RefCell::new(None),
             mirror: RefCell::new(Mirror::default()),
+            removals: RefCell::default(),
             peers: RefCell::new(peers),
+            directory: RefCell::default(),
+            queries: RefCell::default(),
+            reports: Cell::new(0),
+            socket: OnceCell::new(),
             pool: Pool::new(tasks.clone()),
             stop: Stop::default(),
             tasks,
@@ -78,6 +111,13 @@
         })
     }
 
+    /// Returns the number of the next load report.
+    pub(crate) fn next_report(&self) -> u32 {
+        let number = self.reports.get().wrapping_add(1);
+        self.reports.set(number);
+        number
+    }
+
     /// Returns the settings in force.
     pub(crate) fn settings(&self) -> Rc<Settings> {
         Rc::clone(&self.settings.borrow())
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -103,7 +103,10 @@
     let now = Instant::now();
     shared.store.read_at.set(Some(now));
     if shared.store.is_failing.replace(false) {
-        shared.store.recovered_at.set(Some(now));
+        if shared.store.is_outage(now) {
+            shared.store.recovered_at.set(Some(now));
+        }
+        shared.store.failing_since.set(None);
         tracing::info!(
             revision = shared.mirror.borrow().revision(),
             "store: available again"
@@ -122,6 +125,9 @@
     tracing::warn!(%error, revision, age_ms, is_known = has_values, "store: reading published values failed");
     if !matches!(error, ReadError::HistoryLost) {
         shared.store.is_failing.set(true);
+        let since = shared.store.failing_since.get();
+        let since = since.unwrap_or_else(Instant::now);
+        shared.store.failing_since.set(Some(since));
     }
 }
 
@@ -167,6 +173,7 @@
         if !should_watch {
             self.connection = None;
             self.shared.store.is_failing.set(false);
+            self.shared.store.failing_since.set(None);
             sleep(IDLE_POLL_INTERVAL).await;
             return Ok(false);
         }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -2,9 +2,9 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use briarbank_core::flow::Delta;
+use briarbank_core::flow::{Delta, RemovalNote};
 use bytes::Bytes;
 use http::{Request, Response};
 use quick_error::quick_error;
@@ -50,12 +50,15 @@
     )
     .await;
     match fetched.unwrap_or(Err(SyncError::Silent)) {
-        Ok(delta) => shared.apply(&delta, Source::Peer),
+        Ok((delta, notes)) => shared.apply(&delta, Source::Peer(&notes)),
         Err(error) => tracing::warn!(%peer, revision, %error, "peer: fetching values failed"),
     }
 }
 
-async fn request_values(peer: SocketAddr, revision: u64) -> Result<Delta, SyncError> {
+async fn request_values(
+    peer: SocketAddr,
+    revision: u64,
+) -> Result<(Delta, Vec<RemovalNote>), SyncError> {
     let stream = briarbank_net::connect(peer, CONNECT_TIMEOUT).await?;
     let (mut sender, connection) = h2::client::handshake(stream).await?;
     let request = Request::get(format!("http://{peer}{PATH_PREFIX}{revision}")).body(())?;
@@ -71,8 +74,7 @@
             }
             body.flow_control().release_capacity(chunk.len())?;
         }
-        let (delta, _) = bincode::serde::decode_from_slice(&bytes, bincode::config::standard())?;
-        Ok(delta)
+        decode_values(&bytes)
     };
     tokio::select! {
         delta = exchange => delta,
@@ -80,6 +82,17 @@
     }
 }
 
+/// Decodes a delta, and the notes on removals that nodes of this version append.
+fn decode_values(bytes: &[u8]) -> Result<(Delta, Vec<RemovalNote>), SyncError> {
+    let config = bincode::config::standard();
+    let (delta, length) = bincode::serde::decode_from_slice(bytes, config)?;
+    let notes = match bytes.get(length..) {
+        Some(rest) if !rest.is_empty() => bincode::serde::decode_from_slice(rest, config)?.0,
+        _ => Vec::new(),
+    };
+    Ok((delta, notes))
+}
+
 /// Serves values to peers until the task is aborted.
 pub(crate) async fn serve(shared: Rc<SharedState>, listener: TcpListener) {
     loop {
@@ -104,7 +117,10 @@
             .and_then(|text| text.parse().ok());
         let revision: u64 = revision.ok_or_else(|| SyncError::Path(path.to_owned()))?;
         let delta = shared.mirror.borrow().changes_since(revision);
-        let bytes = bincode::serde::encode_to_vec(&delta, bincode::config::standard())?;
+        let notes = shared.removals.borrow_mut().notes(Instant::now());
+        let mut bytes = bincode::serde::encode_to_vec(&delta, bincode::config::standard())?;
+        // Nodes of an earlier version ignore what follows the delta.
+        bincode::serde::encode_into_std_write(&notes, &mut bytes, bincode::config::standard())?;
         let mut stream = respond.send_response(Response::new(()), false)?;
         // Queues all bytes; the connection sends them as flow control allows.
         stream.send_data(Bytes::from(bytes), true)?;
