--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -116,7 +116,7 @@
         return newer_heartbeats + 1;
     }
     tracing::info!(%peer, revision, theirs, "peer: fetching newer values");
-    shared.store.connection_suspect.notify_waiters();
+    shared.store.peers_are_newer.notify_waiters();
     let shared = Rc::clone(shared);
     let tasks = shared.tasks.clone();
     tasks.spawn_local(async move { sync::fetch(&shared, peer).await });
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -65,6 +65,8 @@
     pub(crate) read_at: Cell<Option<Instant>>,
     /// Signals that the connection to the store may be dead.
     pub(crate) connection_suspect: Notify,
+    /// Signals that peers have had newer values for some heartbeats.
+    pub(crate) peers_are_newer: Notify,
 }
 
 impl StoreState {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use briarbank_core::flow::Delta;
+use briarbank_net::BodyError;
 use bytes::Bytes;
-use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Empty, Limited};
+use http::{Request, Response, StatusCode};
+use http_body_util::Empty;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
@@ -21,7 +23,9 @@
 /// Timeout of a connect to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time for an answer beyond the requested wait; a slow store takes up to 0.3 s.
+/// Time for the head of an answer beyond the requested wait, and between parts of its body.
+///
+/// A slow store takes up to 0.3 s.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Requested wait of a watch.
@@ -30,6 +34,11 @@
 /// when a peer has newer values.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// Time for an answer after which peers with newer values show that the connection is dead.
+///
+/// Shorter than this, the answer may be late and still on its way.
+const OVERDUE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time between two checks whether this node has to watch the store.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -45,7 +54,7 @@
     enum ReadError {
         Connect(error: std::io::Error) { display("connecting to the store failed: {error}") from() }
         Http(error: hyper::Error) { display("connection to the store broke: {error}") from() }
-        Body(error: Box<dyn std::error::Error + Send + Sync>) { display("reading the body failed: {error}") }
+        Body(error: BodyError) { display("reading the body failed: {error}") from() }
         Status(status: StatusCode) { display("store refused with status {status}") }
         HistoryLost { display("history after the requested revision is no longer available") }
         Silent { display("store did not answer in time") }
@@ -99,6 +108,17 @@
     }
 }
 
+/// Waits until peers have newer values though an answer could have arrived by now.
+async fn overdue(shared: &SharedState) {
+    let sent_at = Instant::now();
+    loop {
+        shared.store.peers_are_newer.notified().await;
+        if sent_at.elapsed() >= OVERDUE_TIMEOUT {
+            return;
+        }
+    }
+}
+
 fn record_success(shared: &SharedState) {
     let now = Instant::now();
     shared.store.read_at.set(Some(now));
@@ -187,15 +207,34 @@
         Ok(true)
     }
 
-    /// Sends a request and waits for its answer for [`ANSWER_TIMEOUT`] beyond `wait`.
+    /// Sends a request whose answer begins within [`ANSWER_TIMEOUT`] beyond `wait`.
+    ///
+    /// Once it has begun, it may take as long as it makes progress.
     async fn request(&mut self, read: &StoreRead, wait: Duration) -> Result<Bytes, ReadError> {
         metrics::counter!("briarbank_store_calls_total").increment(1);
-        let answered = timeout(wait + ANSWER_TIMEOUT, self.exchange(read)).await;
-        answered.unwrap_or(Err(ReadError::Silent))
+        let shared = Rc::clone(&self.shared);
+        let (sender, response) = tokio::select! {
+            answered = timeout(wait + ANSWER_TIMEOUT, self.send(read)) => {
+                answered.unwrap_or(Err(ReadError::Silent))?
+            }
+            () = overdue(&shared) => return Err(ReadError::ConnectionSuspect),
+        };
+        let status = response.status();
+        let body = briarbank_net::read_body(response.into_body(), ANSWER_TIMEOUT, ANSWER_BYTES_MAX)
+            .await?;
+        self.connection = Some(sender);
+        match status {
+            StatusCode::OK => Ok(body),
+            StatusCode::GONE => Err(ReadError::HistoryLost),
+            status => Err(ReadError::Status(status)),
+        }
     }
 
-    /// Sends a request without a time limit.
-    async fn exchange(&mut self, read: &StoreRead) -> Result<Bytes, ReadError> {
+    /// Sends a request and returns the head of its answer.
+    async fn send(
+        &mut self,
+        read: &StoreRead,
+    ) -> Result<(SendRequest<Empty<Bytes>>, Response<Incoming>), ReadError> {
         let address = self.shared.settings().store_address;
         let mut sender = match self.connection.take() {
             Some(sender) if sender.is_ready() => sender,
@@ -205,15 +244,7 @@
             .header(http::header::HOST, address.to_string())
             .body(Empty::new())?;
         let response = sender.send_request(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX);
-        let body = body.collect().await.map_err(ReadError::Body)?.to_bytes();
-        self.connection = Some(sender);
-        match status {
-            StatusCode::OK => Ok(body),
-            StatusCode::GONE => Err(ReadError::HistoryLost),
-            status => Err(ReadError::Status(status)),
-        }
+        Ok((sender, response))
     }
 
     async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, ReadError> {
