--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -19,7 +19,7 @@
 /// Largest datagram that is received whole.
 const DATAGRAM_BYTES_MAX: usize = 16 << 10;
 
-/// Consecutive heartbeat intervals with a newer peer before values are fetched.
+/// Consecutive heartbeat intervals with a newer peer before values are fetched from it.
 ///
 /// The node's own watch of the store usually delivers them sooner.
 const NEWER_HEARTBEATS_MIN: u32 = 4;
@@ -102,7 +102,9 @@
     }
 }
 
-/// Fetches values from a peer with a newer revision; returns the updated count of intervals.
+/// Fetches values from a peer with a newer revision, from one peer at a time.
+///
+/// Returns the number of consecutive intervals with a newer peer.
 fn catch_up(shared: &Rc<SharedState>, newer_heartbeats: u32) -> u32 {
     let revision = shared.mirror.borrow().revision();
     let newer = shared
@@ -112,15 +114,22 @@
     let Some((peer, theirs)) = newer else {
         return 0;
     };
-    if revision > 0 && newer_heartbeats + 1 < NEWER_HEARTBEATS_MIN {
-        return newer_heartbeats + 1;
+    let newer_heartbeats = newer_heartbeats.saturating_add(1);
+    if revision > 0 && newer_heartbeats < NEWER_HEARTBEATS_MIN {
+        return newer_heartbeats;
     }
-    tracing::info!(%peer, revision, theirs, "peer: fetching newer values");
     shared.store.peers_are_newer.notify_waiters();
+    if shared.is_fetching.replace(true) {
+        return newer_heartbeats;
+    }
+    tracing::info!(%peer, revision, theirs, "peer: fetching newer values");
     let shared = Rc::clone(shared);
     let tasks = shared.tasks.clone();
-    tasks.spawn_local(async move { sync::fetch(&shared, peer).await });
-    0
+    tasks.spawn_local(async move {
+        sync::fetch(&shared, peer).await;
+        shared.is_fetching.set(false);
+    });
+    newer_heartbeats
 }
 
 /// Discards state that may be stale after the host was suspended.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -45,6 +45,10 @@
     pub(crate) stop: Stop,
     pub(crate) tasks: TaskTracker,
     pub(crate) store: StoreState,
+    /// Whether values are being fetched from a peer.
+    pub(crate) is_fetching: Cell<bool>,
+    /// Number of large answers with values that are being sent to peers.
+    pub(crate) transfers: Cell<usize>,
     pub(crate) log_lines: Rc<LogLines>,
     /// Number of callers' calls in flight.
     pub(crate) in_flight: Cell<usize>,
@@ -108,6 +112,8 @@
             stop: Stop::default(),
             tasks,
             store: StoreState::default(),
+            is_fetching: Cell::new(false),
+            transfers: Cell::new(0),
             log_lines: Rc::default(),
             in_flight: Cell::new(0),
         })
