Complete slow transfers of documents in the node

Change: the limit applies to the head and to each part of the body.

Test: a_slow_transfer_of_a_document_is_completed (3 s, ten parts) ended with "did not answer in time" before and passes now; a transfer that stops is still broken off (a_transfer_without_progress_is_broken_off, passed before and after).

--- a/crates/node/src/platform/http.rs
+++ b/crates/node/src/platform/http.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use briarbank_core::ids::{HostName, Revision};
+use briarbank_net::{BodyError, read_body};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::time::timeout;
@@ -19,7 +20,8 @@
 /// Largest document; the platform stores values of up to 1 MiB.
 const DOCUMENT_BYTES_MAX: usize = 1 << 20;
 
-/// Time for an answer in addition to the long-poll wait.
+/// Time for the head of an answer in addition to the long-poll wait, and between parts of
+/// its body.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Platform that is read over HTTP.
@@ -50,8 +52,9 @@
             .map_err(http_error)?;
         let exchange = async {
             let request = self.request(address, query);
-            let response = sender.send_request(request).await.map_err(http_error)?;
-            read_value(address, response).await
+            let response = timeout(query.wait + ANSWER_TIMEOUT, sender.send_request(request));
+            let response = response.await.map_err(|_elapsed| Error::Timeout(address))?;
+            read_value(address, response.map_err(http_error)?).await
         };
         tokio::pin!(connection);
         tokio::pin!(exchange);
@@ -99,14 +102,15 @@
     let revision = revision
         .and_then(|r| r.to_str().ok()?.parse().ok())
         .ok_or(Error::NoRevision(address))?;
-    let body = Limited::new(response.into_body(), DOCUMENT_BYTES_MAX);
-    let body = body.collect().await.map_err(|e| {
-        e.downcast::<hyper::Error>()
-            .map_or(Error::TooLarge(address), |e| Error::Http(address, *e))
+    let body = read_body(response.into_body(), ANSWER_TIMEOUT, DOCUMENT_BYTES_MAX).await;
+    let body = body.map_err(|error| match error {
+        BodyError::Silent => Error::Timeout(address),
+        BodyError::TooLarge(_) => Error::TooLarge(address),
+        BodyError::Broken(error) => Error::Http(address, error),
     })?;
     Ok(Some(PublishedValue {
         revision: Revision(revision),
-        bytes: Arc::from(&*body.to_bytes()),
+        bytes: Arc::from(&*body),
     }))
 }
 
@@ -123,9 +127,7 @@
         Box::pin(async move {
             let address = self.addresses.get(replica).copied();
             let address = address.ok_or(Error::NoReplica(replica))?;
-            timeout(query.wait + ANSWER_TIMEOUT, self.get(address, query))
-                .await
-                .unwrap_or(Err(Error::Timeout(address)))
+            self.get(address, query).await
         })
     }
 }
