Decode each published value once for a list of changes

Cause: a list of changes that named a key several times, as after a series of configurations, had its newest value decoded and indexed once for each.

Change: the mirror returns a set of keys.

Test: a_key_that_changed_twice_is_reported_once found three keys, now two.

--- a/crates/core/src/flow/mirror.rs
+++ b/crates/core/src/flow/mirror.rs
@@ -4,7 +4,7 @@
 //! published up to its revision and never goes back: it ignores older changes
 //! from lagging peers or stale reads.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -87,17 +87,17 @@
         self.items.get(key)
     }
 
-    /// Applies a delta and returns the keys that were changed or removed.
-    pub fn apply(&mut self, delta: &Delta) -> Vec<Arc<str>> {
-        let mut changed = Vec::new();
+    /// Applies a delta and returns the keys that were changed or removed, sorted.
+    pub fn apply(&mut self, delta: &Delta) -> BTreeSet<Arc<str>> {
+        let mut changed = BTreeSet::new();
         for change in &delta.changes {
             if self.apply_change(change) {
-                changed.push(Arc::clone(&change.key));
+                changed.insert(Arc::clone(&change.key));
             }
         }
         for removal in &delta.removals {
             if self.apply_removal(removal) {
-                changed.push(Arc::clone(&removal.key));
+                changed.insert(Arc::clone(&removal.key));
             }
         }
         if delta.is_whole {
--- a/crates/core/tests/flow/mirror.rs
+++ b/crates/core/tests/flow/mirror.rs
@@ -14,6 +14,21 @@
     }
 }
 
+/// Guards against needless work: a long list of changes had each value decoded once for
+/// every change of it.
+#[test]
+fn a_key_that_changed_twice_is_reported_once() {
+    let mut mirror = Mirror::default();
+    let delta = Delta {
+        revision: 3,
+        changes: vec![change(1, 1), change(2, 2), change(1, 3)],
+        ..Delta::default()
+    };
+    let changed: Vec<Arc<str>> = mirror.apply(&delta).into_iter().collect();
+    assert_eq!(changed, ["k1".into(), "k2".into()]);
+    assert_eq!(mirror.get("k1"), Some(&change(1, 3)));
+}
+
 /// Generates a history that writes or removes a key at each revision.
 fn history() -> impl Strategy<Value = Vec<(u8, bool)>> {
     prop::collection::vec((0_u8..6, prop::bool::weighted(0.7)), 1..60)
