Log and count the limits that servers name

The logs could not tell whether nodes miss a server's limit, divide it wrongly or learn of it late. A node now logs limits in answers, at most 20 lines a second, and counts such answers.

--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -38,7 +38,7 @@
                 .pool
                 .send(&placement.instance, request, connections_max, sharing_nodes);
         let failed = match timeout_at(silence_deadline, sending).await {
-            Ok(Ok(sent)) => match self.check_answer(sent) {
+            Ok(Ok(sent)) => match self.check_answer(&placement.instance, sent) {
                 Ok((head, answer_head, body, connection)) => {
                     return Ok(StartedAnswer {
                         guard,
@@ -119,9 +119,16 @@
     }
 
     /// Verifies that the answer is the server's answer to this call.
-    fn check_answer(&mut self, sent: Sent) -> Result<AcceptedAnswer, FailedAttempt> {
+    fn check_answer(
+        &mut self,
+        instance: &Instance,
+        sent: Sent,
+    ) -> Result<AcceptedAnswer, FailedAttempt> {
         let (head, body) = sent.response.into_parts();
         let answer_head = self.shared.dialect.decode_answer(&head, &self.record.id);
+        if answer_head.kind != AnswerKind::OtherInstance {
+            self.shared.record_notice(instance, answer_head.notice);
+        }
         let (fault, execution, failure_reason) = match answer_head.kind {
             AnswerKind::Verified => return Ok((head, answer_head, body, sent.connection)),
             AnswerKind::Unverified if !head.status.is_success() => {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -54,8 +54,15 @@
     OtherInstance,
 }
 
+/// What a server says of itself in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerNotice {
+    /// Requests per second that it takes from all nodes together, `None` if unlimited.
+    pub limit_per_s: Option<f64>,
+}
+
 /// Decoded head of an answer, without its status.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AnswerHead {
     /// What the head shows the answer to be.
     pub kind: AnswerKind,
@@ -63,6 +70,8 @@
     pub is_last: bool,
     /// Time for which the server keeps an idle connection open.
     pub keep_idle: Option<Duration>,
+    /// What the server says of itself.
+    pub notice: ServerNotice,
 }
 
 /// A request to the store.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod gossip;
 mod loads;
 mod log_lines;
+mod notices;
 mod operator;
 mod pause;
 mod reload;
@@ -25,7 +26,8 @@
 mod sync;
 
 pub use dialect::{
-    AnswerHead, AnswerKind, CallHead, Dialect, ForwardContext, Page, Published, StoreRead,
+    AnswerHead, AnswerKind, CallHead, Dialect, ForwardContext, Page, Published, ServerNotice,
+    StoreRead,
 };
 pub use error::{DecodeError, Error, HeadError, LoadError};
 pub use run::run;
--- a/crates/gateway/src/log_lines.rs
+++ b/crates/gateway/src/log_lines.rs
@@ -16,6 +16,8 @@
     Attempt,
     /// A call whose head was not accepted.
     NotAdmitted,
+    /// What a server said of itself.
+    Notice,
 }
 
 impl LineKind {
@@ -28,6 +30,7 @@
             Self::Served => 100,
             Self::Unserved => 400,
             Self::Attempt | Self::NotAdmitted => 200,
+            Self::Notice => 20,
         }
     }
 }
