Keep the limits that servers name, all nodes together

Servers in need got as many requests as any other.

Cause: nodes ignored Server-Limit. Class of fault: an overload signal of a server that is not part of admission. Ruled out: a wrong division among the nodes (none was made) and nodes that have not been told yet (the reported figures count only those that have).

Change: the newest statement of a server travels in heartbeats, so that nodes obey it before they are told and learn that it was lifted. A limit is shared by as many nodes as get one request a second each, the first ones in the order of the server's homes: an equal part for each of 86 nodes would be one request in 43 s, and all parts together could be sent at once. Each part is a token bucket of one request. A server without a token gets no call; if no server has one, the caller is told when the next turn is. Heartbeats carry statements after their end, where older nodes ignore them.

New in core: the parts add up to the limit for 1 to 390 nodes, and no window of 4 s exceeds the bound for 5 to 86 nodes.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -35,7 +35,7 @@
 const PREFERRED_MAX: usize = 4;
 
 /// Bounds of the time after which a refused caller may retry.
-const RETRY_AFTER_RANGE: (Duration, Duration) =
+pub(crate) const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_secs(2));
 
 /// Usable servers of a service, with the inputs of the choice.
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::flow::call::{AttemptId, Call, Fault, Placement, Prompt, Refusal};
-use crate::flow::choice::{Candidate, Choice, Pool};
+use crate::flow::choice::{Candidate, Choice, Pool, RETRY_AFTER_RANGE};
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
 use crate::flow::message::ServerLoad;
@@ -142,6 +142,22 @@
         }
     }
 
+    /// Returns the hash of a server's name by which peers identify it.
+    #[must_use]
+    pub fn server_key(&self, server: &ServerName) -> Option<u32> {
+        self.servers.get(server).map(|e| e.key)
+    }
+
+    /// Sets this node's parts of the limits of servers, in calls per second.
+    ///
+    /// Servers are named by the hash of their names; those not in the list are unlimited.
+    pub fn set_limits(&mut self, now: Instant, limits: &[(u32, f64)]) {
+        for entry in self.servers.values_mut() {
+            let limit = limits.iter().find(|(key, _)| *key == entry.key);
+            entry.set_limit(now, limit.map(|(_, per_s)| *per_s));
+        }
+    }
+
     /// Returns the load of this node on each server, to be sent to peers.
     #[must_use]
     pub fn reported_loads(&self, now: Instant) -> Vec<ServerLoad> {
@@ -227,6 +243,9 @@
         avoid: &[ServerName],
     ) -> Result<Placement, Refusal> {
         let pool = self.pool(now, call).ok_or(Refusal::NoServer)?;
+        if pool.candidates.is_empty() {
+            return Err(self.limited_refusal(now, call));
+        }
         let choice = pool.choose(now, call, avoid)?;
         Ok(self.record_attempt(now, call, choice))
     }
@@ -250,6 +269,21 @@
         })
     }
 
+    /// Returns the refusal of a call whose service has no server that accepts calls.
+    fn limited_refusal(&self, now: Instant, call: &Call) -> Refusal {
+        let of_service = self.servers.values();
+        let of_service = of_service.filter(|e| e.instance.service == call.service);
+        let waits: Vec<Duration> = of_service.filter_map(|e| e.limit_wait(now)).collect();
+        waits.iter().min().map_or(Refusal::NoServer, |wait| {
+            let retry_after_max = (call.time_left / 3).max(RETRY_AFTER_RANGE.0);
+            Refusal::Busy {
+                retry_after: (*wait).clamp(RETRY_AFTER_RANGE.0, retry_after_max),
+                servers: waits.len(),
+                wait: *wait,
+            }
+        })
+    }
+
     fn record_attempt(&mut self, now: Instant, call: &Call, choice: Choice) -> Placement {
         self.next_attempt += 1;
         let attempt = AttemptId(self.next_attempt);
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -27,7 +27,9 @@
 mod retry_budget;
 mod route;
 mod server;
+mod server_limits;
 mod table;
+mod token_bucket;
 
 pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
 pub use dispatch::Dispatcher;
@@ -44,4 +46,5 @@
 pub use route::{
     EngineSpec, RequestLimits, Route, RouteConfig, RouteKind, ServiceSpec, Split, WorkspaceEntry,
 };
+pub use server_limits::{LimitStatement, ServerLimits};
 pub use table::RouteTable;
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -23,6 +23,7 @@
 use crate::flow::decaying_sum::decay_factor;
 use crate::flow::load::Load;
 use crate::flow::message::{Heartbeat, HeartbeatEntry, ServerLoad};
+use crate::flow::server_limits::limit_users;
 use crate::rendezvous;
 
 /// Time after which most pending prompts have been prefilled.
@@ -315,10 +316,7 @@
         if let Some(home) = self.homes.get(&server_key) {
             return *home;
         }
-        let weight = |address: &SocketAddrV4| {
-            let name_key = rendezvous::key(address.to_string().as_bytes());
-            rendezvous::weight_of(u64::from(server_key), name_key)
-        };
+        let weight = |address: &SocketAddrV4| home_weight(server_key, *address);
         let live = self.others.values().filter(|p| self.is_live(now, p));
         let live = live.map(|p| p.entry.address);
         let nodes = live.chain((!self.is_leaving).then_some(self.local.address));
@@ -327,6 +325,25 @@
         home
     }
 
+    /// Returns this node's part of a server's limit, in requests per second.
+    ///
+    /// The first few nodes in the order of homes share the limit; the part of the others
+    /// is 0. In a network partition each side keeps to the parts of the whole fleet.
+    #[must_use]
+    pub fn limit_share(&self, now: Instant, server_key: u32, limit_per_s: f64) -> f64 {
+        let users = limit_users(limit_per_s, self.sharing_nodes(now));
+        let weight = |address: &SocketAddrV4| home_weight(server_key, *address);
+        let own_weight = weight(&self.local.address);
+        let live = self.others.values().filter(|p| self.is_live(now, p));
+        let preceding = live
+            .filter(|p| weight(&p.entry.address) > own_weight)
+            .count();
+        if self.is_leaving || preceding >= users {
+            return 0.0;
+        }
+        limit_per_s / users as f64
+    }
+
     /// Returns since when the live nodes are the same; `now` before the first heartbeat.
     #[must_use]
     pub fn stable_since(&self, now: Instant) -> Instant {
@@ -419,3 +436,9 @@
         self.rng.random()
     }
 }
+
+/// Returns the weight of a node in the order of a server's homes.
+fn home_weight(server_key: u32, address: SocketAddrV4) -> u64 {
+    let name_key = rendezvous::key(address.to_string().as_bytes());
+    rendezvous::weight_of(u64::from(server_key), name_key)
+}
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -10,6 +10,7 @@
 use crate::flow::message::ServerLoad;
 use crate::flow::options::Options;
 use crate::flow::prefix_cache::PrefixCache;
+use crate::flow::token_bucket::TokenBucket;
 use crate::outlier::Health;
 use crate::rendezvous;
 
@@ -59,6 +60,8 @@
     fault_ratio: f64,
     fault_samples: u32,
     paused_until: Option<Instant>,
+    /// Set while the server names a limit.
+    limit: Option<TokenBucket>,
 }
 
 impl ServerEntry {
@@ -85,6 +88,7 @@
             fault_ratio: 0.0,
             fault_samples: 0,
             paused_until: None,
+            limit: None,
         }
     }
 
@@ -106,7 +110,22 @@
     /// Returns whether the server may be sent calls at all.
     pub(crate) fn accepts_calls(&self, now: Instant) -> bool {
         let has_lapsed = self.grace_until.is_some_and(|until| now >= until);
-        !self.instance.is_draining && !has_lapsed
+        !self.instance.is_draining && !has_lapsed && self.limit.is_none_or(|l| l.has_token(now))
+    }
+
+    /// Returns the time until the server's limit admits a call; `None` if it never does.
+    pub(crate) fn limit_wait(&self, now: Instant) -> Option<Duration> {
+        self.limit.and_then(|limit| limit.wait(now))
+    }
+
+    /// Sets this node's part of the server's limit, in calls per second; `None` lifts it.
+    pub(crate) fn set_limit(&mut self, now: Instant, per_s: Option<f64>) {
+        let Some(per_s) = per_s else {
+            self.limit = None;
+            return;
+        };
+        let empty = TokenBucket::new(now, per_s);
+        self.limit.get_or_insert(empty).set_rate(now, per_s);
     }
 
     /// Returns whether the server is neither ejected nor paused.
@@ -175,6 +194,9 @@
             let zero = DecayingSum::new(now, RATE_WINDOW, 0.0);
             self.prefill_tokens.get_or_insert(zero).add(now, tokens);
         }
+        if let Some(limit) = &mut self.limit {
+            limit.take(now);
+        }
         self.own_load.running += 1.0;
         self.own_load.pending_tokens += tokens;
         self.memory_tokens += memory_tokens;
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -3,6 +3,7 @@
 mod directory;
 mod engine;
 mod fleet;
+mod limits;
 mod load;
 mod mirror;
 mod peers;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Heartbeat, REPORT_INTERVAL};
+use briarbank_core::flow::{Heartbeat, LimitStatement, REPORT_INTERVAL};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::codec;
 use crate::loads;
 use crate::pause::PauseDetector;
 use crate::shared::SharedState;
@@ -66,7 +67,8 @@
     let mut peers = shared.peers.borrow_mut();
     let (heartbeat, targets) = peers.next_heartbeat(now, revision, is_watching, loads);
     drop(peers);
-    let Ok(bytes) = bincode::serde::encode_to_vec(&heartbeat, bincode::config::standard()) else {
+    let statements = shared.limits.borrow_mut().statements(now);
+    let Ok(bytes) = codec::encode(&heartbeat, &statements) else {
         tracing::warn!("peer: encoding the heartbeat failed");
         return;
     };
@@ -76,6 +78,7 @@
             tracing::debug!(%error, %target, "peer: sending a heartbeat failed");
         }
     }
+    shared.divide_limits(now);
     let peers = shared.peers.borrow();
     let mut dispatcher = shared.dispatcher.borrow_mut();
     dispatcher.set_peer_loads(&peers.loads(now), peers.sharing_nodes(now));
@@ -94,10 +97,11 @@
         loads::receive(shared, message);
         return;
     }
-    let decoded =
-        bincode::serde::decode_from_slice::<Heartbeat, _>(bytes, bincode::config::standard());
-    match decoded {
-        Ok((heartbeat, _)) => shared.peers.borrow_mut().receive(Instant::now(), heartbeat),
+    match codec::decode::<Heartbeat, LimitStatement>(bytes) {
+        Ok((heartbeat, statements)) => {
+            shared.peers.borrow_mut().receive(Instant::now(), heartbeat);
+            shared.receive_limits(&statements);
+        }
         Err(error) => tracing::debug!(%error, "peer: decoding a datagram failed"),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod apply;
 mod caller;
+mod codec;
 mod dialect;
 mod error;
 mod events;
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -1,6 +1,8 @@
 //! What servers say of themselves in their answers.
 
-use briarbank_core::flow::Instance;
+use std::time::Instant;
+
+use briarbank_core::flow::{Instance, LimitStatement};
 
 use crate::dialect::ServerNotice;
 use crate::log_lines::LineKind;
@@ -9,12 +11,38 @@
 impl SharedState {
     /// Records what a server said of itself.
     pub(crate) fn record_notice(&self, instance: &Instance, notice: ServerNotice) {
-        let Some(limit_per_s) = notice.limit_per_s else {
+        let now = Instant::now();
+        if let Some(limit_per_s) = notice.limit_per_s {
+            metrics::counter!("briarbank_limited_answers_total").increment(1);
+            if self.log_lines.take(LineKind::Notice) {
+                tracing::info!(server = %instance.id, limit_per_s, "server: names its limit");
+            }
+        }
+        let Some(server_key) = self.dispatcher.borrow().server_key(&instance.id) else {
             return;
         };
-        metrics::counter!("briarbank_limited_answers_total").increment(1);
-        if self.log_lines.take(LineKind::Notice) {
-            tracing::info!(server = %instance.id, limit_per_s, "server: names its limit");
+        let mut limits = self.limits.borrow_mut();
+        let is_changed = limits.record(now, server_key, notice.limit_per_s);
+        drop(limits);
+        if is_changed {
+            self.divide_limits(now);
         }
     }
+
+    /// Records the limits of servers that a peer passes on.
+    pub(crate) fn receive_limits(&self, statements: &[LimitStatement]) {
+        let now = Instant::now();
+        if self.limits.borrow_mut().receive(now, statements) {
+            self.divide_limits(now);
+        }
+    }
+
+    /// Applies this node's parts of the limits of servers.
+    pub(crate) fn divide_limits(&self, now: Instant) {
+        let rates = self.limits.borrow().rates_per_s(now);
+        let peers = self.peers.borrow();
+        let share = |(key, per_s): (u32, f64)| (key, peers.limit_share(now, key, per_s));
+        let shares: Vec<(u32, f64)> = rates.into_iter().map(share).collect();
+        self.dispatcher.borrow_mut().set_limits(now, &shares);
+    }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 
 use briarbank_core::flow::{
     Dispatcher, LoadDirectory, Mirror, Options, PeerOptions, Peers, RemovalLog, RouteTable,
+    ServerLimits,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -36,6 +37,8 @@
     pub(crate) peers: RefCell<Peers>,
     /// Loads of the servers that this node is the home of.
     pub(crate) directory: RefCell<LoadDirectory>,
+    /// Limits that servers have named.
+    pub(crate) limits: RefCell<ServerLimits>,
     pub(crate) queries: RefCell<Queries>,
     /// Number of load reports sent so far.
     reports: Cell<u32>,
@@ -105,6 +108,7 @@
             removals: RefCell::default(),
             peers: RefCell::new(peers),
             directory: RefCell::default(),
+            limits: RefCell::default(),
             queries: RefCell::default(),
             reports: Cell::new(0),
             socket: OnceCell::new(),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::apply::Source;
+use crate::codec;
 use crate::shared::SharedState;
 
 /// Timeout of a connect to a peer.
@@ -96,13 +97,13 @@
         let is_compressed = response.headers().contains_key(CONTENT_ENCODING);
         let bytes = read_values(response.into_body()).await?;
         if !is_compressed {
-            return decode_values(&bytes);
+            return Ok(codec::decode(&bytes)?);
         }
         let (length, compressed) = block::uncompressed_size(&bytes)?;
         if length > VALUES_BYTES_MAX {
             return Err(SyncError::TooLarge);
         }
-        decode_values(&block::decompress(compressed, length)?)
+        Ok(codec::decode(&block::decompress(compressed, length)?)?)
     };
     tokio::select! {
         delta = exchange => delta,
@@ -128,17 +129,6 @@
     }
 }
 
-/// Decodes a delta, and the notes on removals that nodes of this version append.
-fn decode_values(bytes: &[u8]) -> Result<(Delta, Vec<RemovalNote>), SyncError> {
-    let config = bincode::config::standard();
-    let (delta, length) = bincode::serde::decode_from_slice(bytes, config)?;
-    let notes = match bytes.get(length..) {
-        Some(rest) if !rest.is_empty() => bincode::serde::decode_from_slice(rest, config)?.0,
-        _ => Vec::new(),
-    };
-    Ok((delta, notes))
-}
-
 /// Serves values to peers until the task is aborted.
 pub(crate) async fn serve(shared: Rc<SharedState>, listener: TcpListener) {
     loop {
@@ -189,10 +179,7 @@
     let revision: u64 = revision.ok_or_else(|| SyncError::Path(path.to_owned()))?;
     let delta = shared.mirror.borrow().changes_since(revision);
     let notes = shared.removals.borrow_mut().notes(Instant::now());
-    let mut bytes = bincode::serde::encode_to_vec(&delta, bincode::config::standard())?;
-    // Nodes of an earlier version ignore what follows the delta.
-    bincode::serde::encode_into_std_write(&notes, &mut bytes, bincode::config::standard())?;
-    Ok(bytes)
+    Ok(codec::encode(&delta, &notes)?)
 }
 
 /// Counts a large answer as being sent until dropped.
