Send nothing to a server that says it leaves

A server that leaves now says so in its answers. Nodes heeded only its entry in the store, which they may not reach, and which may return to an earlier state.

Change: a process that has said it leaves gets no further calls from the node that it told, also after its entry is removed and published again.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -1,11 +1,13 @@
 //! Dispatches calls to servers and refuses those that would be late.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::flow::call::{AttemptId, Call, Fault, Placement, Prompt, Refusal};
 use crate::flow::choice::{Candidate, Choice, Pool, RETRY_AFTER_RANGE};
+use crate::flow::departed::DepartedServers;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
 use crate::flow::message::ServerLoad;
@@ -48,6 +50,7 @@
     attempts: HashMap<AttemptId, Attempt>,
     next_attempt: u64,
     sharing_nodes: usize,
+    departed: DepartedServers,
 }
 
 #[derive(Debug)]
@@ -71,6 +74,7 @@
             attempts: HashMap::new(),
             next_attempt: 0,
             sharing_nodes: 1,
+            departed: DepartedServers::default(),
         }
     }
 
@@ -102,12 +106,24 @@
 
     /// Adds a server or updates its published entry.
     pub fn add_server(&mut self, instance: Instance) {
-        let Some(entry) = self.servers.get_mut(&instance.id) else {
-            let id = instance.id.clone();
-            self.servers.insert(id, ServerEntry::new(instance));
-            return;
+        let is_leaving = self.departed.contains(&instance);
+        let entry = match self.servers.entry(instance.id.clone()) {
+            Entry::Occupied(occupied) => {
+                let entry = occupied.into_mut();
+                entry.update_instance(instance);
+                entry
+            }
+            Entry::Vacant(vacant) => vacant.insert(ServerEntry::new(instance)),
         };
-        entry.update_instance(instance);
+        entry.is_leaving = is_leaving;
+    }
+
+    /// Records that a server has said it leaves; its process gets no further calls.
+    pub fn record_leaving(&mut self, server: &ServerName) {
+        if let Some(entry) = self.servers.get_mut(server) {
+            entry.is_leaving = true;
+            self.departed.record(&entry.instance);
+        }
     }
 
     /// Removes a server whose published entry is gone.
@@ -119,7 +135,9 @@
             return;
         };
         match grace {
-            Some(grace) if !entry.instance.is_draining => entry.grace_until = Some(now + grace),
+            Some(grace) if !entry.instance.is_draining && !entry.is_leaving => {
+                entry.grace_until = Some(now + grace);
+            }
             _ => {
                 self.servers.remove(server);
             }
@@ -273,6 +291,7 @@
     fn limited_refusal(&self, now: Instant, call: &Call) -> Refusal {
         let of_service = self.servers.values();
         let of_service = of_service.filter(|e| e.instance.service == call.service);
+        let of_service = of_service.filter(|e| e.may_accept_calls(now));
         let waits: Vec<Duration> = of_service.filter_map(|e| e.limit_wait(now)).collect();
         waits.iter().min().map_or(Refusal::NoServer, |wait| {
             let retry_after_max = (call.time_left / 3).max(RETRY_AFTER_RANGE.0);
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -11,6 +11,7 @@
 mod call;
 mod choice;
 mod decaying_sum;
+mod departed;
 mod dispatch;
 mod instance;
 mod load;
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -60,6 +60,8 @@
     fault_ratio: f64,
     fault_samples: u32,
     paused_until: Option<Instant>,
+    /// Whether the server has said that it leaves.
+    pub(crate) is_leaving: bool,
     /// Set while the server names a limit.
     limit: Option<TokenBucket>,
 }
@@ -88,6 +90,7 @@
             fault_ratio: 0.0,
             fault_samples: 0,
             paused_until: None,
+            is_leaving: false,
             limit: None,
         }
     }
@@ -107,10 +110,16 @@
         }
     }
 
-    /// Returns whether the server may be sent calls at all.
+    /// Returns whether the server may be sent calls at this moment.
     pub(crate) fn accepts_calls(&self, now: Instant) -> bool {
+        let is_limited = self.limit.is_some_and(|limit| !limit.has_token(now));
+        self.may_accept_calls(now) && !is_limited
+    }
+
+    /// Returns whether the server may be sent calls, now or in its next turn.
+    pub(crate) fn may_accept_calls(&self, now: Instant) -> bool {
         let has_lapsed = self.grace_until.is_some_and(|until| now >= until);
-        !self.instance.is_draining && !has_lapsed && self.limit.is_none_or(|l| l.has_token(now))
+        !self.instance.is_draining && !self.is_leaving && !has_lapsed
     }
 
     /// Returns the time until the server's limit admits a call; `None` if it never does.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -59,6 +59,8 @@
 pub struct ServerNotice {
     /// Requests per second that it takes from all nodes together, `None` if unlimited.
     pub limit_per_s: Option<f64>,
+    /// Whether it leaves and takes no further calls.
+    pub is_leaving: bool,
 }
 
 /// Decoded head of an answer, without its status.
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -18,6 +18,12 @@
                 tracing::info!(server = %instance.id, limit_per_s, "server: names its limit");
             }
         }
+        if notice.is_leaving {
+            if self.log_lines.take(LineKind::Notice) {
+                tracing::info!(server = %instance.id, "server: leaves");
+            }
+            self.dispatcher.borrow_mut().record_leaving(&instance.id);
+        }
         let Some(server_key) = self.dispatcher.borrow().server_key(&instance.id) else {
             return;
         };
