Respect the time for which a server wants no calls

A server that turns a call away with status 503 may say for how long it wants no calls from the node. Nodes paused any full server for 100 ms, and used a paused one if no other was left.

Change: such a server gets no call from the node before the time is over, also if it is the only one; the caller is then told when it is.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -160,6 +160,15 @@
         }
     }
 
+    /// Records that a server wants no calls from this node for a while.
+    pub fn record_refusal(&mut self, now: Instant, server: &ServerName, time: Duration) {
+        if let Some(entry) = self.servers.get_mut(server)
+            && let Some(until) = now.checked_add(time)
+        {
+            entry.refuse_until(until);
+        }
+    }
+
     /// Returns the hash of a server's name by which peers identify it.
     #[must_use]
     pub fn server_key(&self, server: &ServerName) -> Option<u32> {
@@ -292,7 +301,7 @@
         let of_service = self.servers.values();
         let of_service = of_service.filter(|e| e.instance.service == call.service);
         let of_service = of_service.filter(|e| e.may_accept_calls(now));
-        let waits: Vec<Duration> = of_service.filter_map(|e| e.limit_wait(now)).collect();
+        let waits: Vec<Duration> = of_service.filter_map(|e| e.admission_wait(now)).collect();
         waits.iter().min().map_or(Refusal::NoServer, |wait| {
             let retry_after_max = (call.time_left / 3).max(RETRY_AFTER_RANGE.0);
             Refusal::Busy {
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -62,6 +62,8 @@
     paused_until: Option<Instant>,
     /// Whether the server has said that it leaves.
     pub(crate) is_leaving: bool,
+    /// End of the time for which the server has said that it wants no calls.
+    refused_until: Option<Instant>,
     /// Set while the server names a limit.
     limit: Option<TokenBucket>,
 }
@@ -91,6 +93,7 @@
             fault_samples: 0,
             paused_until: None,
             is_leaving: false,
+            refused_until: None,
             limit: None,
         }
     }
@@ -113,7 +116,8 @@
     /// Returns whether the server may be sent calls at this moment.
     pub(crate) fn accepts_calls(&self, now: Instant) -> bool {
         let is_limited = self.limit.is_some_and(|limit| !limit.has_token(now));
-        self.may_accept_calls(now) && !is_limited
+        let is_refusing = self.refused_until.is_some_and(|until| now < until);
+        self.may_accept_calls(now) && !is_limited && !is_refusing
     }
 
     /// Returns whether the server may be sent calls, now or in its next turn.
@@ -122,9 +126,22 @@
         !self.instance.is_draining && !self.is_leaving && !has_lapsed
     }
 
-    /// Returns the time until the server's limit admits a call; `None` if it never does.
-    pub(crate) fn limit_wait(&self, now: Instant) -> Option<Duration> {
-        self.limit.and_then(|limit| limit.wait(now))
+    /// Returns the time until the server's limit and refusals admit a call.
+    ///
+    /// `None` if other nodes use the whole limit.
+    pub(crate) fn admission_wait(&self, now: Instant) -> Option<Duration> {
+        let refused_until = self.refused_until.unwrap_or(now);
+        let refusal_wait = refused_until.saturating_duration_since(now);
+        let limit_wait = match &self.limit {
+            Some(limit) => limit.wait(now)?,
+            None => Duration::ZERO,
+        };
+        Some(refusal_wait.max(limit_wait))
+    }
+
+    /// Records that the server wants no calls until then.
+    pub(crate) fn refuse_until(&mut self, until: Instant) {
+        self.refused_until = self.refused_until.max(Some(until));
     }
 
     /// Sets this node's part of the server's limit, in calls per second; `None` lifts it.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -61,6 +61,8 @@
     pub limit_per_s: Option<f64>,
     /// Whether it leaves and takes no further calls.
     pub is_leaving: bool,
+    /// Time for which it wants no calls from this node.
+    pub refusal: Option<Duration>,
 }
 
 /// Decoded head of an answer, without its status.
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -24,6 +24,11 @@
             }
             self.dispatcher.borrow_mut().record_leaving(&instance.id);
         }
+        if let Some(time) = notice.refusal {
+            self.dispatcher
+                .borrow_mut()
+                .record_refusal(now, &instance.id, time);
+        }
         let Some(server_key) = self.dispatcher.borrow().server_key(&instance.id) else {
             return;
         };
