Follow a store that comes back from an earlier copy

A store that was away may come back some seconds older, with its revisions given out again. Its answers name its era, which rises each time. Nodes took later changes for old ones until the revision had passed the highest they had seen.

Change: nodes order revisions by era first. An answer of another era than the node's copy makes it read all values again; peers learn of the new era by heartbeats, whose format stays. What a restore lost is not undone: the newest configuration stays in force, a server that was draining gets no calls, one whose entry had been removed gets none for ten seconds, and one whose entry is missing is used as after an outage until it writes it again.

Tests: values_written_after_a_restore_are_read was not in force after 6 s before, bound 3 s. With the mechanism taken out, each of the other three was seen to fail: 404 for a route of the newest configuration, 30 of 30 calls to a server that was draining and to one that was gone, 503 while the only server's entry was missing.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -106,6 +106,10 @@
 
     /// Adds a server or updates its published entry.
     pub fn add_server(&mut self, instance: Instance) {
+        if instance.is_draining {
+            self.departed.record(&instance);
+        }
+        // An entry may return to an earlier state with its store.
         let is_leaving = self.departed.contains(&instance);
         let entry = match self.servers.entry(instance.id.clone()) {
             Entry::Occupied(occupied) => {
--- a/crates/core/src/flow/mirror.rs
+++ b/crates/core/src/flow/mirror.rs
@@ -1,6 +1,7 @@
 //! A replica of the published values, which nodes keep and replicate to peers.
 //!
-//! The store numbers all changes with one revision. A mirror holds what was
+//! The store numbers all changes with one revision, see [`era_of`](crate::flow::era_of) for one
+//! that loses its last changes. A mirror holds what was
 //! published up to its revision and never goes back: it ignores older changes
 //! from lagging peers or stale reads.
 
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -13,6 +13,7 @@
 mod decaying_sum;
 mod departed;
 mod dispatch;
+mod era;
 mod instance;
 mod load;
 mod load_directory;
@@ -34,6 +35,7 @@
 
 pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
 pub use dispatch::Dispatcher;
+pub use era::{era_of, revision_in_era, stored_revision};
 pub use instance::Instance;
 pub use load::Load;
 pub use load_directory::{LoadDirectory, REPORT_INTERVAL};
--- a/crates/core/src/flow/removal_log.rs
+++ b/crates/core/src/flow/removal_log.rs
@@ -50,9 +50,9 @@
         }
     }
 
-    /// Forgets the removal of a key that has a value again.
-    pub fn forget(&mut self, key: &str) {
-        self.records.remove(key);
+    /// Forgets the removal of a key that has a value again, and returns it.
+    pub fn forget(&mut self, key: &str) -> Option<RemovalRecord> {
+        self.records.remove(key)
     }
 
     /// Returns the removal of a key.
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -3,11 +3,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Delta, RemovalNote, RemovalRecord, RouteTable};
+use briarbank_core::flow::{Delta, RemovalNote, RemovalRecord, RouteTable, era_of};
 
 use crate::dialect::Published;
 use crate::shared::SharedState;
 
+/// Time for which a server gets no calls whose removed entry a restore brought back.
+const RESTORED_PAUSE: Duration = Duration::from_secs(10);
+
 /// Time after the store recovers in which a removed entry may merely have expired.
 const LAPSE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -39,8 +42,19 @@
 impl SharedState {
     /// Applies published values that are newer than those in force.
     pub(crate) fn apply(&self, delta: &Delta, source: Source<'_>) {
-        let changed = self.mirror.borrow_mut().apply(delta);
         let now = Instant::now();
+        let mut mirror = self.mirror.borrow_mut();
+        let is_restored =
+            mirror.revision() > 0 && era_of(delta.revision) > era_of(mirror.revision());
+        let changed = mirror.apply(delta);
+        drop(mirror);
+        if is_restored {
+            tracing::warn!(
+                revision = delta.revision,
+                "values: store lost its last changes"
+            );
+            self.store.restored_at.set(Some(now));
+        }
         for key in changed {
             let change = self.mirror.borrow().get(&key).cloned();
             let Some(change) = change else {
@@ -49,7 +63,7 @@
                 self.remove_server_entry(now, &key, removal, source);
                 continue;
             };
-            self.removals.borrow_mut().forget(&key);
+            let removal = self.removals.borrow_mut().forget(&key);
             match self.dialect.decode_value(&change) {
                 Ok(Published::Config(config)) => self.set_config(RouteTable::new(config), source),
                 Ok(Published::Server(instance)) => {
@@ -60,7 +74,14 @@
                         source = source.name(),
                         "values: server listed"
                     );
-                    self.dispatcher.borrow_mut().add_server(instance);
+                    let server = instance.id.clone();
+                    let mut dispatcher = self.dispatcher.borrow_mut();
+                    dispatcher.add_server(instance);
+                    let is_gone = removal.is_some_and(|removal| !removal.may_have_lapsed);
+                    if is_restored && is_gone {
+                        // The entry is from before its removal.
+                        dispatcher.record_refusal(now, &server, RESTORED_PAUSE);
+                    }
                 }
                 Ok(Published::Other) => {}
                 Err(error) => {
@@ -95,7 +116,10 @@
     fn removal(&self, now: Instant, key: &str, source: Source<'_>) -> RemovalRecord {
         let recovered_at = self.store.recovered_at.get();
         let is_fresh = |at: Instant| now.saturating_duration_since(at) < LAPSE_WINDOW;
-        let may_have_lapsed = self.store.is_outage(now) || recovered_at.is_some_and(is_fresh);
+        let restored_at = self.store.restored_at.get();
+        let may_have_lapsed = self.store.is_outage(now)
+            || recovered_at.is_some_and(is_fresh)
+            || restored_at.is_some_and(is_fresh);
         let read_at = match source {
             Source::Store => now,
             Source::Peer(notes) => {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -141,19 +141,19 @@
     /// Returns path and query of a request to the store.
     fn store_path(&self, read: &StoreRead) -> String;
 
-    /// Decodes a page of values.
+    /// Decodes a page of values; revisions are ordered by the store's era first.
     ///
     /// # Errors
     ///
     /// The body is malformed.
-    fn decode_page(&self, body: &[u8]) -> Result<Page, DecodeError>;
+    fn decode_page(&self, headers: &HeaderMap, body: &[u8]) -> Result<Page, DecodeError>;
 
-    /// Decodes the answer to a watch.
+    /// Decodes the answer to a watch; revisions are ordered by the store's era first.
     ///
     /// # Errors
     ///
     /// The body is malformed.
-    fn decode_events(&self, body: &[u8]) -> Result<Delta, DecodeError>;
+    fn decode_events(&self, headers: &HeaderMap, body: &[u8]) -> Result<Delta, DecodeError>;
 
     /// Decodes a value.
     ///
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::Delta;
+use briarbank_core::flow::{Delta, era_of};
 use briarbank_net::BodyError;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Empty;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -166,14 +166,17 @@
         };
         let mut after = None;
         loop {
-            let body = self
+            let (headers, body) = self
                 .request(&StoreRead::Page { after }, Duration::ZERO)
                 .await?;
-            let page = self.shared.dialect.decode_page(&body)?;
+            let page = self.shared.dialect.decode_page(&headers, &body)?;
             if values.revision == 0 {
                 // Later pages may be newer; the watch continues from the first page's revision.
                 values.revision = page.delta.revision;
             }
+            if era_of(page.delta.revision) != era_of(values.revision) {
+                return Err(ReadError::HistoryLost);
+            }
             values.changes.extend(page.delta.changes);
             if !page.has_more || page.last_key.is_none() {
                 break;
@@ -199,10 +202,14 @@
         }
         let revision = self.shared.mirror.borrow().revision();
         let wait = WATCH_WAIT;
-        let body = self
+        let (headers, body) = self
             .request(&StoreRead::Watch { revision, wait }, wait)
             .await?;
-        let delta = self.shared.dialect.decode_events(&body)?;
+        let delta = self.shared.dialect.decode_events(&headers, &body)?;
+        if era_of(delta.revision) != era_of(revision) {
+            // The changes do not follow those that are known.
+            return Err(ReadError::HistoryLost);
+        }
         self.shared.apply(&delta, Source::Store);
         Ok(true)
     }
@@ -210,7 +217,11 @@
     /// Sends a request whose answer begins within [`ANSWER_TIMEOUT`] beyond `wait`.
     ///
     /// Once it has begun, it may take as long as it makes progress.
-    async fn request(&mut self, read: &StoreRead, wait: Duration) -> Result<Bytes, ReadError> {
+    async fn request(
+        &mut self,
+        read: &StoreRead,
+        wait: Duration,
+    ) -> Result<(HeaderMap, Bytes), ReadError> {
         metrics::counter!("briarbank_store_calls_total").increment(1);
         let shared = Rc::clone(&self.shared);
         let (sender, response) = tokio::select! {
@@ -219,12 +230,11 @@
             }
             () = overdue(&shared) => return Err(ReadError::ConnectionSuspect),
         };
-        let status = response.status();
-        let body = briarbank_net::read_body(response.into_body(), ANSWER_TIMEOUT, ANSWER_BYTES_MAX)
-            .await?;
+        let (head, body) = response.into_parts();
+        let body = briarbank_net::read_body(body, ANSWER_TIMEOUT, ANSWER_BYTES_MAX).await?;
         self.connection = Some(sender);
-        match status {
-            StatusCode::OK => Ok(body),
+        match head.status {
+            StatusCode::OK => Ok((head.headers, body)),
             StatusCode::GONE => Err(ReadError::HistoryLost),
             status => Err(ReadError::Status(status)),
         }
