Split the applying of values, and keep limits of all servers

From reading the diff: the return of an entry from before its removal has a name, a restore is logged with its era, and constants have a doc each. A node kept the limits of 64 servers, which a large fleet may exceed; it keeps 4,096 and passes on the newest 64 in a heartbeat.

values.rs 8, notices.rs 5, path.rs 23 and flow 58 tests pass as before.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -275,7 +275,7 @@
     ) -> Result<Placement, Refusal> {
         let pool = self.pool(now, call).ok_or(Refusal::NoServer)?;
         if pool.candidates.is_empty() {
-            return Err(self.limited_refusal(now, call));
+            return Err(self.closed_refusal(now, call));
         }
         let choice = pool.choose(now, call, avoid)?;
         Ok(self.record_attempt(now, call, choice))
@@ -300,8 +300,10 @@
         })
     }
 
-    /// Returns the refusal of a call whose service has no server that accepts calls.
-    fn limited_refusal(&self, now: Instant, call: &Call) -> Refusal {
+    /// Returns the refusal of a call whose service has no server that accepts calls now.
+    ///
+    /// It holds the time until the first one does by its limit or its own refusal.
+    fn closed_refusal(&self, now: Instant, call: &Call) -> Refusal {
         let of_service = self.servers.values();
         let of_service = of_service.filter(|e| e.instance.service == call.service);
         let of_service = of_service.filter(|e| e.may_accept_calls(now));
--- a/crates/core/src/flow/era.rs
+++ b/crates/core/src/flow/era.rs
@@ -7,8 +7,9 @@
 /// Bits of the store's own revision.
 const REVISION_BITS: u32 = 48;
 
-/// Highest era and revision that can be represented; higher ones are clamped.
+/// Highest era that can be represented; higher ones are clamped.
 const ERA_MAX: u64 = (1 << (u64::BITS - REVISION_BITS)) - 1;
+/// Highest revision that can be represented; higher ones are clamped.
 const REVISION_MAX: u64 = (1 << REVISION_BITS) - 1;
 
 /// Returns a revision that orders a store's own revisions by era first.
--- a/crates/core/src/flow/mirror.rs
+++ b/crates/core/src/flow/mirror.rs
@@ -1,9 +1,11 @@
 //! A replica of the published values, which nodes keep and replicate to peers.
 //!
-//! The store numbers all changes with one revision, see [`era_of`](crate::flow::era_of) for one
-//! that loses its last changes. A mirror holds what was
-//! published up to its revision and never goes back: it ignores older changes
-//! from lagging peers or stale reads.
+//! The store numbers all changes with one revision; [`revision_in_era`] orders those of a
+//! store that loses its last changes. A mirror holds what was published up to its
+//! revision and never goes back: it ignores older changes from lagging peers or stale
+//! reads.
+//!
+//! [`revision_in_era`]: crate::flow::revision_in_era
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -328,7 +328,7 @@
     /// Returns this node's part of a server's limit, in requests per second.
     ///
     /// The first few nodes in the order of homes share the limit; the part of the others
-    /// is 0. In a network partition each side keeps to the parts of the whole fleet.
+    /// is 0.
     #[must_use]
     pub fn limit_share(&self, now: Instant, server_key: u32, limit_per_s: f64) -> f64 {
         let users = limit_users(limit_per_s, self.sharing_nodes(now));
--- a/crates/core/src/flow/server_limits.rs
+++ b/crates/core/src/flow/server_limits.rs
@@ -20,8 +20,11 @@
 /// Requests that a server is sent within the lifetime of a statement.
 const STATEMENT_REQUESTS: f64 = 3.0;
 
-/// Statements that are kept; further servers are not limited.
-const STATEMENTS_MAX: usize = 64;
+/// Statements that are kept, more than a large fleet has servers.
+const STATEMENTS_MAX: usize = 4_096;
+
+/// Statements that are passed on in one heartbeat.
+const PASSED_ON_MAX: usize = 64;
 
 /// Smallest rate of one node that uses a limited server, in requests per second.
 const SHARE_PER_S_MIN: f64 = 1.0;
@@ -130,7 +133,7 @@
         is_changed
     }
 
-    /// Returns the statements to pass on, and drops those that have expired.
+    /// Returns the newest statements, to be passed on, and drops those that have expired.
     pub fn statements(&mut self, now: Instant) -> Vec<LimitStatement> {
         self.statements.retain(|_, s| s.is_current(now));
         let statements = self.statements.iter().map(|(key, s)| LimitStatement {
@@ -138,7 +141,10 @@
             per_1000_s: s.per_1000_s,
             age_ms: s.age(now).as_millis() as u32,
         });
-        statements.collect()
+        let mut statements: Vec<LimitStatement> = statements.collect();
+        statements.sort_by_key(|s| s.age_ms);
+        statements.truncate(PASSED_ON_MAX);
+        statements
     }
 
     /// Returns the requests per second that a server takes from all nodes.
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -8,7 +8,7 @@
 use crate::dialect::Published;
 use crate::shared::SharedState;
 
-/// Time for which a server gets no calls whose removed entry a restore brought back.
+/// Time for which a server whose removed entry came back with an earlier copy gets no calls.
 const RESTORED_PAUSE: Duration = Duration::from_secs(10);
 
 /// Time after the store recovers in which a removed entry may merely have expired.
@@ -43,16 +43,12 @@
     /// Applies published values that are newer than those in force.
     pub(crate) fn apply(&self, delta: &Delta, source: Source<'_>) {
         let now = Instant::now();
-        let mut mirror = self.mirror.borrow_mut();
-        let is_restored =
-            mirror.revision() > 0 && era_of(delta.revision) > era_of(mirror.revision());
-        let changed = mirror.apply(delta);
-        drop(mirror);
+        let revision = self.mirror.borrow().revision();
+        let changed = self.mirror.borrow_mut().apply(delta);
+        let is_restored = revision > 0 && era_of(delta.revision) > era_of(revision);
         if is_restored {
-            tracing::warn!(
-                revision = delta.revision,
-                "values: store lost its last changes"
-            );
+            let era = era_of(delta.revision);
+            tracing::warn!(era, "values: store came back from an earlier copy");
             self.store.restored_at.set(Some(now));
         }
         for key in changed {
@@ -64,6 +60,8 @@
                 continue;
             };
             let removal = self.removals.borrow_mut().forget(&key);
+            let is_from_before_removal =
+                is_restored && removal.is_some_and(|removal| !removal.may_have_lapsed);
             match self.dialect.decode_value(&change) {
                 Ok(Published::Config(config)) => self.set_config(RouteTable::new(config), source),
                 Ok(Published::Server(instance)) => {
@@ -77,9 +75,7 @@
                     let server = instance.id.clone();
                     let mut dispatcher = self.dispatcher.borrow_mut();
                     dispatcher.add_server(instance);
-                    let is_gone = removal.is_some_and(|removal| !removal.may_have_lapsed);
-                    if is_restored && is_gone {
-                        // The entry is from before its removal.
+                    if is_from_before_removal {
                         dispatcher.record_refusal(now, &server, RESTORED_PAUSE);
                     }
                 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -68,7 +68,7 @@
     pub(crate) failing_since: Cell<Option<Instant>>,
     /// Time of the last success that followed an outage.
     pub(crate) recovered_at: Cell<Option<Instant>>,
-    /// Time at which the store was found to have lost its last changes.
+    /// Time at which the store was found to have come back from an earlier copy.
     pub(crate) restored_at: Cell<Option<Instant>>,
     /// Time of the last successful request.
     pub(crate) read_at: Cell<Option<Instant>>,
