--- a/crates/core/tests/conf_spread.rs
+++ b/crates/core/tests/conf_spread.rs
@@ -47,6 +47,28 @@
     assert!(fleet.deltas <= 8, "{} deltas", fleet.deltas);
 }
 
+/// Guards against congestion: transfers of a whole document that are begun again before
+/// they are done, over links that all of them share.
+#[test]
+fn a_rewritten_document_is_in_force_over_slow_links() {
+    /// 10 Mbit/s, over which the document takes half a second.
+    const UPLINK_BYTES_PER_MS: u64 = 1_250;
+    /// Mean number of copies that a node is sent.
+    const COPIES_MAX: u64 = 2;
+    for (hosts, zones) in [(24, 3), (86, ZONES)] {
+        let mut fleet = started_fleet(hosts, zones, 9, 12_000);
+        fleet.uplink_bytes_per_ms = Some(UPLINK_BYTES_PER_MS);
+        fleet.measure = true;
+        let text = String::from_utf8(document(12_000, 0, 1)).unwrap();
+        let rewritten = text.replace("1.0", "2.0").into_bytes();
+        let revision = fleet.platform.publish(Key::Config, rewritten);
+        let took = fleet.run_until_revision(Key::Config, revision, IN_FORCE_MS);
+        println!("{hosts} hosts: {took:?} ms, {} copies", fleet.whole_values);
+        assert!(took.is_some(), "{hosts} hosts");
+        assert!(fleet.whole_values <= COPIES_MAX * hosts as u64);
+    }
+}
+
 #[test]
 fn burst_is_in_force_everywhere_with_loss() {
     for seed in 0..20 {
--- a/crates/core/tests/recovery_fleet/mod.rs
+++ b/crates/core/tests/recovery_fleet/mod.rs
@@ -51,6 +51,8 @@
     pub(crate) sent_bytes: u64,
     /// Number of sent bytes in membership messages.
     pub(crate) sent_member_bytes: u64,
+    /// When all that the node has sent is on its way.
+    uplink_free_ms: u64,
     inbox: Vec<Packet>,
     watching: bool,
     watch_until_ms: [u64; 3],
@@ -69,6 +71,8 @@
     pub(crate) nodes: Vec<SimNode>,
     pub(crate) platform: Platform,
     pub(crate) loss: f64,
+    /// Rate of each node's uplink for documents; unlimited if `None`.
+    pub(crate) uplink_bytes_per_ms: Option<u64>,
     pub(crate) measure: bool,
     /// Whether started nodes have membership.
     pub(crate) with_members: bool,
@@ -101,6 +105,7 @@
             incarnation: Incarnation(0),
             paused: false,
             leaving: BTreeMap::new(),
+            uplink_free_ms: 0,
             inbox: Vec::new(),
             group: 0,
             platform_cut: false,
@@ -118,6 +123,7 @@
             nodes: nodes.collect(),
             platform: Platform::default(),
             loss: 0.0,
+            uplink_bytes_per_ms: None,
             measure: false,
             with_members: false,
             blocked: BTreeSet::new(),
@@ -461,7 +467,8 @@
         if self.rng.random_bool(self.loss) {
             return;
         }
-        let at = self.now_ms + self.rng.random_range(1..=5);
+        let sent_at = self.pass_uplink(from, &message);
+        let at = sent_at + self.rng.random_range(1..=5);
         self.sequence += 1;
         let packet = Packet {
             from,
@@ -472,6 +479,25 @@
         self.queue.insert((at, self.sequence), packet);
     }
 
+    /// Returns when a message has left its sender.
+    ///
+    /// Only documents take time, and wait for those sent before.
+    fn pass_uplink(&mut self, from: usize, message: &Message) -> u64 {
+        use briarbank_core::conf::Message as Conf;
+        let size_bytes = match message {
+            Message::Conf(Conf::Value { bytes, .. }) => bytes.len(),
+            Message::Conf(Conf::Delta { delta, .. }) => delta.size_bytes(),
+            _ => return self.now_ms,
+        };
+        let Some(bytes_per_ms) = self.uplink_bytes_per_ms else {
+            return self.now_ms;
+        };
+        let node = &mut self.nodes[from];
+        let begin_ms = node.uplink_free_ms.max(self.now_ms);
+        node.uplink_free_ms = begin_ms + size_bytes as u64 / bytes_per_ms;
+        node.uplink_free_ms
+    }
+
     fn count_sent(&mut self, from: usize, message: &Message) {
         use briarbank_core::conf::Message as Conf;
         self.whole_values += u64::from(matches!(message, Message::Conf(Conf::Value { .. })));
