--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::flow::call::{AttemptId, Call, Fault, Placement, Prompt, Refusal};
-use crate::flow::choice::{Candidate, Choice, Pool, RETRY_AFTER_RANGE};
+use crate::flow::choice::{Candidate, Choice, Pool};
 use crate::flow::departed::DepartedServers;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
@@ -45,12 +45,12 @@
 pub struct Dispatcher {
     zone: ZoneName,
     options: Options,
-    servers: BTreeMap<ServerName, ServerEntry>,
+    pub(crate) servers: BTreeMap<ServerName, ServerEntry>,
     services: HashMap<ServiceName, Service>,
     attempts: HashMap<AttemptId, Attempt>,
     next_attempt: u64,
     sharing_nodes: usize,
-    departed: DepartedServers,
+    pub(crate) departed: DepartedServers,
 }
 
 #[derive(Debug)]
@@ -122,14 +122,6 @@
         entry.is_leaving = is_leaving;
     }
 
-    /// Records that a server has said it leaves; its process gets no further calls.
-    pub fn record_leaving(&mut self, server: &ServerName) {
-        if let Some(entry) = self.servers.get_mut(server) {
-            entry.is_leaving = true;
-            self.departed.record(&entry.instance);
-        }
-    }
-
     /// Removes a server whose published entry is gone.
     ///
     /// With `grace`, the entry may have lapsed because the store was unreachable, and
@@ -164,31 +156,6 @@
         }
     }
 
-    /// Records that a server wants no calls from this node for a while.
-    pub fn record_refusal(&mut self, now: Instant, server: &ServerName, time: Duration) {
-        if let Some(entry) = self.servers.get_mut(server)
-            && let Some(until) = now.checked_add(time)
-        {
-            entry.refuse_until(until);
-        }
-    }
-
-    /// Returns the hash of a server's name by which peers identify it.
-    #[must_use]
-    pub fn server_key(&self, server: &ServerName) -> Option<u32> {
-        self.servers.get(server).map(|e| e.key)
-    }
-
-    /// Sets this node's parts of the limits of servers, in calls per second.
-    ///
-    /// Servers are named by the hash of their names; those not in the list are unlimited.
-    pub fn set_limits(&mut self, now: Instant, limits: &[(u32, f64)]) {
-        for entry in self.servers.values_mut() {
-            let limit = limits.iter().find(|(key, _)| *key == entry.key);
-            entry.set_limit(now, limit.map(|(_, per_s)| *per_s));
-        }
-    }
-
     /// Returns the load of this node on each server, to be sent to peers.
     #[must_use]
     pub fn reported_loads(&self, now: Instant) -> Vec<ServerLoad> {
@@ -300,24 +267,6 @@
         })
     }
 
-    /// Returns the refusal of a call whose service has no server that accepts calls now.
-    ///
-    /// It holds the time until the first one does by its limit or its own refusal.
-    fn closed_refusal(&self, now: Instant, call: &Call) -> Refusal {
-        let of_service = self.servers.values();
-        let of_service = of_service.filter(|e| e.instance.service == call.service);
-        let of_service = of_service.filter(|e| e.may_accept_calls(now));
-        let waits: Vec<Duration> = of_service.filter_map(|e| e.admission_wait(now)).collect();
-        waits.iter().min().map_or(Refusal::NoServer, |wait| {
-            let retry_after_max = (call.time_left / 3).max(RETRY_AFTER_RANGE.0);
-            Refusal::Busy {
-                retry_after: (*wait).clamp(RETRY_AFTER_RANGE.0, retry_after_max),
-                servers: waits.len(),
-                wait: *wait,
-            }
-        })
-    }
-
     fn record_attempt(&mut self, now: Instant, call: &Call, choice: Choice) -> Placement {
         self.next_attempt += 1;
         let attempt = AttemptId(self.next_attempt);
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -19,6 +19,7 @@
 mod load_directory;
 mod message;
 mod mirror;
+mod notices;
 mod options;
 mod peers;
 mod prefix_cache;
--- /dev/null
+++ b/crates/core/src/flow/notices.rs
@@ -0,0 +1,61 @@
+//! What servers say of themselves, as the dispatcher heeds it.
+
+use std::time::{Duration, Instant};
+
+use crate::flow::call::{Call, Refusal};
+use crate::flow::choice::RETRY_AFTER_RANGE;
+use crate::flow::dispatch::Dispatcher;
+use crate::ids::ServerName;
+
+impl Dispatcher {
+    /// Records that a server has said it leaves; its process gets no further calls.
+    pub fn record_leaving(&mut self, server: &ServerName) {
+        if let Some(entry) = self.servers.get_mut(server) {
+            entry.is_leaving = true;
+            self.departed.record(&entry.instance);
+        }
+    }
+
+    /// Records that a server wants no calls from this node for a while.
+    pub fn record_refusal(&mut self, now: Instant, server: &ServerName, time: Duration) {
+        if let Some(entry) = self.servers.get_mut(server)
+            && let Some(until) = now.checked_add(time)
+        {
+            entry.refuse_until(until);
+        }
+    }
+
+    /// Returns the hash of a server's name by which peers identify it.
+    #[must_use]
+    pub fn server_key(&self, server: &ServerName) -> Option<u32> {
+        self.servers.get(server).map(|e| e.key)
+    }
+
+    /// Sets this node's parts of the limits of servers, in calls per second.
+    ///
+    /// Servers are named by the hash of their names; those not in the list are unlimited.
+    pub fn set_limits(&mut self, now: Instant, limits: &[(u32, f64)]) {
+        for entry in self.servers.values_mut() {
+            let limit = limits.iter().find(|(key, _)| *key == entry.key);
+            entry.set_limit(now, limit.map(|(_, per_s)| *per_s));
+        }
+    }
+
+    /// Returns the refusal of a call whose service has no server that accepts calls now.
+    ///
+    /// It holds the time until the first one does by its limit or its own refusal.
+    pub(crate) fn closed_refusal(&self, now: Instant, call: &Call) -> Refusal {
+        let of_service = self.servers.values();
+        let of_service = of_service.filter(|e| e.instance.service == call.service);
+        let of_service = of_service.filter(|e| e.may_accept_calls(now));
+        let waits: Vec<Duration> = of_service.filter_map(|e| e.admission_wait(now)).collect();
+        waits.iter().min().map_or(Refusal::NoServer, |wait| {
+            let retry_after_max = (call.time_left / 3).max(RETRY_AFTER_RANGE.0);
+            Refusal::Busy {
+                retry_after: (*wait).clamp(RETRY_AFTER_RANGE.0, retry_after_max),
+                servers: waits.len(),
+                wait: *wait,
+            }
+        })
+    }
+}
