Take removed entries for lapsed only after two missed reports

Cause, likely, by arithmetic and not seen in a log: a node whose own requests to the store failed for over a second took a removal for a lapse, and used the server for the drain bound less 0.5 s from when it read it. Entries lapse after three intervals without a report, of which one may have passed before the failure, so that a failure of less than two intervals lapses none.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -113,7 +113,8 @@
         let recovered_at = self.store.recovered_at.get();
         let is_fresh = |at: Instant| now.saturating_duration_since(at) < LAPSE_WINDOW;
         let restored_at = self.store.restored_at.get();
-        let may_have_lapsed = self.store.is_outage(now)
+        let report_interval = self.settings().report_interval;
+        let may_have_lapsed = self.store.is_outage(now, report_interval)
             || recovered_at.is_some_and(is_fresh)
             || restored_at.is_some_and(is_fresh);
         let read_at = match source {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -50,6 +50,8 @@
     pub stop_timeout: Duration,
     /// Longest time for which a server receives calls after its entry is removed.
     pub drain_timeout: Duration,
+    /// Time between two reports of a server to the store.
+    pub report_interval: Duration,
     /// Limits on retries, for all nodes together.
     pub retries: RetryOptions,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,11 +19,11 @@
 use crate::settings::Settings;
 use crate::stop::Stop;
 
-/// Shortest failure of the store that counts as an outage.
+/// Reports of a server that the store misses in the shortest outage.
 ///
-/// Entries lapse when the store misses several heartbeats of a server in a row. After a
-/// shorter failure, such as that of one connection, a missing entry was removed.
-const OUTAGE_MIN: Duration = Duration::from_secs(1);
+/// Entries lapse after three intervals without a report, of which one may have passed
+/// before the failure. After a shorter failure a missing entry was removed.
+const OUTAGE_REPORTS: u32 = 2;
 
 /// State of a node; no borrow lives across an await.
 pub(crate) struct SharedState {
@@ -79,9 +79,11 @@
 }
 
 impl StoreState {
-    /// Returns whether requests have failed for so long that entries may lapse.
-    pub(crate) fn is_outage(&self, now: Instant) -> bool {
-        let is_long = |since: Instant| now.saturating_duration_since(since) >= OUTAGE_MIN;
+    /// Returns whether requests have failed for so long that entries may lapse of servers
+    /// that report at this interval.
+    pub(crate) fn is_outage(&self, now: Instant, report_interval: Duration) -> bool {
+        let outage_min = report_interval * OUTAGE_REPORTS;
+        let is_long = |since: Instant| now.saturating_duration_since(since) >= outage_min;
         self.failing_since.get().is_some_and(is_long)
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -123,7 +123,10 @@
     let now = Instant::now();
     shared.store.read_at.set(Some(now));
     if shared.store.is_failing.replace(false) {
-        if shared.store.is_outage(now) {
+        if shared
+            .store
+            .is_outage(now, shared.settings().report_interval)
+        {
             shared.store.recovered_at.set(Some(now));
         }
         shared.store.failing_since.set(None);
