Let a node that has just started pass on earlier removals

Cause: a node that starts reads all values, and knows of no removals from before. Asked for the changes since an earlier revision, it answered with a list that claimed to be complete and lacked them. The peer took its revision and used the removed servers until its next whole read. Besides, a late answer of the store from before a removal could bring an entry back.

Change: a mirror counts the removals before its first read as unknown, so that it answers requests from before with all values.

Test: a_node_that_has_just_started_passes_on_earlier_removals failed before (the removed value stayed) and passes now.

--- a/crates/core/src/flow/mirror.rs
+++ b/crates/core/src/flow/mirror.rs
@@ -68,7 +68,7 @@
     revision: u64,
     items: BTreeMap<Arc<str>, Change>,
     removals: VecDeque<Removal>,
-    /// Removals up to this revision may have been dropped.
+    /// Removals up to this revision may have been dropped, or were never known.
     dropped_revision: u64,
 }
 
@@ -106,6 +106,10 @@
         if delta.is_whole {
             changed.extend(self.remove_missing(delta));
         }
+        if self.revision == 0 {
+            // The removals before the first read are not known.
+            self.dropped_revision = delta.revision;
+        }
         self.revision = self.revision.max(delta.revision);
         changed
     }
--- a/crates/core/tests/flow/mirror.rs
+++ b/crates/core/tests/flow/mirror.rs
@@ -29,6 +29,27 @@
     assert_eq!(mirror.get("k1"), Some(&change(1, 3)));
 }
 
+/// Guards against calls to servers that have left: a node that had just started knew of no
+/// removals from before, and told a peer that lagged of none.
+#[test]
+fn a_node_that_has_just_started_passes_on_earlier_removals() {
+    let whole = |revision, changes| Delta {
+        revision,
+        is_whole: true,
+        changes,
+        removals: Vec::new(),
+    };
+    let (mut lagging, mut started) = (Mirror::default(), Mirror::default());
+    lagging.apply(&whole(2, vec![change(1, 1), change(2, 2)]));
+    started.apply(&whole(5, vec![change(2, 2)]));
+    lagging.apply(&started.changes_since(lagging.revision()));
+    assert_eq!(lagging.get("k1"), None);
+    assert_eq!(lagging.get("k2"), Some(&change(2, 2)));
+    // An answer of the store from before the removal arrives late.
+    started.apply(&whole(2, vec![change(1, 1), change(2, 2)]));
+    assert_eq!(started.get("k1"), None);
+}
+
 /// Generates a history that writes or removes a key at each revision.
 fn history() -> impl Strategy<Value = Vec<(u8, bool)>> {
     prop::collection::vec((0_u8..6, prop::bool::weighted(0.7)), 1..60)
