Log versions of servers and how streams go on

The line of an ended call names its last server only, no line told that a stream was resumed or taken up, and versions were not read.

Ruled out: nothing yet; no decision changes here.

Change: entries of servers carry the version of their software, which the log of listed servers names. Counters: briarbank_streams_resumed_total, briarbank_streams_taken_up_total.

--- a/crates/core/src/flow/instance.rs
+++ b/crates/core/src/flow/instance.rs
@@ -1,6 +1,7 @@
 //! Server instances as they are published.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::ids::{ServerName, ServiceName, ZoneName};
 
@@ -15,6 +16,8 @@
     pub born_ms: u64,
     /// Service that it belongs to.
     pub service: ServiceName,
+    /// Version of its software, empty if it is unknown; versions have no order.
+    pub version: Arc<str>,
     /// Address for calls.
     pub address: SocketAddr,
     /// Availability zone.
--- a/crates/core/tests/flow/fleet.rs
+++ b/crates/core/tests/flow/fleet.rs
@@ -18,6 +18,7 @@
         id: id.into(),
         born_ms: 0,
         service: service.into(),
+        version: "v1".into(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
         zone: "recife".into(),
         slots,
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -67,6 +67,7 @@
                 Ok(Published::Server(instance)) => {
                     tracing::info!(
                         server = %instance.id, service = %instance.service,
+                        software = &*instance.version,
                         address = %instance.address, born_ms = instance.born_ms,
                         draining = instance.is_draining, revision = change.revision,
                         source = source.name(),
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -9,13 +9,14 @@
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
 
-use briarbank_core::flow::Fault;
+use briarbank_core::flow::{Fault, Instance};
 
 use crate::caller::attempt_guard::{StartedAnswer, keep_connection};
 use crate::caller::body::{AnswerBody, Cut};
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
 use crate::events::EventSplitter;
+use crate::log_lines::LineKind;
 
 /// Forwards a stream event by event and resumes it when it breaks off.
 pub(crate) struct EventStream {
@@ -34,6 +35,17 @@
 impl EventStream {
     /// Returns the answer once the first event has arrived.
     pub(crate) async fn answer(exchange: Exchange, started: StartedAnswer) -> Response<AnswerBody> {
+        if let Some(stream) = &exchange.admitted.head.taken_up {
+            metrics::counter!("briarbank_streams_taken_up_total").increment(1);
+            if exchange.shared.log_lines.take(LineKind::Continued) {
+                let instance = &started.guard.instance;
+                tracing::info!(
+                    id = %exchange.record.id, first_call = stream.first_call.as_deref(),
+                    event = stream.last_event.as_deref(), server = %instance.id,
+                    software = &*instance.version, "call: stream taken up"
+                );
+            }
+        }
         let mut head = started.head.clone();
         let mut stream = Self {
             exchange,
@@ -152,7 +164,21 @@
         if !started.head.status.is_success() {
             return Err(Cut::Stream);
         }
+        self.log_resumption(&instance, &started.guard.instance);
         self.started = Some(started);
         Ok(())
     }
+
+    fn log_resumption(&self, from: &Instance, to: &Instance) {
+        metrics::counter!("briarbank_streams_resumed_total").increment(1);
+        if !self.exchange.shared.log_lines.take(LineKind::Continued) {
+            return;
+        }
+        tracing::info!(
+            id = %self.exchange.record.id, event = self.splitter.last_id().map(|id| &**id),
+            from = %from.id, from_software = &*from.version, server = %to.id,
+            software = &*to.version, trouble = self.exchange.record.failure_reason.as_deref(),
+            "call: stream resumed at another server"
+        );
+    }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -20,6 +20,17 @@
     pub time_left: Option<Duration>,
     /// Prompt of a call to a model.
     pub prompt: Option<Prompt>,
+    /// Set if the caller asks for the rest of a stream that broke off.
+    pub taken_up: Option<TakenUpStream>,
+}
+
+/// A stream that broke off and that its caller takes up again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenUpStream {
+    /// Id of the call that brought the stream's first event, `None` if it is not given.
+    pub first_call: Option<Arc<str>>,
+    /// Id of the last event that the caller has.
+    pub last_event: Option<Arc<str>>,
 }
 
 /// What a forwarded request needs besides the call's own head.
--- a/crates/gateway/src/log_lines.rs
+++ b/crates/gateway/src/log_lines.rs
@@ -16,6 +16,8 @@
     Attempt,
     /// A call whose head was not accepted.
     NotAdmitted,
+    /// A stream that goes on after it broke off.
+    Continued,
     /// What a server said of itself.
     Notice,
 }
@@ -29,7 +31,7 @@
         match self {
             Self::Served => 100,
             Self::Unserved => 400,
-            Self::Attempt | Self::NotAdmitted => 200,
+            Self::Attempt | Self::NotAdmitted | Self::Continued => 200,
             Self::Notice => 20,
         }
     }
