--- a/crates/briarbank/src/demo/documents.rs
+++ b/crates/briarbank/src/demo/documents.rs
@@ -49,6 +49,7 @@
         cached_prefixes: 1_000,
         load_lag_ms: 200,
         seed: 1,
+        version: "".into(),
     }
 }
 
@@ -96,6 +97,7 @@
         address,
         targets: vec![target.into()],
         slots: SLOTS,
+        version: "".into(),
         checks_fencing: false,
         state: ServerState::Live,
     };
--- a/crates/briarbank/tests/fleet/caller.rs
+++ b/crates/briarbank/tests/fleet/caller.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use briarbank_standin::{Client, ClientError, answer_length, answer_token, prompt_hash};
+use briarbank_standin::{
+    Client, ClientError, answer_hash, answer_length, answer_token, prompt_hash,
+};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -209,9 +211,24 @@
     ///
     /// Panics if the stream is incomplete or belongs to another prompt.
     pub fn assert_stream_of(&self, prompt: &str) -> u32 {
+        self.assert_stream_of_hash(prompt_hash(prompt))
+    }
+
+    /// Checks that the answer is a complete stream of one of the versions of an engine.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stream is incomplete or holds tokens of two versions.
+    pub fn assert_stream_of_one(&self, prompt: &str, versions: &[&str]) {
+        let mut hashes = versions.iter().map(|v| answer_hash(prompt_hash(prompt), v));
+        let begins = |hash: &u64| self.text.contains(&answer_token(*hash, 0, false));
+        let hash = hashes.find(begins).expect(&self.text);
+        self.assert_stream_of_hash(hash);
+    }
+
+    fn assert_stream_of_hash(&self, hash: u64) -> u32 {
         assert_eq!(self.status, StatusCode::OK, "{}", self.text);
         assert!(self.is_complete, "cut: {}", self.text);
-        let hash = prompt_hash(prompt);
         let mut events = self.text.split("\n\n").filter(|e| !e.is_empty());
         let mut index = 0;
         loop {
--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -90,8 +90,17 @@
         Self::start_with_limits(size, json!({})).await
     }
 
+    /// Starts all processes; the versions of the engines take turns.
+    pub async fn start_with_versions(size: Size, versions: &[&str]) -> Self {
+        Self::start_with(size, json!({}), versions).await
+    }
+
     /// Starts all processes, with node limits that override the defaults.
     pub async fn start_with_limits(size: Size, limits: Value) -> Self {
+        Self::start_with(size, limits, &[""]).await
+    }
+
+    async fn start_with(size: Size, limits: Value, versions: &[&str]) -> Self {
         let (ip, reservation) = reserve_address();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{ip}"));
         fs::create_dir_all(&folder).expect("a scratch folder");
@@ -115,8 +124,8 @@
             services: Vec::new(),
             nodes: Vec::new(),
         };
-        for _ in 0..size.engines {
-            fleet.start_engine(size.token_us);
+        for version in versions.iter().cycle().take(size.engines) {
+            fleet.start_engine(size.token_us, version);
         }
         for _ in 0..size.services {
             fleet.start_service(size.call_us);
@@ -149,18 +158,19 @@
         sleep(margin + SLOT_POLL_DELAY).await;
     }
 
-    fn start_engine(&mut self, token_us: u64) {
+    fn start_engine(&mut self, token_us: u64, version: &str) {
         let name = format!("engine-{}", self.engines.len());
         let address = free_port(self.ip);
         let settings = json!({
             "server": name, "address": address, "slots": 32, "token_us": token_us,
             "batch_token_us": 1, "prompt_us": 10, "cached_prefixes": 100,
-            "load_lag_ms": 0, "seed": ENGINE_SEED,
+            "load_lag_ms": 0, "seed": ENGINE_SEED, "version": version,
         });
         let arguments = ["standin", "engine"];
         let process = Process::start(&self.folder, &name, &arguments, &settings, address);
         self.engines.push(process);
-        self.published.add_server(&name, address, "lens-model");
+        self.published
+            .add_server(&name, address, "lens-model", version);
     }
 
     fn start_service(&mut self, call_us: u64) {
@@ -172,7 +182,7 @@
         let arguments = ["standin", "service"];
         let process = Process::start(&self.folder, &name, &arguments, &settings, address);
         self.services.push(process);
-        self.published.add_server(&name, address, "slips");
+        self.published.add_server(&name, address, "slips", "");
     }
 
     fn add_node(&mut self) {
--- a/crates/briarbank/tests/fleet/published.rs
+++ b/crates/briarbank/tests/fleet/published.rs
@@ -19,6 +19,7 @@
     pub name: String,
     pub address: SocketAddr,
     pub target: String,
+    pub version: String,
 }
 
 /// Documents of one fleet.
@@ -40,11 +41,18 @@
         self.nodes.push(addresses);
     }
 
-    pub(super) fn add_server(&mut self, name: &str, address: SocketAddr, target: &str) {
+    pub(super) fn add_server(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        target: &str,
+        version: &str,
+    ) {
         self.servers.push(ServerEntry {
             name: name.to_owned(),
             address,
             target: target.to_owned(),
+            version: version.to_owned(),
         });
     }
 
@@ -83,7 +91,7 @@
 fn server(entry: &ServerEntry) -> Value {
     json!({
         "name": entry.name, "zone": "zone-a", "address": entry.address,
-        "targets": [entry.target], "slots": 32, "state": "live",
+        "targets": [entry.target], "slots": 32, "version": entry.version, "state": "live",
     })
 }
 
--- a/crates/briarbank/tests/streams.rs
+++ b/crates/briarbank/tests/streams.rs
@@ -49,6 +49,29 @@
     assert_streams_complete(&fleet, 8, 100).await;
 }
 
+/// Guards against answers of two versions: a stream went on at any engine of its model.
+#[tokio::test]
+async fn a_stream_goes_on_only_at_the_version_that_began_it() {
+    const VERSIONS: [&str; 2] = ["v1", "v2"];
+    let fleet = Fleet::start_with_versions(Size { engines: 4, ..SIZE }, &VERSIONS).await;
+    for engine in &fleet.engines {
+        engine
+            .post("/control", &json!({"cut_after_tokens": 3}))
+            .await;
+    }
+    let caller = fleet.caller(0);
+    let calls = (0..16).map(|number| {
+        let caller = &caller;
+        async move {
+            let prompt = format!("list {number}");
+            let answer = caller.send(&Call::stream(&prompt, 100)).await;
+            let answer = answer.expect("an answer");
+            answer.assert_stream_of_one(&prompt, &VERSIONS);
+        }
+    });
+    futures_util::future::join_all(calls).await;
+}
+
 #[tokio::test]
 async fn malformed_events_never_reach_the_caller() {
     let fleet = Fleet::start(SIZE).await;
--- a/crates/config/src/standin.rs
+++ b/crates/config/src/standin.rs
@@ -1,6 +1,7 @@
 //! Settings of the stand-ins for the platform, engines and plain services.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use briarbank_core::ids::{ServerName, TargetName};
 use serde::{Deserialize, Serialize};
@@ -44,6 +45,9 @@
     pub load_lag_ms: u64,
     /// Seed of the pseudorandom output lengths.
     pub seed: u64,
+    /// Version of the software; answers of two versions do not fit together.
+    #[serde(default)]
+    pub version: Arc<str>,
 }
 
 /// Settings of `briarbank standin service`.
--- a/crates/core/examples/capacity/routing.rs
+++ b/crates/core/examples/capacity/routing.rs
@@ -52,6 +52,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         targets: vec![format!("model-{}", i % MODELS.min(servers)).as_str().into()],
         slots: 64,
+        version: "".into(),
         checks_fencing: false,
         state: ServerState::Live,
     };
--- a/crates/core/examples/decision.rs
+++ b/crates/core/examples/decision.rs
@@ -156,6 +156,7 @@
             .map(|t| format!("m{}", (index + t) % TARGET_COUNT).as_str().into())
             .collect(),
         slots: SLOTS,
+        version: "".into(),
         checks_fencing: false,
         state: ServerState::Live,
     };
--- a/crates/core/examples/policies/workload.rs
+++ b/crates/core/examples/policies/workload.rs
@@ -256,6 +256,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         targets: vec!["model".into()],
         slots: SLOTS,
+        version: "".into(),
         checks_fencing: false,
         state: ServerState::Live,
     };
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -1,6 +1,7 @@
 //! Documents published by operators: profiles, workspaces, targets and servers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -127,6 +128,9 @@
     pub targets: Vec<TargetName>,
     /// Maximum number of requests that it runs concurrently.
     pub slots: u32,
+    /// Version of its software; versions have no order.
+    #[serde(default)]
+    pub version: Arc<str>,
     /// Whether it refuses requests with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
--- a/crates/core/tests/fleet/documents.rs
+++ b/crates/core/tests/fleet/documents.rs
@@ -30,6 +30,7 @@
             address: ([127, 0, 0, 1], 2).into(),
             targets: vec!["slips".into()],
             slots: 1000,
+            version: "".into(),
             checks_fencing: false,
             state: ServerState::Live,
         };
--- a/crates/core/tests/router/decisions.rs
+++ b/crates/core/tests/router/decisions.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use crate::harness::{Harness, catalog, dispatches, fleet, only_dispatch, refusals, server};
-use briarbank_core::call::{Failure, Outcome, Reason, ServerLoad};
-use briarbank_core::catalog::ServerState;
+use briarbank_core::call::{Dispatch, Failure, Outcome, Reason, ServerLoad};
+use briarbank_core::catalog::{Server, ServerState};
 use briarbank_core::router::{Action, AttemptEvent, Event, Options};
 
 const MS: Duration = Duration::from_millis(1);
@@ -142,6 +142,57 @@
     assert_eq!(actions, [Action::End { call, outcome }]);
 }
 
+/// Guards against answers of two versions: a stream went on at any server of its target.
+#[test]
+fn a_broken_stream_is_resumed_only_at_its_version() {
+    let versions = ["v1", "v2", "v1", "v2"];
+    let servers = versions.iter().enumerate().map(|(index, version)| Server {
+        version: (*version).into(),
+        ..server(&format!("s{index}"), &["model"], 4)
+    });
+    let servers: Vec<Server> = servers.collect();
+    let mut harness = Harness::new(catalog(), servers.clone());
+    let version_of = |dispatch: &Dispatch| {
+        let server = servers.iter().find(|s| s.name == dispatch.server);
+        server.map(|s| Arc::clone(&s.version))
+    };
+    for _ in 0..8 {
+        let (_, actions) = harness.arrive("mid", "model");
+        let first = only_dispatch(&actions);
+        harness.send_attempt(first.attempt, AttemptEvent::Progress { tokens: 5 });
+        let actions = harness.send_attempt(first.attempt, AttemptEvent::Failed(Failure::Broken));
+        let second = only_dispatch(&actions);
+        assert_eq!(version_of(&second), version_of(&first));
+        assert_ne!(second.server, first.server);
+        harness.send_attempt(second.attempt, AttemptEvent::Done);
+        harness.advance(Duration::from_secs(5));
+    }
+}
+
+/// Guards against going on at another version when the last server of a version has left.
+#[test]
+fn a_broken_stream_without_servers_of_its_version_is_given_up() {
+    let old = Server {
+        version: "v1".into(),
+        ..server("s1", &["model"], 4)
+    };
+    let new = Server {
+        version: "v2".into(),
+        ..server("s2", &["model"], 4)
+    };
+    let mut harness = Harness::new(catalog(), vec![old]);
+    let (_, actions) = harness.arrive("mid", "model");
+    let first = only_dispatch(&actions);
+    harness.send_attempt(first.attempt, AttemptEvent::Progress { tokens: 5 });
+    harness.send(Event::Fleet(Arc::new(fleet(2, vec![new]))));
+    let actions = harness.send_attempt(first.attempt, AttemptEvent::Failed(Failure::Broken));
+    assert_eq!(dispatches(&actions).len(), 0);
+    assert_eq!(refusals(&actions)[0].1.outcome, Outcome::Unknown);
+    // Others are not held up by it.
+    let (_, actions) = harness.arrive("mid", "model");
+    assert_eq!(only_dispatch(&actions).server, "s2".into());
+}
+
 #[test]
 fn retries_are_limited_by_the_budget() {
     let mut catalog = catalog();
--- a/crates/core/tests/router/harness.rs
+++ b/crates/core/tests/router/harness.rs
@@ -57,6 +57,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         targets: targets.iter().map(|t| (*t).into()).collect(),
         slots,
+        version: "".into(),
         checks_fencing: false,
         state: ServerState::Live,
     }
--- a/crates/standin/examples/speed/bench.rs
+++ b/crates/standin/examples/speed/bench.rs
@@ -267,6 +267,7 @@
             cached_prefixes: 16,
             load_lag_ms: 100,
             seed: SEED,
+            version: "".into(),
         };
         standins.push(start_engine(settings, until_stopped(stopped)).await?);
     }
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -13,6 +13,17 @@
     xxh3_64_with_seed(prompt.as_bytes(), 0)
 }
 
+/// Returns the hash from which an engine of that version derives its answer to a prompt.
+///
+/// Engines without a version all give the same answer.
+#[must_use]
+pub fn answer_hash(prompt_hash: u64, version: &str) -> u64 {
+    if version.is_empty() {
+        return prompt_hash;
+    }
+    xxh3_64_with_seed(version.as_bytes(), prompt_hash)
+}
+
 /// Returns token `index` of the answer to the prompt with this hash.
 ///
 /// The last token ends with a full stop, all others with a space.
--- a/crates/standin/src/engine/endpoint.rs
+++ b/crates/standin/src/engine/endpoint.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use super::answer::{answer_length, answer_token};
+use super::answer::{answer_hash, answer_length, answer_token};
 use super::batch::{Job, Token};
 use super::prompt::{ModelApi, Prompt};
 use super::stepper::Stepper;
@@ -83,7 +83,7 @@
         };
         let own = Identity {
             attempt: headers.attempt,
-            hash: prompt.hash,
+            hash: answer_hash(prompt.hash, &self.settings.version),
         };
         let identity = self.gate.answer_identity(own).await;
         if prompt.stream {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -14,7 +14,7 @@
 
 use briarbank_config::EngineSettings;
 
-pub use answer::{answer_length, answer_token, prompt_hash};
+pub use answer::{answer_hash, answer_length, answer_token, prompt_hash};
 
 use crate::backend::Gate;
 use crate::error::Error;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,7 +13,7 @@
 mod service;
 
 pub use backend::{ReportedLoad, Switches};
-pub use engine::{answer_length, answer_token, prompt_hash, start_engine};
+pub use engine::{answer_hash, answer_length, answer_token, prompt_hash, start_engine};
 pub use error::Error;
 pub use http::{Answer, Client, ClientError, StandinHandle};
 pub use load::{
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -62,6 +62,7 @@
         cached_prefixes: 4,
         load_lag_ms: 0,
         seed: 7,
+        version: "".into(),
     };
     let running = briarbank_standin::start_engine(settings, wait_for_stop(stopped))
         .await
