Resume a stream only at the software version that began it

Callers saw streams that hold events of two versions of a model server.

Cause: a node that resumes a stream chose among all servers of the service. The class: a request that depends on what was done before was dispatched like one that does not; which servers are equal was taken from the service's name alone.

Ruled out: that entries name a wrong version (the tests publish the right one and failed); that the splitter joins events (ids were in order).

Change: a stream is bound to the version of the server that brought its first event, and the dispatcher offers it servers of that version only. A server without a published version has a key of its own, so that its streams go on only at its own process. Without a server of the version the stream is cut, visibly.

Why it works: VersionKey covers service and version and is compared in the one place that collects candidates, so that no later choice can pick another.

--- a/crates/core/src/flow/call.rs
+++ b/crates/core/src/flow/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::flow::instance::Instance;
+use crate::flow::version::VersionKey;
 use crate::ids::ServiceName;
 
 /// Number of an attempt, unique at one node.
@@ -62,8 +63,10 @@
     pub objective: Duration,
     /// Time until the deadline of the caller or the route.
     pub time_left: Duration,
-    /// Whether the call resumes a stream.
-    pub is_resumed: bool,
+    /// Version of the servers that a stream which has begun may go on at.
+    ///
+    /// Such a call is not refused for load, since its caller has a part of the answer.
+    pub version: Option<VersionKey>,
     /// Set for calls to models.
     pub prompt: Option<Prompt>,
 }
@@ -84,6 +87,8 @@
 pub enum Refusal {
     /// No server of the service may be sent calls.
     NoServer,
+    /// No server of the stream's version may be sent calls.
+    NoServerOfVersion,
     /// No server would answer in time.
     Busy {
         /// Time until capacity is expected.
--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -122,7 +122,9 @@
         };
         let is_in_time =
             |c: &ServerCost<'_>| c.has_capacity && c.wait_ms <= self.wait_limit_ms(call, c);
-        let in_time = usable.iter().filter(|c| call.is_resumed || is_in_time(c));
+        let in_time = usable
+            .iter()
+            .filter(|c| call.version.is_some() || is_in_time(c));
         let Some(chosen) = in_time.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms)) else {
             return Err(self.busy_refusal(call, &usable));
         };
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -250,8 +250,7 @@
 
     fn pool(&self, now: Instant, call: &Call) -> Option<Pool<'_>> {
         let service = self.services.get(&call.service)?;
-        let is_usable =
-            |e: &&ServerEntry| e.instance.service == call.service && e.accepts_calls(now);
+        let is_usable = |e: &&ServerEntry| e.fits(call) && e.accepts_calls(now);
         let of_service = self.servers.values().filter(is_usable);
         let prefix = call.prompt.as_ref().and_then(Prompt::prefix_key);
         let own_calls_per_s =
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -33,6 +33,7 @@
 mod server_limits;
 mod table;
 mod token_bucket;
+mod version;
 
 pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
 pub use dispatch::Dispatcher;
@@ -52,3 +53,4 @@
 };
 pub use server_limits::{LimitStatement, ServerLimits};
 pub use table::RouteTable;
+pub use version::VersionKey;
--- a/crates/core/src/flow/notices.rs
+++ b/crates/core/src/flow/notices.rs
@@ -45,11 +45,14 @@
     ///
     /// It holds the time until the first one does by its limit or its own refusal.
     pub(crate) fn closed_refusal(&self, now: Instant, call: &Call) -> Refusal {
-        let of_service = self.servers.values();
-        let of_service = of_service.filter(|e| e.instance.service == call.service);
-        let of_service = of_service.filter(|e| e.may_accept_calls(now));
-        let waits: Vec<Duration> = of_service.filter_map(|e| e.admission_wait(now)).collect();
-        waits.iter().min().map_or(Refusal::NoServer, |wait| {
+        let fitting = self.servers.values().filter(|e| e.fits(call));
+        let fitting = fitting.filter(|e| e.may_accept_calls(now));
+        let waits: Vec<Duration> = fitting.filter_map(|e| e.admission_wait(now)).collect();
+        let no_server = match call.version {
+            Some(_) => Refusal::NoServerOfVersion,
+            None => Refusal::NoServer,
+        };
+        waits.iter().min().map_or(no_server, |wait| {
             let retry_after_max = (call.time_left / 3).max(RETRY_AFTER_RANGE.0);
             Refusal::Busy {
                 retry_after: (*wait).clamp(RETRY_AFTER_RANGE.0, retry_after_max),
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::flow::call::Fault;
+use crate::flow::call::{Call, Fault};
 use crate::flow::decaying_sum::DecayingSum;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
@@ -11,6 +11,7 @@
 use crate::flow::options::Options;
 use crate::flow::prefix_cache::PrefixCache;
 use crate::flow::token_bucket::TokenBucket;
+use crate::flow::version::VersionKey;
 use crate::outlier::Health;
 use crate::rendezvous;
 
@@ -41,6 +42,7 @@
     /// Hash of the name by which peers identify the server, the same on all nodes.
     pub(crate) key: u32,
     pub(crate) name_key: u64,
+    pub(crate) version_key: VersionKey,
     pub(crate) own_load: Load,
     pub(crate) peer_load: Load,
     /// Load of other nodes as the server's home told it, and when.
@@ -74,6 +76,7 @@
         Self {
             key: (name_key >> 32) as u32,
             name_key,
+            version_key: instance.version_key(),
             own_load: Load::default(),
             peer_load: Load::default(),
             exact_load: None,
@@ -109,10 +112,19 @@
                 ..Self::new(instance)
             };
         } else if *self.instance != instance {
+            self.version_key = instance.version_key();
             self.instance = Arc::new(instance);
         }
     }
 
+    /// Returns whether the call is for the server's service and fits its version.
+    pub(crate) fn fits(&self, call: &Call) -> bool {
+        let is_of_version = call
+            .version
+            .is_none_or(|version| version == self.version_key);
+        self.instance.service == call.service && is_of_version
+    }
+
     /// Returns whether the server may be sent calls at this moment.
     pub(crate) fn accepts_calls(&self, now: Instant) -> bool {
         let is_limited = self.limit.is_some_and(|limit| !limit.has_token(now));
--- a/crates/core/tests/flow/fleet.rs
+++ b/crates/core/tests/flow/fleet.rs
@@ -82,7 +82,7 @@
         tier_rank,
         objective: Duration::from_millis(500),
         time_left: Duration::from_secs(5),
-        is_resumed: false,
+        version: None,
         prompt: Some(Prompt {
             tokens,
             output_tokens_max: 100,
@@ -98,7 +98,7 @@
         tier_rank: TierRank::First,
         objective: Duration::from_millis(150),
         time_left: Duration::from_secs(1),
-        is_resumed: false,
+        version: None,
         prompt: None,
     }
 }
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -440,7 +440,7 @@
             tier_rank: self.table.tier_rank(&MODELS.into(), kind.urgency),
             objective: Duration::from_millis(kind.target_ms),
             time_left: Duration::from_secs(4),
-            is_resumed: false,
+            version: None,
             prompt: Some(request.prompt.clone()),
         }
     }
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarbank_core::flow::{Call, Fault, Instance, Refusal, TierRank};
+use briarbank_core::flow::{Call, Fault, Instance, Refusal, TierRank, VersionKey};
 use briarbank_core::ids::{ServerName, ServiceName};
 use bytes::Bytes;
 use http::{Response, request};
@@ -53,6 +53,8 @@
     unsent_attempts: u32,
     may_have_run: bool,
     pub(crate) last_event: Option<Arc<str>>,
+    /// Version at which the stream goes on, once it has begun.
+    pub(crate) version: Option<VersionKey>,
     _in_flight: InFlight,
 }
 
@@ -95,6 +97,7 @@
             unsent_attempts: 0,
             may_have_run: false,
             last_event: None,
+            version: None,
             _in_flight: in_flight,
         }
     }
@@ -238,7 +241,7 @@
             tier_rank: self.tier_rank,
             objective: target.saturating_sub(now - self.began_at),
             time_left: self.deadline - now,
-            is_resumed: self.last_event.is_some(),
+            version: self.version,
             prompt: self.admitted.head.prompt.clone(),
         }
     }
@@ -250,7 +253,9 @@
         }
         match refusal {
             Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
-            Refusal::NoServer | Refusal::RepeatBudget => Outcome::NotRun(REFUSED_RETRY_AFTER),
+            Refusal::NoServer | Refusal::NoServerOfVersion | Refusal::RepeatBudget => {
+                Outcome::NotRun(REFUSED_RETRY_AFTER)
+            }
         }
     }
 
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -93,7 +93,10 @@
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
         loop {
             match self.read().await {
-                Next::Events(bytes) => return Ok(Some(bytes)),
+                Next::Events(bytes) => {
+                    self.keep_version();
+                    return Ok(Some(bytes));
+                }
                 Next::End => {
                     self.finish();
                     return Ok(None);
@@ -132,6 +135,14 @@
         }
     }
 
+    /// Binds the stream to the version of the server that brought its first event.
+    fn keep_version(&mut self) {
+        if let Some(started) = &self.started {
+            let version = || started.guard.instance.version_key();
+            self.exchange.version.get_or_insert_with(version);
+        }
+    }
+
     /// Records the success and keeps the connection.
     fn finish(&mut self) {
         let Some(started) = self.started.take() else {
