Let callers take streams up only at the version that began them

Callers that took a stream up at another node got the rest from servers of another software version.

Cause: the node that a caller comes to knows nothing of the server that began the stream, and dispatched the request as a new call to any server of any of its route's services.

Change: the node that passes on a first event tells three other nodes the version, by datagram. A node that a stream is taken up at asks up to eight nodes, then sends the call to servers of that version only, and does not refuse it for load. A stream that nobody knows goes on only if no other version was listed for twice the route's timeout; else it is refused as not run.

Why it works: without a proven version no server is asked, so that a lost record costs a refusal and never a joined stream.

With half of the other nodes killed, over 800 of 1,000 streams find a holder at 8, 86 and 195 nodes (core test).

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::flow::route::EngineSpec;
 use crate::flow::server::ServerEntry;
 use crate::flow::table::RouteTable;
+use crate::flow::version_log::VersionLog;
 use crate::ids::{ServerName, ServiceName, ZoneName};
 
 #[derive(Debug)]
@@ -51,6 +52,7 @@
     next_attempt: u64,
     sharing_nodes: usize,
     pub(crate) departed: DepartedServers,
+    pub(crate) version_log: VersionLog,
 }
 
 #[derive(Debug)]
@@ -75,6 +77,7 @@
             next_attempt: 0,
             sharing_nodes: 1,
             departed: DepartedServers::default(),
+            version_log: VersionLog::default(),
         }
     }
 
@@ -105,7 +108,11 @@
     }
 
     /// Adds a server or updates its published entry.
-    pub fn add_server(&mut self, instance: Instance) {
+    pub fn add_server(&mut self, now: Instant, instance: Instance) {
+        self.version_log.begin(now);
+        if let Some(entry) = self.servers.get(&instance.id) {
+            self.version_log.record_former(now, &entry.instance);
+        }
         if instance.is_draining {
             self.departed.record(&instance);
         }
@@ -130,6 +137,7 @@
         let Some(entry) = self.servers.get_mut(server) else {
             return;
         };
+        self.version_log.record_former(now, &entry.instance);
         match grace {
             Some(grace) if !entry.instance.is_draining && !entry.is_leaving => {
                 entry.grace_until = Some(now + grace);
@@ -143,6 +151,9 @@
     /// Removes servers whose grace time is over.
     pub fn remove_lapsed(&mut self, now: Instant) {
         let has_lapsed = |e: &ServerEntry| e.grace_until.is_some_and(|until| now >= until);
+        for entry in self.servers.values().filter(|e| has_lapsed(e)) {
+            self.version_log.record_former(now, &entry.instance);
+        }
         self.servers.retain(|_, e| !has_lapsed(e));
     }
 
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -31,9 +31,12 @@
 mod route;
 mod server;
 mod server_limits;
+mod stream_directory;
+mod stream_versions;
 mod table;
 mod token_bucket;
 mod version;
+mod version_log;
 
 pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
 pub use dispatch::Dispatcher;
@@ -52,5 +55,6 @@
     EngineSpec, RequestLimits, Route, RouteConfig, RouteKind, ServiceSpec, Split, WorkspaceEntry,
 };
 pub use server_limits::{LimitStatement, ServerLimits};
+pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage};
 pub use table::RouteTable;
 pub use version::VersionKey;
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -12,6 +12,7 @@
 //! Source: van Renesse, Minsky and Hayden, "A gossip-style failure detection
 //! service", 1998.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -24,6 +25,7 @@
 use crate::flow::load::Load;
 use crate::flow::message::{Heartbeat, HeartbeatEntry, ServerLoad};
 use crate::flow::server_limits::limit_users;
+use crate::flow::stream_directory::StreamKey;
 use crate::rendezvous;
 
 /// Time after which most pending prompts have been prefilled.
@@ -344,6 +346,22 @@
         limit_per_s / users as f64
     }
 
+    /// Returns the first `count` other live nodes in the order of a stream's holders.
+    #[must_use]
+    pub fn stream_holders(
+        &self,
+        now: Instant,
+        stream: StreamKey,
+        count: usize,
+    ) -> Vec<SocketAddrV4> {
+        let live = self.others.values().filter(|p| self.is_live(now, p));
+        let weighted = live.map(|p| (order_weight(stream.order_key(), p.entry.address), p));
+        let mut weighted: Vec<(u64, &Peer)> = weighted.collect();
+        weighted.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
+        let first = weighted.into_iter().take(count);
+        first.map(|(_, p)| p.entry.address).collect()
+    }
+
     /// Returns since when the live nodes are the same; `now` before the first heartbeat.
     #[must_use]
     pub fn stable_since(&self, now: Instant) -> Instant {
@@ -439,6 +457,11 @@
 
 /// Returns the weight of a node in the order of a server's homes.
 fn home_weight(server_key: u32, address: SocketAddrV4) -> u64 {
+    order_weight(u64::from(server_key), address)
+}
+
+/// Returns the weight of a node in the rendezvous order of a key.
+fn order_weight(key: u64, address: SocketAddrV4) -> u64 {
     let name_key = rendezvous::key(address.to_string().as_bytes());
-    rendezvous::weight_of(u64::from(server_key), name_key)
+    rendezvous::weight_of(key, name_key)
 }
--- a/crates/core/tests/flow/fleet.rs
+++ b/crates/core/tests/flow/fleet.rs
@@ -50,10 +50,10 @@
     let mut dispatcher = Dispatcher::new("recife".into(), Options::default());
     dispatcher.configure(&table());
     for index in 0..models {
-        dispatcher.add_server(instance(&format!("m{index}"), MODELS, 100));
+        dispatcher.add_server(Instant::now(), instance(&format!("m{index}"), MODELS, 100));
     }
     for index in 0..desks {
-        dispatcher.add_server(instance(&format!("d{index}"), DESK, 6));
+        dispatcher.add_server(Instant::now(), instance(&format!("d{index}"), DESK, 6));
     }
     dispatcher
 }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -12,3 +12,4 @@
 mod repeats;
 mod routes;
 mod simulation;
+mod streams;
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -307,7 +307,7 @@
     let mut dispatcher = dispatcher(0, 2);
     let mut leaving = instance("d0", crate::fleet::DESK, 6);
     leaving.is_draining = true;
-    dispatcher.add_server(leaving);
+    dispatcher.add_server(Instant::now(), leaving);
     let placed = dispatch_all(&mut dispatcher, now, (0..10).map(|_| plain_call()));
     assert_eq!(
         server_names(&placed).into_iter().collect::<Vec<_>>(),
@@ -339,7 +339,7 @@
     let now = Instant::now();
     let mut dispatcher = dispatcher(0, 1);
     dispatcher.remove_server(now, &server_name("d0"), Some(Duration::from_secs(1)));
-    dispatcher.add_server(instance("d0", crate::fleet::DESK, 6));
+    dispatcher.add_server(Instant::now(), instance("d0", crate::fleet::DESK, 6));
     let later = now + Duration::from_mins(1);
     dispatcher.remove_lapsed(later);
     assert!(dispatcher.dispatch(later, &plain_call(), &[]).is_ok());
@@ -357,7 +357,7 @@
     dispatcher.record_success(now, warm.attempt);
     let mut restarted = instance("m0", crate::fleet::MODELS, 100);
     restarted.born_ms = 5;
-    dispatcher.add_server(restarted);
+    dispatcher.add_server(Instant::now(), restarted);
     let cold = dispatcher.dispatch(now, &long_call(7, 1), &[]).unwrap();
     assert!(
         cold.expected_latency > warm.expected_latency,
@@ -374,7 +374,7 @@
         cold_ms: 3_000,
         ..instance("d9", crate::fleet::DESK, 6)
     };
-    dispatcher.add_server(cold);
+    dispatcher.add_server(Instant::now(), cold);
     let placed = dispatch_all(&mut dispatcher, now, (0..15).map(|_| plain_call()));
     let calls_at = |name: &str| placed.iter().filter(|(_, n)| n == name).count();
     assert!(
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -230,7 +230,8 @@
             let mut dispatcher = Dispatcher::new("recife".into(), scenario.options.clone());
             dispatcher.configure(&table);
             for name in &names {
-                dispatcher.add_server(instance(name, MODELS, scenario.timing.slots as u32));
+                let server = instance(name, MODELS, scenario.timing.slots as u32);
+                dispatcher.add_server(Instant::now(), server);
             }
             let peers = Peers::new(
                 address(node),
--- /dev/null
+++ b/crates/core/tests/flow/streams.rs
@@ -0,0 +1,227 @@
+//! Versions of streams: records, their holders, and what a node may conclude alone.
+
+use std::collections::HashSet;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use briarbank_core::flow::{
+    Dispatcher, Heartbeat, HeartbeatEntry, Instance, Options, PeerOptions, Peers, Route, RouteKind,
+    Split, StreamDirectory, StreamKey, VersionKey,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::fleet::{MODELS, instance};
+
+fn of_version(id: &str, version: &str) -> Instance {
+    Instance {
+        version: version.into(),
+        ..instance(id, MODELS, 8)
+    }
+}
+
+fn version(name: &str) -> VersionKey {
+    of_version("m", name).version_key()
+}
+
+fn stream(index: u64) -> StreamKey {
+    StreamKey::new(None, &format!("call-{index}"))
+}
+
+fn address(node: usize) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 1, (node >> 8) as u8, node as u8].into(), 7200)
+}
+
+#[test]
+fn versions_of_two_services_or_processes_without_one_differ() {
+    let other_service = Instance {
+        version: "v1".into(),
+        ..instance("m", "other", 8)
+    };
+    assert_ne!(version("v1"), version("v2"));
+    assert_ne!(version("v1"), other_service.version_key());
+    assert_eq!(version("v1"), of_version("n", "v1").version_key());
+    let (one, two) = (of_version("m", ""), of_version("n", ""));
+    assert_ne!(one.version_key(), two.version_key());
+    let restarted = Instance {
+        born_ms: one.born_ms + 1,
+        ..one.clone()
+    };
+    assert_ne!(one.version_key(), restarted.version_key());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(27),
+        ..ProptestConfig::with_cases(10_000)
+    })]
+
+    /// A record is found until it expires, keeps its first version, and none is invented.
+    #[test]
+    fn records_keep_the_first_version_until_they_expire(
+        steps in prop::collection::vec((0..6_u64, any::<bool>(), 0..2_000_u64, 0..700_u64), 1..40)
+    ) {
+        let mut now = Instant::now();
+        let mut directory = StreamDirectory::default();
+        let mut model: Vec<Option<(VersionKey, Instant)>> = vec![None; 6];
+        for (index, is_first, lifetime_ms, pause_ms) in steps {
+            let name = if is_first { "v1" } else { "v2" };
+            let lifetime = Duration::from_millis(lifetime_ms);
+            directory.record(now, stream(index), version(name), lifetime);
+            let known = model[index as usize].filter(|(_, until)| now < *until);
+            let entry = known.unwrap_or((version(name), now));
+            model[index as usize] = Some((entry.0, entry.1.max(now + lifetime)));
+            now += Duration::from_millis(pause_ms);
+            for (index, known) in model.iter().enumerate() {
+                let expected = known.filter(|(_, until)| now < *until).map(|(v, _)| v);
+                prop_assert_eq!(directory.version(now, stream(index as u64)), expected);
+            }
+        }
+        directory.expire(now + Duration::from_secs(10));
+        prop_assert_eq!(directory.stream_count(), 0);
+    }
+}
+
+/// Guards against growth without a bound when callers begin streams faster than they end.
+#[test]
+fn a_flood_of_streams_replaces_those_that_expire_first() {
+    const STREAMS_MAX: usize = 16_384;
+    let now = Instant::now();
+    let mut directory = StreamDirectory::default();
+    let day = Duration::from_hours(24);
+    for index in 0..50_000 {
+        let later = now + Duration::from_millis(index);
+        directory.record(later, stream(index), version("v1"), day);
+    }
+    assert_eq!(directory.stream_count(), STREAMS_MAX);
+    let end = now + Duration::from_secs(50);
+    assert_eq!(directory.version(end, stream(0)), None);
+    assert_eq!(directory.version(end, stream(49_999)), Some(version("v1")));
+    directory.expire(end + Duration::from_mins(3));
+    assert_eq!(directory.stream_count(), 0);
+}
+
+/// Builds the view of a node that has just heard of all others.
+fn peers(local: usize, nodes: usize, now: Instant) -> Peers {
+    let mut peers = Peers::new(address(local), 1, Vec::new(), PeerOptions::default());
+    for node in 0..nodes {
+        let sender = HeartbeatEntry {
+            address: address(node),
+            incarnation: 1,
+            count: 1,
+        };
+        peers.receive(
+            now,
+            Heartbeat {
+                sender,
+                is_leaving: false,
+                is_watching: false,
+                revision: 0,
+                loads: Vec::new(),
+                entries: Vec::new(),
+            },
+        );
+    }
+    peers
+}
+
+/// Guards against asking nodes that hold no record: whoever asks finds a holder that is left.
+#[test]
+fn holders_are_found_by_any_node_while_some_are_killed() {
+    for nodes in [8, 86, 195] {
+        let now = Instant::now();
+        let first = peers(0, nodes, now);
+        let taker = peers(1, nodes, now);
+        let mut found = 0;
+        for index in 0..1_000 {
+            let holders = first.stream_holders(now, stream(index), 3);
+            assert_eq!(holders.len(), 3);
+            assert!(!holders.contains(&address(0)));
+            let asked: HashSet<_> = taker
+                .stream_holders(now, stream(index), 8)
+                .into_iter()
+                .chain([address(1)])
+                .collect();
+            // The first node and half of the others are killed.
+            let is_alive = |holder: &&SocketAddrV4| holder.ip().octets()[3] % 2 == 1;
+            let alive = holders.iter().filter(is_alive);
+            let known = alive.filter(|holder| asked.contains(holder)).count();
+            found += usize::from(known > 0);
+        }
+        assert!(found > 800, "{found} of 1,000 at {nodes} nodes");
+    }
+}
+
+fn route(services: &[&str]) -> Route {
+    Route {
+        name: "chat".into(),
+        host: "host".into(),
+        prefix: "/".into(),
+        kind: RouteKind::Stream { resumable: true },
+        timeout_ms: 1_000,
+        target_ms: 100,
+        gap_ms: None,
+        tier: 0,
+        splits: services
+            .iter()
+            .map(|service| Split {
+                service: (*service).into(),
+                weight: 1,
+            })
+            .collect(),
+        attempts_max: 2,
+        is_public: true,
+    }
+}
+
+/// Guards against concluding from too little that all streams began at one version.
+#[test]
+fn one_version_counts_as_the_only_one_after_a_complete_view() {
+    const TIME: Duration = Duration::from_secs(2);
+    let start = Instant::now();
+    let after = |ms: u64| start + Duration::from_millis(ms);
+    let route_one = route(&[MODELS]);
+    let mut dispatcher = Dispatcher::new("recife".into(), Options::default());
+    dispatcher.add_server(start, of_version("a", "v1"));
+    dispatcher.add_server(start, of_version("b", "v1"));
+    let sole = |dispatcher: &Dispatcher, ms| dispatcher.sole_version(after(ms), &route_one, TIME);
+    assert_eq!(sole(&dispatcher, 1_900), None, "not seen for long enough");
+    assert_eq!(sole(&dispatcher, 2_100), Some(version("v1")));
+    let two = route(&[MODELS, "other"]);
+    assert_eq!(dispatcher.sole_version(after(2_100), &two, TIME), None);
+    dispatcher.add_server(after(3_000), of_version("c", "v2"));
+    assert_eq!(sole(&dispatcher, 3_100), None, "two versions serve");
+    dispatcher.remove_server(after(4_000), &"c".into(), None);
+    assert_eq!(sole(&dispatcher, 5_900), None, "the other one left lately");
+    assert_eq!(sole(&dispatcher, 6_100), Some(version("v1")));
+    dispatcher.record_missed_changes(after(7_000));
+    assert_eq!(
+        sole(&dispatcher, 8_900),
+        None,
+        "changes may have been missed"
+    );
+    assert_eq!(sole(&dispatcher, 9_100), Some(version("v1")));
+    dispatcher.add_server(after(9_200), of_version("a", "v2"));
+    dispatcher.add_server(after(9_200), of_version("b", "v2"));
+    assert_eq!(sole(&dispatcher, 9_300), None, "both changed their version");
+    assert_eq!(sole(&dispatcher, 11_300), Some(version("v2")));
+}
+
+/// Guards against sending the rest of a stream to another service of its route.
+#[test]
+fn the_service_of_a_stream_is_found_among_those_of_its_route() {
+    let now = Instant::now();
+    let mut dispatcher = Dispatcher::new("recife".into(), Options::default());
+    let other = Instance {
+        version: "v1".into(),
+        ..instance("o", "other", 8)
+    };
+    dispatcher.add_server(now, of_version("a", "v1"));
+    dispatcher.add_server(now, other.clone());
+    let find = |services: &[&str], v| dispatcher.service_of_version(&route(services), v);
+    let both = [MODELS, "other"];
+    assert_eq!(find(&both, other.version_key()), Some("other".into()));
+    assert_eq!(find(&both, version("v1")), Some(MODELS.into()));
+    assert_eq!(find(&both, version("v9")), None);
+    assert_eq!(find(&[MODELS], other.version_key()), None);
+}
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -75,7 +75,7 @@
                     );
                     let server = instance.id.clone();
                     let mut dispatcher = self.dispatcher.borrow_mut();
-                    dispatcher.add_server(instance);
+                    dispatcher.add_server(now, instance);
                     if is_from_before_removal {
                         dispatcher.record_refusal(now, &server, RESTORED_PAUSE);
                     }
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -113,6 +113,9 @@
         self.body = body;
         self.record_arrival();
         if self.admitted.route.is_stream() {
+            if let Err(outcome) = self.bind_taken_up().await {
+                return self.refuse(outcome);
+            }
             return match self.start_answer().await {
                 Ok(started) if started.head.status.is_success() => {
                     EventStream::answer(self, started).await
@@ -304,6 +307,13 @@
         self.may_retry(execution, &instance)
     }
 
+    /// Sends the call to another service of its route.
+    pub(crate) fn set_service(&mut self, service: ServiceName) {
+        let tier = self.admitted.route.tier;
+        self.tier_rank = self.admitted.table.tier_rank(&service, tier);
+        self.service = service;
+    }
+
     pub(crate) fn set_failure_reason(&mut self, text: &str) {
         self.record.failure_reason = Some(text.to_owned());
     }
--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_guard;
 mod body;
 mod call_record;
+mod continuity;
 mod exchange;
 mod guard;
 mod outcome;
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -23,6 +23,8 @@
     exchange: Exchange,
     started: Option<StartedAnswer>,
     splitter: EventSplitter,
+    /// Whether an event has been passed on.
+    has_event: bool,
 }
 
 /// Result of a read from the server.
@@ -51,6 +53,7 @@
             exchange,
             started: Some(started),
             splitter: EventSplitter::default(),
+            has_event: false,
         };
         let first = stream.next().await;
         let Ok(first) = first else {
@@ -94,7 +97,7 @@
         loop {
             match self.read().await {
                 Next::Events(bytes) => {
-                    self.keep_version();
+                    self.record_first_event();
                     return Ok(Some(bytes));
                 }
                 Next::End => {
@@ -135,11 +138,12 @@
         }
     }
 
-    /// Binds the stream to the version of the server that brought its first event.
-    fn keep_version(&mut self) {
-        if let Some(started) = &self.started {
-            let version = || started.guard.instance.version_key();
-            self.exchange.version.get_or_insert_with(version);
+    /// Records the server of the first event, before the caller gets the event.
+    fn record_first_event(&mut self) {
+        if let Some(started) = &self.started
+            && !std::mem::replace(&mut self.has_event, true)
+        {
+            self.exchange.record_first_server(&started.guard.instance);
         }
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,6 +12,7 @@
 use crate::loads;
 use crate::pause::PauseDetector;
 use crate::shared::SharedState;
+use crate::streams;
 use crate::sync;
 
 /// Time between two heartbeats.
@@ -52,7 +53,9 @@
                 newer_heartbeats = catch_up(&shared, newer_heartbeats);
             }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, _)) => receive(&shared, buffer.get(..length).unwrap_or_default()),
+                Ok((length, from)) => {
+                    receive(&shared, from, buffer.get(..length).unwrap_or_default());
+                }
                 Err(error) => tracing::debug!(%error, "peer: receiving a datagram failed"),
             },
         }
@@ -90,9 +93,14 @@
     let loads = shared.dispatcher.borrow().reported_loads(now);
     loads::report(shared, now, &loads);
     shared.directory.borrow_mut().expire(now);
+    shared.streams.borrow_mut().expire(now);
 }
 
-fn receive(shared: &SharedState, bytes: &[u8]) {
+fn receive(shared: &SharedState, from: SocketAddr, bytes: &[u8]) {
+    if let Some(message) = streams::strip_prefix(bytes) {
+        streams::receive(shared, from, message);
+        return;
+    }
     if let Some(message) = loads::strip_prefix(bytes) {
         loads::receive(shared, message);
         return;
@@ -141,6 +149,10 @@
     tracing::warn!(pause_ms = pause.as_millis(), "node: resumed after a pause");
     shared.peers.borrow_mut().discard_loads();
     shared.directory.borrow_mut().clear();
+    shared
+        .dispatcher
+        .borrow_mut()
+        .record_missed_changes(Instant::now());
     shared.pool.clear();
     shared.store.connection_suspect.notify_waiters();
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod shared;
 mod stop;
 mod store;
+mod streams;
 mod sync;
 
 pub use dialect::{
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,7 +6,7 @@
 
 use briarbank_core::flow::{
     Dispatcher, LoadDirectory, Mirror, Options, PeerOptions, Peers, RemovalLog, RouteTable,
-    ServerLimits,
+    ServerLimits, StreamDirectory,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -18,6 +18,7 @@
 use crate::server::Pool;
 use crate::settings::Settings;
 use crate::stop::Stop;
+use crate::streams::StreamQueries;
 
 /// Reports of a server that the store misses in the shortest outage.
 ///
@@ -40,6 +41,9 @@
     /// Limits that servers have named.
     pub(crate) limits: RefCell<ServerLimits>,
     pub(crate) queries: RefCell<Queries>,
+    /// Versions of streams that callers may take up.
+    pub(crate) streams: RefCell<StreamDirectory>,
+    pub(crate) stream_queries: StreamQueries,
     /// Number of load reports sent so far.
     reports: Cell<u32>,
     /// Socket of the peer port, once it is served.
@@ -114,6 +118,8 @@
             directory: RefCell::default(),
             limits: RefCell::default(),
             queries: RefCell::default(),
+            streams: RefCell::default(),
+            stream_queries: StreamQueries::default(),
             reports: Cell::new(0),
             socket: OnceCell::new(),
             pool: Pool::new(tasks.clone()),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -130,6 +130,7 @@
             shared.store.recovered_at.set(Some(now));
         }
         shared.store.failing_since.set(None);
+        shared.dispatcher.borrow_mut().record_missed_changes(now);
         tracing::info!(
             revision = shared.mirror.borrow().revision(),
             "store: available again"
