Resume node's streams only at their server's version

No caller reported it.

Cause: as in the gateway, all servers of a target were taken as equal, for resumed, migrated and preempted streams alike.

Ruled out: events of two attempts that are joined (attempt ids are checked, and index by index).

Change: a call is bound to the version of the server that delivered its first token; candidates, migration and preemption keep to it. The rest of an answer may go to a server without capacity, so that it neither waits behind servers that it cannot use nor holds up others. Without a server of the version the call is given up.

Why it works: all three ways to a server ask the same predicate, and the history test checks it for each dispatch; it failed without the change.

--- a/crates/core/src/router/admit.rs
+++ b/crates/core/src/router/admit.rs
@@ -45,7 +45,7 @@
         }
         if !self
             .servers
-            .any_in_service(now, &self.options, &call.target)
+            .any_in_service(now, &self.options, &call.target, None)
         {
             return Err(Reason::NoServer);
         }
@@ -158,6 +158,7 @@
             may_have_run: false,
             running: None,
             tokens: 0,
+            version: None,
             tried: Vec::new(),
             call,
         };
--- a/crates/core/src/router/attempt.rs
+++ b/crates/core/src/router/attempt.rs
@@ -1,5 +1,6 @@
 //! Events of attempts, disconnected callers and leaving servers.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::call::{Call, Failure, Outcome, Reason};
@@ -69,6 +70,8 @@
             return;
         }
         entry.tokens = tokens;
+        let version = || Arc::clone(&running.version);
+        entry.version.get_or_insert_with(version);
         running.last_progress = now;
         let server = running.server.clone();
         let target = entry.call.target.clone();
--- a/crates/core/src/router/entry.rs
+++ b/crates/core/src/router/entry.rs
@@ -13,6 +13,8 @@
 pub(super) struct RunningAttempt {
     pub(super) attempt: AttemptId,
     pub(super) server: ServerName,
+    /// Version of the server's software when the attempt was sent.
+    pub(super) version: Arc<str>,
     pub(super) started: Instant,
     pub(super) first_token: Option<Instant>,
     pub(super) last_progress: Instant,
@@ -51,6 +53,8 @@
     pub(super) running: Option<RunningAttempt>,
     /// Tokens delivered to the caller.
     pub(super) tokens: u32,
+    /// Version of the server that delivered the first token; others do not fit.
+    pub(super) version: Option<Arc<str>>,
     /// Servers on which an attempt failed.
     pub(super) tried: Vec<ServerName>,
 }
@@ -65,7 +69,17 @@
         }
     }
 
+    /// Returns whether a server with that version may run the call or its rest.
+    pub(super) fn fits(&self, version: &str) -> bool {
+        fits(self.version.as_deref(), version)
+    }
+
     pub(super) fn is_idempotent(&self) -> bool {
         self.class.profile.idempotent
     }
 }
+
+/// Returns whether a server's version is the one that a call is bound to, if any.
+pub(super) fn fits(bound_to: Option<&str>, version: &str) -> bool {
+    bound_to.is_none_or(|bound_to| bound_to == version)
+}
--- a/crates/core/src/router/migrate.rs
+++ b/crates/core/src/router/migrate.rs
@@ -98,8 +98,7 @@
         }
         let mut tried = entry.tried.clone();
         tried.push(running.server.clone());
-        let target = &entry.call.target;
-        let mut candidates = self.servers.candidates(now, &self.options, target, &tried);
+        let mut candidates = self.servers.candidates(now, &self.options, entry, &tried);
         candidates.retain(|c| {
             let server = self.servers.get_at(c.index).map(|e| &e.server.name);
             server.is_some_and(|name| !tried.contains(name))
--- a/crates/core/src/router/preempt.rs
+++ b/crates/core/src/router/preempt.rs
@@ -69,6 +69,9 @@
             return None;
         }
         let running = entry.running.as_ref()?;
+        if !waiting.fits(&running.version) {
+            return None;
+        }
         let server = self.servers.get(&running.server)?;
         let is_within_limit =
             server.concurrency_limit(now, &self.options) >= server.load.own_requests();
--- a/crates/core/src/router/serve.rs
+++ b/crates/core/src/router/serve.rs
@@ -1,5 +1,6 @@
 //! Dispatch of queued calls to servers.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use crate::call::{Dispatch, Reason};
@@ -51,7 +52,11 @@
         actions: &mut Vec<Action>,
     ) {
         while let Some(id) = self.next_call(target) {
-            if !self.servers.any_in_service(now, &self.options, target) {
+            let version = self.calls.get(&id).and_then(|e| e.version.as_deref());
+            if !self
+                .servers
+                .any_in_service(now, &self.options, target, version)
+            {
                 self.give_up(id, Reason::NoServer, actions);
                 continue;
             }
@@ -96,13 +101,16 @@
     fn choose_server(&mut self, now: Instant, id: CallId) -> Option<Choice> {
         let entry = self.calls.get(&id)?;
         let call = &entry.call;
-        let candidates = self
+        let mut candidates = self
             .servers
-            .candidates(now, &self.options, &call.target, &entry.tried);
+            .candidates(now, &self.options, entry, &entry.tried);
+        if candidates.is_empty() && entry.version.is_some() {
+            candidates = self.servers.candidates_for_rest(now, &self.options, entry);
+        }
         let index = self.balancer.choose(call.prefix_key, &candidates)?;
         Some(Choice {
             server: self.servers.get_at(index)?.server.name.clone(),
-            is_only: candidates.len() == 1 && entry.tried.is_empty(),
+            is_only: candidates.len() == 1 && entry.tried.is_empty() && entry.version.is_none(),
         })
     }
 
@@ -118,6 +126,8 @@
         let Some(entry) = self.calls.get_mut(&id) else {
             return;
         };
+        let listed = self.servers.get(&server);
+        let version = listed.map(|e| Arc::clone(&e.server.version));
         self.next_attempt += 1;
         let attempt = AttemptId {
             incarnation: self.incarnation,
@@ -128,6 +138,7 @@
         entry.running = Some(RunningAttempt {
             attempt,
             server: server.clone(),
+            version: version.unwrap_or_default(),
             started: now,
             first_token: None,
             last_progress: now,
--- a/crates/core/src/router/servers.rs
+++ b/crates/core/src/router/servers.rs
@@ -7,6 +7,7 @@
 use crate::catalog::Fleet;
 use crate::ids::{ServerName, TargetName};
 use crate::outlier::Health;
+use crate::router::entry::{CallEntry, fits};
 use crate::router::options::Options;
 use crate::router::server::ServerEntry;
 
@@ -166,7 +167,7 @@
         indices.iter().filter_map(entry)
     }
 
-    /// Whether any server of the target accepts new requests.
+    /// Whether any server of the target, and of the version if given, accepts new requests.
     ///
     /// Servers that do so only after a backoff or ejection count as well.
     pub(super) fn any_in_service(
@@ -174,9 +175,12 @@
         now: Instant,
         options: &Options,
         target: &TargetName,
+        version: Option<&str>,
     ) -> bool {
-        self.serving(target)
-            .any(|(_, e)| e.is_in_service(now, options))
+        let mut fitting = self
+            .serving(target)
+            .filter(|(_, e)| fits(version, &e.server.version));
+        fitting.any(|(_, e)| e.is_in_service(now, options))
     }
 
     /// Requests that this node may have in flight at the target's servers.
@@ -184,24 +188,19 @@
         self.pool(target).and_then(|p| p.capacity).unwrap_or(0)
     }
 
-    /// Servers with capacity; those in `avoid` only if no other server has capacity.
+    /// Servers for a call that have capacity; those in `avoid` only if no other one has.
     pub(super) fn candidates(
         &self,
         now: Instant,
         options: &Options,
-        target: &TargetName,
+        call: &CallEntry,
         avoid: &[ServerName],
     ) -> Vec<Candidate> {
         let open = || {
-            self.serving(target)
+            self.fitting(call)
                 .filter(|(_, e)| e.has_capacity(now, options))
         };
-        let candidate = |(index, e): (usize, &ServerEntry)| Candidate {
-            index,
-            name_key: e.name_key,
-            load_ratio: e.load_ratio(now),
-            cost: e.cost(options),
-        };
+        let candidate = |(index, e)| candidate(now, options, index, e);
         let untried = open().filter(|(_, e)| !avoid.contains(&e.server.name));
         let candidates: Vec<_> = untried.map(candidate).collect();
         if candidates.is_empty() && !avoid.is_empty() {
@@ -210,6 +209,29 @@
         candidates
     }
 
+    /// Servers for the rest of an answer that has begun, whatever their load.
+    ///
+    /// The servers of its version may be few, and its caller has a part of it.
+    pub(super) fn candidates_for_rest(
+        &self,
+        now: Instant,
+        options: &Options,
+        call: &CallEntry,
+    ) -> Vec<Candidate> {
+        let in_service = self
+            .fitting(call)
+            .filter(|(_, e)| e.is_in_service(now, options));
+        in_service
+            .map(|(index, e)| candidate(now, options, index, e))
+            .collect()
+    }
+
+    /// Servers of a call's target that fit the version of its answer so far.
+    fn fitting(&self, call: &CallEntry) -> impl Iterator<Item = (usize, &ServerEntry)> {
+        let servers = self.serving(&call.call.target);
+        servers.filter(|(_, e)| call.fits(&e.server.version))
+    }
+
     /// Ejects a server if it is an outlier and the ejection limit permits it.
     pub(super) fn eject_if_outlier(&mut self, now: Instant, options: &Options, name: &ServerName) {
         let Some(entry) = self.get(name) else {
@@ -230,3 +252,12 @@
         }
     }
 }
+
+fn candidate(now: Instant, options: &Options, index: usize, entry: &ServerEntry) -> Candidate {
+    Candidate {
+        index,
+        name_key: entry.name_key,
+        load_ratio: entry.load_ratio(now),
+        cost: entry.cost(options),
+    }
+}
--- a/crates/core/tests/router/history.rs
+++ b/crates/core/tests/router/history.rs
@@ -90,6 +90,23 @@
     prop::collection::vec(step, 1..steps_max)
 }
 
+/// Returns the version of a server; each one runs on half of them.
+fn version_of(server: &str) -> &'static str {
+    let index = SERVERS.iter().position(|name| *name == server);
+    if index.is_some_and(|index| index % 2 == 0) {
+        "v1"
+    } else {
+        "v2"
+    }
+}
+
+fn versioned_server(name: &str) -> Server {
+    Server {
+        version: version_of(name).into(),
+        ..server(name, &["model", "slips"], SLOTS)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AttemptState {
     Open,
@@ -102,6 +119,8 @@
 struct CallState {
     profile: Profile,
     tokens: u32,
+    /// Version of the server that delivered the first token.
+    version: Option<&'static str>,
     attempts: Vec<(AttemptId, AttemptState)>,
     ended: bool,
 }
@@ -155,10 +174,7 @@
             queue_limit: NODE_LIMIT,
             ..Options::default()
         };
-        let listed: Vec<Server> = SERVERS
-            .iter()
-            .map(|name| server(name, &["model", "slips"], SLOTS))
-            .collect();
+        let listed: Vec<Server> = SERVERS.iter().map(|name| versioned_server(name)).collect();
         Self {
             harness: Harness::with_options(options, catalog.clone(), listed.clone()),
             catalog,
@@ -238,6 +254,7 @@
         let state = CallState {
             profile: self.catalog.profiles[profile].clone(),
             tokens: 0,
+            version: None,
             attempts: Vec::new(),
             ended: false,
         };
@@ -267,8 +284,11 @@
     }
 
     fn progress(&mut self, id: CallId, attempt: AttemptId, tokens: u32) {
+        let (_, server) = &self.attempts[&attempt];
+        let version = version_of(server.as_str());
         let call = self.calls.get_mut(&id).expect("known call");
         call.tokens += tokens;
+        call.version.get_or_insert(version);
         let event = AttemptEvent::Progress {
             tokens: call.tokens,
         };
@@ -341,7 +361,7 @@
             if listed & (1 << bit) == 0 {
                 continue;
             }
-            let mut entry = server(name, &["model", "slips"], SLOTS);
+            let mut entry = versioned_server(name);
             if leaving & (1 << bit) != 0 {
                 entry.state = ServerState::Leaving;
             } else if was_unavailable {
@@ -407,6 +427,8 @@
             "{call:?}"
         );
         assert_eq!(dispatch.resume, call.tokens > 0);
+        let version = version_of(dispatch.server.as_str());
+        assert!(call.version.is_none_or(|v| v == version), "{call:?}");
         assert_eq!(dispatch.tier, call.profile.tier);
         call.attempts.push((dispatch.attempt, AttemptState::Open));
         let entry = (dispatch.call, dispatch.server.clone());
