End answers whose head does not end

Callers of a server that sends interim heads forever waited past their deadline, and all calls of the node were slow meanwhile.

Cause: the HTTP library skips interim heads without a bound, and reads up to 417 kB for one head.

Ruled out: the memory of heads (one read buffer each).

Change: at most 64 KiB may arrive on a connection to a server before the head of an answer is complete; the read buffer is 32 KiB. Then the attempt fails as broken and its connection closes.

--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -6,18 +6,22 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
 
+use crate::server::head_limit::{BUFFER_BYTES, HeadLimit, LimitedStream};
+
 /// A connection for one call at a time, closed when dropped.
 ///
 /// Closing it also cancels the call in flight: servers stop work when the connection closes.
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Bound on the bytes before the head of an answer.
+    pub(crate) head_limit: HeadLimit,
     task: AbortHandle,
     open: Rc<Cell<u32>>,
     /// Start of the current idle time.
@@ -33,7 +37,13 @@
         tasks: &TaskTracker,
         open: Rc<Cell<u32>>,
     ) -> hyper::Result<Self> {
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        let head_limit = HeadLimit::default();
+        let limit = head_limit.clone();
+        let stream = LimitedStream { stream, limit };
+        let handshake = Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await?;
         let task = tasks.spawn_local(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "server: connection ended");
@@ -42,6 +52,7 @@
         open.set(open.get() + 1);
         Ok(Self {
             sender,
+            head_limit,
             task: task.abort_handle(),
             open,
             idle_since: Instant::now(),
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to servers.
 
 mod connection;
+mod head_limit;
 mod pool;
 
 pub(crate) use connection::Connection;
--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -94,8 +94,10 @@
                 Some(connection) => connection,
                 None => self.connect(instance, share.max(1.0) as u32).await?,
             };
+            connection.head_limit.expect_head();
             let error = match connection.sender.try_send_request(request).await {
                 Ok(response) => {
+                    connection.head_limit.end_head();
                     return Ok(Sent {
                         response,
                         connection,
