Bound the memory of all buffered answers together

A server that sends bodies without end could take a node over the memory of its host, which ends the process and all its calls.

Ruled out: streams (they are passed on event by event and the connections push back).

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -8,7 +8,6 @@
 use briarbank_core::ids::{ServerName, ServiceName};
 use bytes::Bytes;
 use http::{Response, request};
-use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout_at};
 
 use crate::caller::attempt_guard::{Execution, StartedAnswer, keep_connection};
@@ -25,9 +24,6 @@
 /// Number of attempts per call that may fail before anything is sent.
 const UNSENT_ATTEMPTS_MAX: u32 = 4;
 
-/// Largest plain answer; answers are buffered so that broken ones can be retried.
-const ANSWER_BYTES_MAX: usize = 8 << 20;
-
 /// Pause after which a stream resumes at another server.
 ///
 /// A multiple of the longest pause that meets the objective.
@@ -166,12 +162,20 @@
         &mut self,
         started: StartedAnswer,
     ) -> Result<Response<AnswerBody>, bool> {
-        let body = Limited::new(started.body, ANSWER_BYTES_MAX).collect();
-        let Ok(Ok(body)) = timeout_at(self.deadline, body).await else {
-            let instance = Arc::clone(&started.guard.instance);
-            started.guard.record_failure(Fault::Broken);
-            self.set_failure_reason("answer broke off");
-            return Err(self.may_retry(Execution::Unknown, &instance));
+        let collected = self.shared.answer_memory.collect(started.body);
+        let failure_reason = match timeout_at(self.deadline, collected).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err("answer did not end in time".to_owned()),
+        };
+        let answer = match failure_reason {
+            Ok(answer) => answer,
+            Err(failure_reason) => {
+                let instance = Arc::clone(&started.guard.instance);
+                started.guard.record_failure(Fault::Broken);
+                self.set_failure_reason(&failure_reason);
+                return Err(self.may_retry(Execution::Unknown, &instance));
+            }
         };
         let mut head = started.head;
         if started.answer_head.kind == AnswerKind::Verified && head.status.is_server_error() {
@@ -194,10 +198,7 @@
         self.record.status = head.status.as_u16();
         self.record.is_whole = true;
         self.record.first();
-        Ok(Response::from_parts(
-            head,
-            AnswerBody::from(body.to_bytes()),
-        ))
+        Ok(Response::from_parts(head, AnswerBody::from(answer)))
     }
 
     /// Sends the call until a server starts to answer.
--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -1,5 +1,6 @@
 //! Callers' connections, calls and answers.
 
+mod answer_buffer;
 mod attempt;
 mod attempt_guard;
 mod body;
@@ -12,4 +13,5 @@
 mod request;
 mod stream;
 
+pub(crate) use answer_buffer::AnswerMemory;
 pub(crate) use port::CallerPort;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 
+use crate::caller::AnswerMemory;
 use crate::dialect::Dialect;
 use crate::loads::Queries;
 use crate::log_lines::LogLines;
@@ -49,6 +50,7 @@
     /// Socket of the peer port, once it is served.
     pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) pool: Pool,
+    pub(crate) answer_memory: AnswerMemory,
     pub(crate) stop: Stop,
     pub(crate) tasks: TaskTracker,
     pub(crate) store: StoreState,
@@ -123,6 +125,7 @@
             reports: Cell::new(0),
             socket: OnceCell::new(),
             pool: Pool::new(tasks.clone()),
+            answer_memory: AnswerMemory::default(),
             stop: Stop::default(),
             tasks,
             store: StoreState::default(),
