Pass on no parts of events that are too long

A caller got parts of an event without an end, after which no other server can go on with the stream.

Cause: an incomplete event above the bound was passed on as it was, to free the buffer.

Change: such an event breaks the stream off, as any other malformed one, so that it goes on at another server.

Figures: an_event_without_an_end_is_not_passed_on failed before and passes.

--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -135,6 +135,9 @@
                 self.exchange.record.add_chunk();
                 return Next::Events(events);
             }
+            if self.splitter.is_too_long() {
+                return Next::Broken("event is too long", Fault::Malformed);
+            }
         }
     }
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -16,23 +16,23 @@
 
 impl EventSplitter {
     /// Adds bytes and returns all events that are complete.
-    ///
-    /// An incomplete event above the size limit is returned as it is.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
         if self.buffer.is_empty() && bytes.ends_with(b"\n\n") {
             self.record_last_id(&bytes);
             return Some(bytes);
         }
         self.buffer.extend_from_slice(&bytes);
-        let Some(end) = find_last_end(&self.buffer) else {
-            let is_too_long = self.buffer.len() > EVENT_BYTES_MAX;
-            return is_too_long.then(|| self.buffer.split().freeze());
-        };
+        let end = find_last_end(&self.buffer)?;
         let complete = self.buffer.split_to(end).freeze();
         self.record_last_id(&complete);
         Some(complete)
     }
 
+    /// Returns whether the incomplete event is longer than any event may be.
+    pub(crate) fn is_too_long(&self) -> bool {
+        self.buffer.len() > EVENT_BYTES_MAX
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub(crate) fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
