End answers in node whose head does not end

The same fault as in the gateway, looked for after it: callers of a server that sends interim heads forever waited for the silence of the server, once for each attempt.

Cause: node bounds the head, but not the interim heads before it.

Ruled out: a head without an end (its test passed before).

Change: the bound on bytes before the head moves to net, and both daemons use it.

--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -239,6 +239,13 @@
         self.nodes[index].wait_owning().await;
     }
 
+    /// Publishes a further server, which the test itself runs.
+    pub async fn publish_server(&mut self, address: SocketAddr, target: &str) {
+        let name = format!("server-{}", address.port());
+        self.published.add_server(&name, address, target, "");
+        self.publish_all().await;
+    }
+
     /// Publishes all documents.
     pub async fn publish_all(&self) {
         for (key, document) in self.published.documents() {
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use briarbank_net::{HEAD_BUFFER_BYTES, HeadLimit, HeadLimitedStream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -12,8 +13,6 @@
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
 
-use crate::server::head_limit::{BUFFER_BYTES, HeadLimit, LimitedStream};
-
 /// A connection for one call at a time, closed when dropped.
 ///
 /// Closing it also cancels the call in flight: servers stop work when the connection closes.
@@ -38,10 +37,9 @@
         open: Rc<Cell<u32>>,
     ) -> hyper::Result<Self> {
         let head_limit = HeadLimit::default();
-        let limit = head_limit.clone();
-        let stream = LimitedStream { stream, limit };
+        let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let handshake = Builder::new()
-            .max_buf_size(BUFFER_BYTES)
+            .max_buf_size(HEAD_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await?;
         let task = tasks.spawn_local(async move {
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -1,7 +1,6 @@
 //! Connections to servers.
 
 mod connection;
-mod head_limit;
 mod pool;
 
 pub(crate) use connection::Connection;
--- a/crates/gateway/src/server/head_limit.rs
+++ b/crates/net/src/head_limit.rs
@@ -1,59 +1,79 @@
 //! Bounds what a server may send before the head of its answer is complete.
-//!
-//! The HTTP library skips interim heads, of which a faulty server may send any number.
 
-use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Largest read buffer of a connection, and thereby the largest head of an answer.
-pub(crate) const BUFFER_BYTES: usize = 32 << 10;
+/// Read buffer of a connection to a server, and thereby the largest head, in bytes.
+pub const HEAD_BUFFER_BYTES: usize = 32 << 10;
 
 /// Bytes that may arrive before the head is complete: interim heads, the head itself, and
 /// what of the body is read with it.
-const HEAD_BYTES_MAX: usize = 2 * BUFFER_BYTES;
+const HEAD_BYTES_MAX: usize = 2 * HEAD_BUFFER_BYTES;
+
+/// Value of [`HeadLimit`] while no head is expected.
+const UNLIMITED: usize = usize::MAX;
 
 /// Bytes that may still arrive before the head of the next answer is complete.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct HeadLimit {
-    /// `None` while no head is expected.
-    left_bytes: Rc<Cell<Option<usize>>>,
+#[derive(Clone, Debug)]
+pub struct HeadLimit {
+    left_bytes: Arc<AtomicUsize>,
+}
+
+impl Default for HeadLimit {
+    fn default() -> Self {
+        Self {
+            left_bytes: Arc::new(AtomicUsize::new(UNLIMITED)),
+        }
+    }
 }
 
 impl HeadLimit {
     /// Expects the head of an answer.
-    pub(crate) fn expect_head(&self) {
-        self.left_bytes.set(Some(HEAD_BYTES_MAX));
+    pub fn expect_head(&self) {
+        self.left_bytes.store(HEAD_BYTES_MAX, Ordering::Relaxed);
     }
 
     /// Records that the head has arrived.
-    pub(crate) fn end_head(&self) {
-        self.left_bytes.set(None);
+    pub fn end_head(&self) {
+        self.left_bytes.store(UNLIMITED, Ordering::Relaxed);
     }
 
     /// Counts received bytes; returns false if there were too many.
     fn take(&self, bytes: usize) -> bool {
-        let Some(left_bytes) = self.left_bytes.get() else {
+        let left_bytes = self.left_bytes.load(Ordering::Relaxed);
+        if left_bytes == UNLIMITED {
             return true;
-        };
+        }
         let left = left_bytes.checked_sub(bytes);
-        self.left_bytes.set(Some(left.unwrap_or(0)));
+        self.left_bytes.store(left.unwrap_or(0), Ordering::Relaxed);
         left.is_some()
     }
 }
 
-/// A socket to a server that fails when a head does not end.
-pub(crate) struct LimitedStream {
-    pub(crate) stream: TcpStream,
-    pub(crate) limit: HeadLimit,
+/// A socket to a server that fails when the head of an answer does not end.
+///
+/// HTTP libraries skip interim heads, of which a faulty server may send any number.
+#[derive(Debug)]
+pub struct HeadLimitedStream {
+    stream: TcpStream,
+    limit: HeadLimit,
+}
+
+impl HeadLimitedStream {
+    /// Creates a socket that keeps to a limit.
+    #[must_use]
+    pub fn new(stream: TcpStream, limit: HeadLimit) -> Self {
+        Self { stream, limit }
+    }
 }
 
-impl AsyncRead for LimitedStream {
+impl AsyncRead for HeadLimitedStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -63,14 +83,16 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
         if !this.limit.take(buf.filled().len() - before) {
-            metrics::counter!("briarbank_endless_heads_total").increment(1);
-            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "head of the answer does not end",
+            )));
         }
         polled
     }
 }
 
-impl AsyncWrite for LimitedStream {
+impl AsyncWrite for HeadLimitedStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,8 +4,10 @@
 mod body;
 mod connect;
 mod drain;
+mod head_limit;
 
 pub use accept::accept;
 pub use body::{BodyError, read_body};
 pub use connect::{connect, set_path_timeouts};
 pub use drain::drain;
+pub use head_limit::{HEAD_BUFFER_BYTES, HeadLimit, HeadLimitedStream};
--- a/crates/node/src/server/attempt.rs
+++ b/crates/node/src/server/attempt.rs
@@ -133,12 +133,16 @@
             return Err(Failure::NotSent);
         }
         self.meter.record_sent();
+        connection.head_limit.expect_head();
         let response = connection.sender.try_send_request(request);
         match timeout(self.head_timeout(), response).await {
-            Ok(Ok(response)) => Ok(ResponseStart {
-                connection,
-                response,
-            }),
+            Ok(Ok(response)) => {
+                connection.head_limit.end_head();
+                Ok(ResponseStart {
+                    connection,
+                    response,
+                })
+            }
             Ok(Err(error)) if error.message().is_some() => {
                 // The request was returned, so it never reached the connection.
                 Err(Failure::NotSent)
--- a/crates/node/src/server/pool.rs
+++ b/crates/node/src/server/pool.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use briarbank_net::{HEAD_BUFFER_BYTES, HeadLimit, HeadLimitedStream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -18,15 +19,14 @@
 /// Time after which an idle connection is not reused.
 pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Largest head of a server's answer, in bytes.
-const HEAD_BYTES_MAX: usize = 32 << 10;
-
 /// A connection to a server.
 #[derive(Debug)]
 pub(super) struct Connection {
     address: SocketAddr,
     /// Sends one request at a time.
     pub(super) sender: SendRequest<Full<Bytes>>,
+    /// Bound on the bytes before the head of an answer.
+    pub(super) head_limit: HeadLimit,
     /// Whether it was used for an earlier request.
     pub(super) reused: bool,
 }
@@ -70,8 +70,10 @@
     /// Opens a new connection; `None` when the server can't be reached.
     pub(super) async fn connect(&self, address: SocketAddr) -> Option<Connection> {
         let stream = crate::connect::connect(address).await.ok()?;
+        let head_limit = HeadLimit::default();
+        let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let handshake = http1::Builder::new()
-            .max_buf_size(HEAD_BYTES_MAX)
+            .max_buf_size(HEAD_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.ok()?;
         let end = self.end.child_token();
@@ -84,6 +86,7 @@
         Some(Connection {
             address,
             sender,
+            head_limit,
             reused: false,
         })
     }
