Take no answer of another call for a refusal of this one

A call that may run only once ran twice when a server sent a late copy of an earlier refusal on the connection that the call used.

Cause: that a server did not run a call was read from the status and a header before the id of the call was compared.

Ruled out: late copies of answers that are no refusals (the id was compared). A connection is not kept after a refusal, so that a copy has to come from a server that answers out of turn.

Change: an answer with the id of another call is no answer to this one, whatever it says, and nothing that it says of its server is heeded. Refusals without an id count as before.

--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -126,7 +126,11 @@
     ) -> Result<AcceptedAnswer, FailedAttempt> {
         let (head, body) = sent.response.into_parts();
         let answer_head = self.shared.dialect.decode_answer(&head, &self.record.id);
-        if answer_head.kind != AnswerKind::OtherInstance {
+        let is_of_instance = !matches!(
+            answer_head.kind,
+            AnswerKind::OtherInstance | AnswerKind::OtherCall
+        );
+        if is_of_instance {
             self.shared.record_notice(instance, answer_head.notice);
         }
         let (fault, execution, failure_reason) = match answer_head.kind {
