Wait at a stop until answers have been written

During a planned stop a caller with a slow link lost the rest of an answer that its server had given in full.

Cause: a call counted as in flight until its answer was handed to the HTTP library, and the node ended 50 ms after the last one.

Ruled out: the kernel's part (bytes that the socket has taken are sent after the process ends).

Change: a plain answer carries the count of calls in flight, and its memory reservation, until the library drops its bytes, which it does when the socket has taken them all.

--- a/crates/gateway/src/caller/answer_buffer.rs
+++ b/crates/gateway/src/caller/answer_buffer.rs
@@ -1,7 +1,7 @@
 //! Plain answers, buffered until they are complete, in bounded memory.
 
-use std::cell::Cell;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -32,14 +32,38 @@
 /// Memory of all buffered answers of a node.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AnswerMemory {
-    reserved_bytes: Rc<Cell<usize>>,
+    reserved_bytes: Arc<AtomicUsize>,
 }
 
 /// A buffered answer, which counts against the node's memory until dropped.
 #[derive(Debug)]
 pub(crate) struct BufferedAnswer {
-    pub(crate) bytes: Bytes,
-    pub(crate) reservation: Reservation,
+    bytes: Bytes,
+    _reservation: Reservation,
+}
+
+/// A buffered answer and what is kept until its last byte is written.
+struct Held<T> {
+    answer: BufferedAnswer,
+    _until_written: T,
+}
+
+impl<T> AsRef<[u8]> for Held<T> {
+    fn as_ref(&self) -> &[u8] {
+        &self.answer.bytes
+    }
+}
+
+impl BufferedAnswer {
+    /// Returns the bytes, which keep `until_written` until they are dropped.
+    ///
+    /// The connection drops them when the socket has taken them all.
+    pub(crate) fn into_bytes<T: Send + 'static>(self, until_written: T) -> Bytes {
+        Bytes::from_owner(Held {
+            answer: self,
+            _until_written: until_written,
+        })
+    }
 }
 
 /// Part of the memory for answers.
@@ -72,7 +96,7 @@
         }
         Ok(BufferedAnswer {
             bytes: buffer.freeze(),
-            reservation,
+            _reservation: reservation,
         })
     }
 }
@@ -80,22 +104,20 @@
 impl Reservation {
     /// Grows to that size; returns false if the memory for answers is used up.
     fn grow(&mut self, bytes: usize) -> bool {
-        let reserved = self.memory.reserved_bytes.get();
-        let total = reserved + bytes.saturating_sub(self.bytes);
-        if total > RESERVED_BYTES_MAX {
+        let added = bytes.saturating_sub(self.bytes);
+        let reserved = &self.memory.reserved_bytes;
+        if reserved.load(Ordering::Relaxed) + added > RESERVED_BYTES_MAX {
             return false;
         }
-        self.memory.reserved_bytes.set(total);
-        self.bytes = self.bytes.max(bytes);
+        reserved.fetch_add(added, Ordering::Relaxed);
+        self.bytes += added;
         true
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let reserved = self.memory.reserved_bytes.get();
-        self.memory
-            .reserved_bytes
-            .set(reserved.saturating_sub(self.bytes));
+        let reserved = &self.memory.reserved_bytes;
+        reserved.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
--- a/crates/gateway/src/caller/body.rs
+++ b/crates/gateway/src/caller/body.rs
@@ -8,8 +8,6 @@
 use http_body::{Body, Frame, SizeHint};
 use quick_error::quick_error;
 
-use crate::caller::answer_buffer::{BufferedAnswer, Reservation};
-
 quick_error! {
     /// Aborts an answer so that the caller sees it as incomplete.
     #[derive(Debug)]
@@ -25,30 +23,14 @@
 /// Body of an answer.
 pub(crate) enum AnswerBody {
     /// A complete body.
-    Whole {
-        bytes: Option<Bytes>,
-        /// Memory that it takes until it is sent.
-        _reservation: Option<Reservation>,
-    },
+    Whole(Option<Bytes>),
     /// A body that arrives in chunks.
     Stream(ChunkStream),
 }
 
 impl From<Bytes> for AnswerBody {
     fn from(bytes: Bytes) -> Self {
-        Self::Whole {
-            bytes: (!bytes.is_empty()).then_some(bytes),
-            _reservation: None,
-        }
-    }
-}
-
-impl From<BufferedAnswer> for AnswerBody {
-    fn from(answer: BufferedAnswer) -> Self {
-        Self::Whole {
-            bytes: (!answer.bytes.is_empty()).then_some(answer.bytes),
-            _reservation: Some(answer.reservation),
-        }
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
     }
 }
 
@@ -61,7 +43,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
-            Self::Whole { bytes, .. } => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Self::Stream(chunks) => {
                 let next = chunks.as_mut().poll_next(cx);
                 next.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
@@ -70,14 +52,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole { bytes: None, .. })
+        matches!(self, Self::Whole(None))
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole { bytes, .. } => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -13,8 +13,9 @@
 use crate::caller::attempt_guard::{Execution, StartedAnswer, keep_connection};
 use crate::caller::body::AnswerBody;
 use crate::caller::call_record::CallRecord;
+use crate::caller::in_flight::InFlight;
 use crate::caller::outcome::Outcome;
-use crate::caller::request::{Admitted, InFlight, time_left};
+use crate::caller::request::{Admitted, time_left};
 use crate::caller::stream::EventStream;
 use crate::dialect::AnswerKind;
 use crate::loads;
@@ -51,7 +52,8 @@
     pub(crate) last_event: Option<Arc<str>>,
     /// Version at which the stream goes on, once it has begun.
     pub(crate) version: Option<VersionKey>,
-    _in_flight: InFlight,
+    /// `None` once the answer keeps it.
+    in_flight: Option<InFlight>,
 }
 
 impl Exchange {
@@ -94,7 +96,7 @@
             may_have_run: false,
             last_event: None,
             version: None,
-            _in_flight: in_flight,
+            in_flight: Some(in_flight),
         }
     }
 
@@ -198,7 +200,10 @@
         self.record.status = head.status.as_u16();
         self.record.is_whole = true;
         self.record.first();
-        Ok(Response::from_parts(head, AnswerBody::from(answer)))
+        Ok(Response::from_parts(
+            head,
+            AnswerBody::from(answer.into_bytes(self.in_flight.take())),
+        ))
     }
 
     /// Sends the call until a server starts to answer.
--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -8,10 +8,12 @@
 mod continuity;
 mod exchange;
 mod guard;
+mod in_flight;
 mod outcome;
 mod port;
 mod request;
 mod stream;
 
 pub(crate) use answer_buffer::AnswerMemory;
+pub(crate) use in_flight::CallCount;
 pub(crate) use port::CallerPort;
--- a/crates/gateway/src/caller/request.rs
+++ b/crates/gateway/src/caller/request.rs
@@ -38,29 +38,13 @@
     )
 }
 
-/// Counts a call as in flight until dropped.
-pub(crate) struct InFlight(Rc<SharedState>);
-
-impl InFlight {
-    fn new(shared: &Rc<SharedState>) -> Self {
-        shared.in_flight.set(shared.in_flight.get() + 1);
-        Self(Rc::clone(shared))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 /// Answers a request of a caller.
 pub(crate) async fn serve(
     shared: &Rc<SharedState>,
     request: Request<Incoming>,
     is_ambiguous: bool,
 ) -> Response<AnswerBody> {
-    let in_flight = InFlight::new(shared);
+    let in_flight = shared.in_flight.start();
     let began_at = Instant::now();
     let (head, body) = request.into_parts();
     match admit(shared, &head, is_ambiguous) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio_util::task::TaskTracker;
 
-use crate::caller::AnswerMemory;
+use crate::caller::{AnswerMemory, CallCount};
 use crate::dialect::Dialect;
 use crate::loads::Queries;
 use crate::log_lines::LogLines;
@@ -60,7 +60,7 @@
     pub(crate) transfers: Cell<usize>,
     pub(crate) log_lines: Rc<LogLines>,
     /// Number of callers' calls in flight.
-    pub(crate) in_flight: Cell<usize>,
+    pub(crate) in_flight: CallCount,
 }
 
 /// State of the connection to the store.
@@ -132,7 +132,7 @@
             is_fetching: Cell::new(false),
             transfers: Cell::new(0),
             log_lines: Rc::default(),
-            in_flight: Cell::new(0),
+            in_flight: CallCount::default(),
         })
     }
 
