Leave a silent server only for one that can take the call

Callers of a slow but sound server lost their streams, or had their work started again, when no other server could go on with it; a stream was also given up while its server's entry had only lapsed.

Cause: after a silence the attempt was ended first, and only then was another server looked for, the retry budget and the same server included.

Ruled out: the removal of the entry itself (attempts in flight go on).

Change: before a call leaves a silent server, the dispatcher is asked whether a healthy server that was not tried would take it and the budget has a retry. Otherwise the call waits on, and asks again after the same time.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -238,6 +238,25 @@
         service.is_some_and(|s| s.retry_budget.withdraw(now, sharing_nodes))
     }
 
+    /// Returns whether a call that runs could move to a server that is not in `avoid`.
+    ///
+    /// The budget has a retry for it, and a healthy server would answer it in time.
+    pub fn can_move(&mut self, now: Instant, call: &Call, avoid: &[ServerName]) -> bool {
+        let sharing_nodes = self.sharing_nodes;
+        let service = self.services.get_mut(&call.service);
+        if !service.is_some_and(|s| s.retry_budget.allows_retry(now, sharing_nodes)) {
+            return false;
+        }
+        let choice = self
+            .pool(now, call)
+            .map(|pool| pool.choose(now, call, avoid));
+        let Some(Ok(choice)) = choice else {
+            return false;
+        };
+        let chosen = self.servers.get(&choice.instance.id);
+        !avoid.contains(&choice.instance.id) && chosen.is_some_and(|e| e.is_healthy(now))
+    }
+
     /// Chooses a server and counts the attempt as in flight.
     ///
     /// Servers in `avoid` are used only when there is no other.
--- a/crates/core/src/flow/retry_budget.rs
+++ b/crates/core/src/flow/retry_budget.rs
@@ -86,12 +86,7 @@
 
     /// Withdraws a retry if the budget, divided among `sharing_nodes` nodes, allows it.
     pub fn withdraw(&mut self, now: Instant, sharing_nodes: usize) -> bool {
-        self.current_slot(now);
-        let calls: u32 = self.slots.iter().map(|s| s.calls).sum();
-        let retries: u32 = self.slots.iter().map(|s| s.retries).sum();
-        let extra = self.options.extra / sharing_nodes.max(1) as f64;
-        let allowed = (self.options.ratio * f64::from(calls) + extra) * self.options.used_ratio;
-        if f64::from(retries) + 1.0 > allowed {
+        if !self.allows_retry(now, sharing_nodes) {
             return false;
         }
         if let Some(slot) = self.current_slot(now) {
@@ -100,6 +95,16 @@
         true
     }
 
+    /// Returns whether [`Self::withdraw`] would succeed.
+    pub fn allows_retry(&mut self, now: Instant, sharing_nodes: usize) -> bool {
+        self.current_slot(now);
+        let calls: u32 = self.slots.iter().map(|s| s.calls).sum();
+        let retries: u32 = self.slots.iter().map(|s| s.retries).sum();
+        let extra = self.options.extra / sharing_nodes.max(1) as f64;
+        let allowed = (self.options.ratio * f64::from(calls) + extra) * self.options.used_ratio;
+        f64::from(retries) + 1.0 <= allowed
+    }
+
     fn current_slot(&mut self, now: Instant) -> Option<&mut Slot> {
         let window = self.options.window;
         while let Some(first) = self.slots.front()
--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -7,6 +7,7 @@
 use http::{Request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout_at};
 
 use crate::caller::attempt_guard::{AttemptGuard, Execution, FailedAttempt, StartedAnswer};
@@ -29,15 +30,8 @@
         &mut self,
         placement: Placement,
     ) -> Result<StartedAnswer, FailedAttempt> {
-        let silence_deadline = self.silence_deadline(&placement);
         let guard = AttemptGuard::new(&self.shared, &placement);
-        let request = self.build_request(&placement.instance);
-        let (connections_max, sharing_nodes) = self.connection_limit();
-        let sending =
-            self.shared
-                .pool
-                .send(&placement.instance, request, connections_max, sharing_nodes);
-        let failed = match timeout_at(silence_deadline, sending).await {
+        let failed = match self.send(&placement).await {
             Ok(Ok(sent)) => match self.check_answer(&placement.instance, sent) {
                 Ok((head, answer_head, body, connection)) => {
                     return Ok(StartedAnswer {
@@ -63,6 +57,23 @@
         Err(failed)
     }
 
+    /// Sends the call and waits for a head, for as long as no other server can take it.
+    async fn send(&self, placement: &Placement) -> Result<Result<Sent, SendError>, Elapsed> {
+        let request = self.build_request(&placement.instance);
+        let (connections_max, sharing_nodes) = self.connection_limit();
+        let pool = &self.shared.pool;
+        let sending = pool.send(&placement.instance, request, connections_max, sharing_nodes);
+        tokio::pin!(sending);
+        loop {
+            let until = self.silence_deadline(placement);
+            let sent = timeout_at(until, sending.as_mut()).await;
+            let is_expired = Instant::now() >= self.deadline;
+            if sent.is_ok() || is_expired || self.can_leave(&placement.instance) {
+                return sent;
+            }
+        }
+    }
+
     fn classify_send_error(&mut self, error: &SendError) -> FailedAttempt {
         self.record.failure_reason = Some(error.to_string());
         let fault = match error {
@@ -80,11 +91,10 @@
 
     /// Returns when a server without an answer counts as silent.
     fn silence_deadline(&self, placement: &Placement) -> Instant {
-        let route = &self.admitted.route;
-        if !route.is_repeatable() || self.record.sends + 1 >= route.attempts_max {
+        if !self.has_attempt_left() {
             return self.deadline;
         }
-        let target = Duration::from_millis(u64::from(route.target_ms));
+        let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         let silence = placement.expected_latency.mul_f64(SILENCE_RATIOS.0);
         let silence = silence.max(target.mul_f64(SILENCE_RATIOS.1));
         self.deadline.min(Instant::now() + silence)
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -332,11 +332,31 @@
         self.admitted.route.is_repeatable() && self.may_retry(Execution::Unknown, instance)
     }
 
+    /// Returns whether the call may leave a server that is silent for another one.
+    ///
+    /// Without another one, a slow server is better than none.
+    pub(crate) fn can_leave(&self, instance: &Instance) -> bool {
+        if !self.has_attempt_left() {
+            return false;
+        }
+        let mut avoid = self.tried.clone();
+        avoid.push(instance.id.clone());
+        let now = Instant::now();
+        let call = self.call_to_dispatch(now);
+        let mut dispatcher = self.shared.dispatcher.borrow_mut();
+        dispatcher.can_move(now.into_std(), &call, &avoid)
+    }
+
+    /// Returns whether the call may run once more besides the current attempt.
+    pub(crate) fn has_attempt_left(&self) -> bool {
+        let route = &self.admitted.route;
+        route.is_repeatable() && self.record.sends + 1 < route.attempts_max
+    }
+
     /// Returns the longest pause of a stream that may resume elsewhere.
     pub(crate) fn stall_timeout(&self) -> Option<Duration> {
         let route = &self.admitted.route;
-        let is_attempt_left = self.record.sends + 1 < route.attempts_max;
         let gap = Duration::from_millis(u64::from(route.gap_ms.unwrap_or(route.target_ms)));
-        (route.is_repeatable() && is_attempt_left).then_some(gap * STALL_GAPS)
+        self.has_attempt_left().then_some(gap * STALL_GAPS)
     }
 }
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -115,9 +115,9 @@
         };
         let deadline = self.exchange.deadline;
         let stall_timeout = self.exchange.stall_timeout();
+        let stalls_at = || stall_timeout.map_or(deadline, |pause| Instant::now() + pause);
         loop {
-            let until =
-                stall_timeout.map_or(deadline, |pause| deadline.min(Instant::now() + pause));
+            let until = stalls_at().min(deadline);
             let frame = match timeout_at(until, started.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Next::Broken("stream broke off", Fault::Broken),
@@ -125,6 +125,12 @@
                     return Next::Broken("stream ended within an event", Fault::Broken);
                 }
                 Ok(None) => return Next::End,
+                Err(_)
+                    if Instant::now() < deadline
+                        && !self.exchange.can_leave(&started.guard.instance) =>
+                {
+                    continue;
+                }
                 Err(_) => return Next::Broken("stream stood still", Fault::Silent),
             };
             let Ok(data) = frame.into_data() else {
