Count a stream as stalled while no event is complete

A stream whose server sent a byte now and then, but no event, never went on elsewhere; its caller waited until the deadline.

Cause: each read started the time for a stall anew.

Ruled out: plain answers, which are bound by the deadline alone.

Change: the time runs from the last complete event.

--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -116,8 +116,8 @@
         let deadline = self.exchange.deadline;
         let stall_timeout = self.exchange.stall_timeout();
         let stalls_at = || stall_timeout.map_or(deadline, |pause| Instant::now() + pause);
+        let mut until = stalls_at().min(deadline);
         loop {
-            let until = stalls_at().min(deadline);
             let frame = match timeout_at(until, started.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Next::Broken("stream broke off", Fault::Broken),
@@ -129,6 +129,7 @@
                     if Instant::now() < deadline
                         && !self.exchange.can_leave(&started.guard.instance) =>
                 {
+                    until = stalls_at().min(deadline);
                     continue;
                 }
                 Err(_) => return Next::Broken("stream stood still", Fault::Silent),
