Let begun streams use leaving servers of their version

Callers lost their streams in a release when the last servers of a version had said that they leave, though these still run for some seconds.

Cause: a server that leaves got nothing more, whatever the call.

Ruled out: servers whose entries are gone, and those that this node has only known as leaving (it cannot tell for how long).

Change: if no other server has the version, a begun stream may go to one that leaves, for half of the drain timeout after this node has learned it; the other half is for what the node learns late. New calls never do.

Besides, a node that starts without values fetches them from a peer that has the newest of those it has heard of, since another one may have been cut off since a server left or a key was withdrawn.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -121,7 +121,7 @@
         let entry = match self.servers.entry(instance.id.clone()) {
             Entry::Occupied(occupied) => {
                 let entry = occupied.into_mut();
-                entry.update_instance(instance);
+                entry.update_instance(now, instance);
                 entry
             }
             Entry::Vacant(vacant) => vacant.insert(ServerEntry::new(instance)),
@@ -281,12 +281,22 @@
     fn pool(&self, now: Instant, call: &Call) -> Option<Pool<'_>> {
         let service = self.services.get(&call.service)?;
         let is_usable = |e: &&ServerEntry| e.fits(call) && e.accepts_calls(now);
-        let of_service = self.servers.values().filter(is_usable);
+        let mut candidates: Vec<Candidate<'_>> = self
+            .servers
+            .values()
+            .filter(is_usable)
+            .map(|e| Candidate::new(e, now))
+            .collect();
+        if candidates.is_empty() && call.version.is_some() {
+            let is_left = |e: &&ServerEntry| e.fits(call) && e.accepts_rest(now, &self.options);
+            let leaving = self.servers.values().filter(is_left);
+            candidates.extend(leaving.map(|e| Candidate::new(e, now)));
+        }
         let prefix = call.prompt.as_ref().and_then(Prompt::prefix_key);
         let own_calls_per_s =
             prefix.map_or(0.0, |prefix| service.prefix_rates.calls_per_s(now, prefix));
         Some(Pool {
-            candidates: of_service.map(|e| Candidate::new(e, now)).collect(),
+            candidates,
             zone: &self.zone,
             engine: service.engine,
             prompt_time: service.prompt_time,
--- a/crates/core/src/flow/notices.rs
+++ b/crates/core/src/flow/notices.rs
@@ -9,9 +9,10 @@
 
 impl Dispatcher {
     /// Records that a server has said it leaves; its process gets no further calls.
-    pub fn record_leaving(&mut self, server: &ServerName) {
+    pub fn record_leaving(&mut self, now: Instant, server: &ServerName) {
         if let Some(entry) = self.servers.get_mut(server) {
             entry.is_leaving = true;
+            entry.record_leaving(now);
             self.departed.record(&entry.instance);
         }
     }
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -22,6 +22,10 @@
     pub full_pause: Duration,
     /// Time for which a server gets no calls after another one answered at its address.
     pub other_instance_pause: Duration,
+    /// Time for which a server that leaves still gets the rest of streams of its version.
+    ///
+    /// It applies when no other server has the version.
+    pub leaving_use: Duration,
     /// Cost of a server in another availability zone, in milliseconds.
     pub zone_cost_ms: f64,
     /// Cost of prefilling shared tokens that another server holds.
@@ -93,6 +97,7 @@
             unreachable_pause: Duration::from_millis(500),
             full_pause: Duration::from_millis(100),
             other_instance_pause: Duration::from_millis(2_500),
+            leaving_use: Duration::from_secs(1),
             zone_cost_ms: 2.0,
             in_flight_cost_ms: 0.5,
             prefill_again_ratio: 8.0,
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -376,7 +376,9 @@
 
     /// Returns a random live peer that has a newer revision.
     ///
-    /// A leaving one may be gone before it answers.
+    /// A node without values takes one of those that have the newest, since another one may
+    /// have been cut off since servers left or keys were withdrawn. A leaving one may be
+    /// gone before it answers.
     pub fn peer_with_newer_revision(
         &mut self,
         now: Instant,
@@ -389,7 +391,12 @@
             .filter(|p| p.revision > revision)
             .map(|p| (p.entry.address, p.revision))
             .collect();
-        newer.into_iter().choose(&mut self.rng)
+        let newest = newer.iter().map(|(_, revision)| *revision).max();
+        let needed = if revision == 0 { newest } else { None };
+        let newer = newer
+            .into_iter()
+            .filter(|(_, revision)| needed.is_none_or(|needed| *revision == needed));
+        newer.choose(&mut self.rng)
     }
 
     /// Returns the load of all peers on each server, by the hash of its name.
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -64,6 +64,8 @@
     paused_until: Option<Instant>,
     /// Whether the server has said that it leaves.
     pub(crate) is_leaving: bool,
+    /// When this node learned that the server leaves, `None` if it has always known.
+    leaving_since: Option<Instant>,
     /// End of the time for which the server has said that it wants no calls.
     refused_until: Option<Instant>,
     /// Set while the server names a limit.
@@ -96,14 +98,18 @@
             fault_samples: 0,
             paused_until: None,
             is_leaving: false,
+            leaving_since: None,
             refused_until: None,
             limit: None,
         }
     }
 
     /// Replaces the published entry by a newer one of the same name.
-    pub(crate) fn update_instance(&mut self, instance: Instance) {
+    pub(crate) fn update_instance(&mut self, now: Instant, instance: Instance) {
         self.grace_until = None;
+        if instance.is_draining && !self.instance.is_draining {
+            self.record_leaving(now);
+        }
         if instance.born_ms != self.instance.born_ms {
             // A new process starts with an empty cache and without faults; only the
             // calls in flight carry over.
@@ -138,6 +144,18 @@
         !self.instance.is_draining && !self.is_leaving && !has_lapsed
     }
 
+    /// Records that the server leaves.
+    pub(crate) fn record_leaving(&mut self, now: Instant) {
+        self.leaving_since.get_or_insert(now);
+    }
+
+    /// Returns whether a server that leaves may still be sent the rest of a stream.
+    pub(crate) fn accepts_rest(&self, now: Instant, options: &Options) -> bool {
+        let is_recent = |since: Instant| now < since + options.leaving_use;
+        let has_lapsed = self.grace_until.is_some_and(|until| now >= until);
+        self.leaving_since.is_some_and(is_recent) && !has_lapsed
+    }
+
     /// Returns the time until the server's limit and refusals admit a call.
     ///
     /// `None` if other nodes use the whole limit.
--- a/crates/core/tests/flow/streams.rs
+++ b/crates/core/tests/flow/streams.rs
@@ -101,6 +101,17 @@
     assert_eq!(directory.stream_count(), 0);
 }
 
+fn heartbeat(sender: HeartbeatEntry, revision: u64) -> Heartbeat {
+    Heartbeat {
+        sender,
+        is_leaving: false,
+        is_watching: false,
+        revision,
+        loads: Vec::new(),
+        entries: Vec::new(),
+    }
+}
+
 /// Builds the view of a node that has just heard of all others.
 fn peers(local: usize, nodes: usize, now: Instant) -> Peers {
     let mut peers = Peers::new(address(local), 1, Vec::new(), PeerOptions::default());
@@ -110,17 +121,7 @@
             incarnation: 1,
             count: 1,
         };
-        peers.receive(
-            now,
-            Heartbeat {
-                sender,
-                is_leaving: false,
-                is_watching: false,
-                revision: 0,
-                loads: Vec::new(),
-                entries: Vec::new(),
-            },
-        );
+        peers.receive(now, heartbeat(sender, 0));
     }
     peers
 }
@@ -225,3 +226,27 @@
     assert_eq!(find(&both, version("v9")), None);
     assert_eq!(find(&[MODELS], other.version_key()), None);
 }
+
+/// Guards against a start with the values of a node that was cut off: servers that left
+/// since and keys that were withdrawn would be in use again.
+#[test]
+fn a_node_without_values_asks_a_peer_with_the_newest() {
+    let now = Instant::now();
+    let mut local = peers(0, 20, now);
+    for node in 1..20 {
+        let sender = HeartbeatEntry {
+            address: address(node),
+            incarnation: 1,
+            count: 2,
+        };
+        let revision = if node < 18 { 100 } else { 900 };
+        local.receive(now, heartbeat(sender, revision));
+    }
+    for _ in 0..100 {
+        let (_, revision) = local.peer_with_newer_revision(now, 0).unwrap();
+        assert_eq!(revision, 900);
+    }
+    // A node with values may catch up with any of them.
+    let asked = (0..100).filter_map(|_| local.peer_with_newer_revision(now, 50));
+    assert!(asked.into_iter().any(|(_, revision)| revision == 100));
+}
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -22,7 +22,9 @@
             if self.log_lines.take(LineKind::Notice) {
                 tracing::info!(server = %instance.id, "server: leaves");
             }
-            self.dispatcher.borrow_mut().record_leaving(&instance.id);
+            self.dispatcher
+                .borrow_mut()
+                .record_leaving(now, &instance.id);
         }
         if let Some(time) = notice.refusal {
             self.dispatcher
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -106,6 +106,8 @@
         );
         let options = Options {
             retries: settings.retries,
+            // The other half is for the time until this node has learned it.
+            leaving_use: settings.drain_timeout / 2,
             ..Options::default()
         };
         let tasks = TaskTracker::new();
