Let the fleet's view prove the version of unknown streams

Callers that take streams up without naming the first call were refused for twice the route's timeout after the start of a node, 30 s for chats, though all servers had one version all the while.

Ruled out: lost records (the calls name none), and the start of servers as a proof (entries need not tell it, and what has left leaves no trace).

Change: a node that has no record asks others for theirs and for what they have seen; one that started with the fleet for the first time has seen all. A record goes before a view. The safety is as before: no server is asked without a proof by a complete view.

--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -55,6 +55,6 @@
     EngineSpec, RequestLimits, Route, RouteConfig, RouteKind, ServiceSpec, Split, WorkspaceEntry,
 };
 pub use server_limits::{LimitStatement, ServerLimits};
-pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage};
+pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage, StreamOrigin};
 pub use table::RouteTable;
 pub use version::VersionKey;
--- a/crates/core/src/flow/stream_directory.rs
+++ b/crates/core/src/flow/stream_directory.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::flow::version::VersionKey;
-use crate::ids::WorkspaceName;
+use crate::ids::{ServiceName, WorkspaceName};
 use crate::rendezvous;
 
 /// Streams that a node keeps records of; the first to expire gives way to a further one.
@@ -61,16 +61,31 @@
         id: u32,
         /// The stream.
         stream: StreamKey,
+        /// Its service, `None` if its route has several.
+        service: Option<ServiceName>,
+        /// Largest age that it may have, in milliseconds.
+        age_max_ms: u32,
     },
     /// Answer to a query.
     Answer {
         /// Number of the query.
         id: u32,
-        /// The version, `None` if it is unknown.
-        version: Option<VersionKey>,
+        /// What the node knows.
+        origin: StreamOrigin,
     },
 }
 
+/// What a node knows of the version at which a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamOrigin {
+    /// Nothing.
+    Unknown,
+    /// The node has a record of the stream.
+    Recorded(VersionKey),
+    /// The service had no other version since the stream can have begun.
+    SoleVersion(VersionKey),
+}
+
 impl StreamMessage {
     /// Start of a datagram with a message about streams.
     ///
--- a/crates/core/src/flow/stream_versions.rs
+++ b/crates/core/src/flow/stream_versions.rs
@@ -9,6 +9,11 @@
 use crate::ids::ServiceName;
 
 impl Dispatcher {
+    /// Records that the whole fleet starts, so that there were no servers before.
+    pub fn record_first_start(&mut self) {
+        self.version_log.begin_with_fleet();
+    }
+
     /// Records that changes of the published servers may have been missed until now.
     pub fn record_missed_changes(&mut self, now: Instant) {
         self.version_log.interrupt(now);
@@ -25,19 +30,21 @@
         services.find(has_version).cloned()
     }
 
-    /// Returns the only version that servers of the route had for that time.
+    /// Returns the only version that servers of a service had for that time.
     ///
-    /// All streams of the route that began in this time began at it. Returns `None`
-    /// when there were several, or when servers may have been missed.
+    /// All its streams that began in this time began at it. Returns `None` when there
+    /// were several, or when servers may have been missed.
     #[must_use]
-    pub fn sole_version(&self, now: Instant, route: &Route, time: Duration) -> Option<VersionKey> {
-        let [split] = route.splits.as_slice() else {
-            return None;
-        };
-        let mut servers = self.of_service(&split.service);
+    pub fn sole_version(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        time: Duration,
+    ) -> Option<VersionKey> {
+        let mut servers = self.of_service(service);
         let version = servers.next()?.version_key;
         let is_sole = servers.all(|e| e.version_key == version)
-            && self.version_log.is_sole(now, &split.service, version, time);
+            && self.version_log.is_sole(now, service, version, time);
         is_sole.then_some(version)
     }
 
--- a/crates/core/src/flow/version_log.rs
+++ b/crates/core/src/flow/version_log.rs
@@ -16,20 +16,39 @@
 /// Versions of servers that are no longer listed, and since when all were seen.
 #[derive(Debug, Default)]
 pub(crate) struct VersionLog {
-    /// Start of the time in which no listed server was missed.
-    complete_since: Option<Instant>,
+    complete_since: Start,
     former: HashMap<ServiceName, HashMap<VersionKey, Instant>>,
 }
 
+/// Start of the time in which no listed server was missed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Start {
+    /// No server has been listed yet.
+    #[default]
+    Never,
+    At(Instant),
+    /// There were no servers before this node started.
+    Always,
+}
+
 impl VersionLog {
+    /// Records that there were no servers before this node started.
+    pub(crate) fn begin_with_fleet(&mut self) {
+        self.complete_since = Start::Always;
+    }
+
     /// Starts the time in which no listed server was missed, unless it has begun.
     pub(crate) fn begin(&mut self, now: Instant) {
-        self.complete_since.get_or_insert(now);
+        if self.complete_since == Start::Never {
+            self.complete_since = Start::At(now);
+        }
     }
 
     /// Records that listings may have been missed until now.
     pub(crate) fn interrupt(&mut self, now: Instant) {
-        self.complete_since = self.complete_since.map(|_| now);
+        if self.complete_since != Start::Never {
+            self.complete_since = Start::At(now);
+        }
     }
 
     /// Records a server that is no longer listed with this version.
@@ -51,7 +70,11 @@
         time: Duration,
     ) -> bool {
         let is_within = |at: Instant| now.saturating_duration_since(at) <= time;
-        let is_complete = self.complete_since.is_some_and(|since| !is_within(since));
+        let is_complete = match self.complete_since {
+            Start::Never => false,
+            Start::At(since) => !is_within(since),
+            Start::Always => true,
+        };
         let former = self.former.get(service).into_iter().flatten();
         let mut others = former.filter(|(former, _)| **former != version);
         is_complete && !others.any(|(_, at)| is_within(*at))
--- a/crates/gateway/src/caller/continuity.rs
+++ b/crates/gateway/src/caller/continuity.rs
@@ -1,12 +1,13 @@
 //! Keeps a stream at the version of software that began it.
 
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::time::Duration;
 
 use briarbank_core::flow::{Instance, StreamKey};
 
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
-use crate::streams;
+use crate::streams::{self, SoughtStream};
 
 /// Longest age of a stream that is taken up, as a multiple of its route's timeout.
 const AGE_RATIO: u32 = 2;
@@ -16,26 +17,26 @@
     ///
     /// Other streams stay free until their first event.
     pub(crate) async fn bind_taken_up(&mut self) -> Result<(), Outcome> {
-        let Some(taken_up) = &self.admitted.head.taken_up else {
+        if self.admitted.head.taken_up.is_none() {
             return Ok(());
-        };
-        let mut version = None;
-        if taken_up.first_call.is_some() {
-            version = streams::find(&self.shared, self.stream_key()).await;
-        }
-        let dispatcher = self.shared.dispatcher.borrow();
-        if version.is_none() && self.has_current_values() {
-            let age_max = Duration::from_millis(u64::from(self.admitted.route.timeout_ms));
-            let route = &self.admitted.route;
-            version = dispatcher.sole_version(Instant::now(), route, age_max * AGE_RATIO);
         }
-        let service = version.and_then(|v| dispatcher.service_of_version(&self.admitted.route, v));
-        drop(dispatcher);
-        let Some(version) = version else {
+        let route = Arc::clone(&self.admitted.route);
+        let sought = SoughtStream {
+            key: self.stream_key(),
+            service: match route.splits.as_slice() {
+                [split] => Some(split.service.clone()),
+                _ => None,
+            },
+            age_max: Duration::from_millis(u64::from(route.timeout_ms)) * AGE_RATIO,
+        };
+        let Some(version) = streams::find(&self.shared, &sought).await else {
             metrics::counter!("briarbank_streams_unknown_total").increment(1);
             self.set_failure_reason("version of the stream is unknown");
             return Err(Outcome::NotResumable);
         };
+        let dispatcher = self.shared.dispatcher.borrow();
+        let service = dispatcher.service_of_version(&route, version);
+        drop(dispatcher);
         if let Some(service) = service {
             self.set_service(service);
         }
@@ -43,14 +44,6 @@
         Ok(())
     }
 
-    /// Returns whether no other node is known to have newer published values.
-    fn has_current_values(&self) -> bool {
-        let revision = self.shared.mirror.borrow().revision();
-        let mut peers = self.shared.peers.borrow_mut();
-        let newer = peers.peer_with_newer_revision(Instant::now(), revision);
-        newer.is_none() && !self.shared.store.is_failing.get()
-    }
-
     /// Records the server that brought the first event of this answer.
     pub(crate) fn record_first_server(&mut self, instance: &Instance) {
         let version = *self.version.get_or_insert_with(|| instance.version_key());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,8 @@
     pub zone: ZoneName,
     /// Ports of the node.
     pub addresses: Addresses,
+    /// Whether the whole fleet starts for the first time, so that nothing ran before.
+    pub is_first_start: bool,
     /// Peer ports of a few other nodes, possibly stale.
     pub seeds: Vec<SocketAddrV4>,
     /// Address of the store of published values.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -110,9 +110,13 @@
             leaving_use: settings.drain_timeout / 2,
             ..Options::default()
         };
+        let mut dispatcher = Dispatcher::new(settings.zone.clone(), options);
+        if settings.is_first_start {
+            dispatcher.record_first_start();
+        }
         let tasks = TaskTracker::new();
         Rc::new(Self {
-            dispatcher: RefCell::new(Dispatcher::new(settings.zone.clone(), options)),
+            dispatcher: RefCell::new(dispatcher),
             settings: RefCell::new(Rc::new(settings)),
             dialect,
             table: RefCell::new(None),
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{StreamKey, StreamMessage, VersionKey};
+use briarbank_core::flow::{StreamKey, StreamMessage, StreamOrigin, VersionKey};
+use briarbank_core::ids::ServiceName;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -40,10 +41,21 @@
 struct Query {
     /// Nodes that were asked and have not answered.
     unanswered: RefCell<HashSet<SocketAddrV4>>,
-    version: Cell<Option<VersionKey>>,
+    recorded: Cell<Option<VersionKey>>,
+    sole: Cell<Option<VersionKey>>,
     ended: Notify,
 }
 
+/// A stream whose version is looked for.
+#[derive(Clone, Debug)]
+pub(crate) struct SoughtStream {
+    pub(crate) key: StreamKey,
+    /// Its service, `None` if its route has several.
+    pub(crate) service: Option<ServiceName>,
+    /// Largest age that it may have.
+    pub(crate) age_max: Duration,
+}
+
 /// Returns the message about a stream in a datagram, `None` for other datagrams.
 pub(crate) fn strip_prefix(datagram: &[u8]) -> Option<&[u8]> {
     datagram.strip_prefix(&StreamMessage::PREFIX)
@@ -61,7 +73,7 @@
     streams.record(now, stream, version, lifetime);
     drop(streams);
     let holders = shared.peers.borrow().stream_holders(now, stream, HOLDERS);
-    let lifetime_ms = u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX);
+    let lifetime_ms = to_ms(lifetime);
     for holder in holders {
         let message = StreamMessage::Record {
             stream,
@@ -73,33 +85,72 @@
 }
 
 /// Returns the version at which a stream began, `None` if no node that answers knows it.
-pub(crate) async fn find(shared: &SharedState, stream: StreamKey) -> Option<VersionKey> {
-    let known = shared.streams.borrow().version(Instant::now(), stream);
-    if known.is_some() {
-        return known;
+pub(crate) async fn find(shared: &SharedState, stream: &SoughtStream) -> Option<VersionKey> {
+    let own = origin(shared, stream);
+    if let StreamOrigin::Recorded(version) = own {
+        return Some(version);
     }
     let (id, query) = shared.stream_queries.start();
+    query.record(own);
     for time in QUERY_TIMEOUTS {
         let now = Instant::now();
-        let asked = shared
-            .peers
-            .borrow()
-            .stream_holders(now, stream, ASKED_NODES);
+        let (asked, sender) = {
+            let peers = shared.peers.borrow();
+            let asked = peers.stream_holders(now, stream.key, ASKED_NODES);
+            (asked, peers.local().address)
+        };
         if asked.is_empty() {
             break;
         }
         *query.unanswered.borrow_mut() = asked.iter().copied().collect();
-        let sender = shared.peers.borrow().local().address;
         for node in asked {
-            send(shared, node, &StreamMessage::Query { sender, id, stream });
+            let message = StreamMessage::Query {
+                sender,
+                id,
+                stream: stream.key,
+                service: stream.service.clone(),
+                age_max_ms: to_ms(stream.age_max),
+            };
+            send(shared, node, &message);
         }
-        if timeout(time, query.ended.notified()).await.is_ok() {
+        let has_ended = timeout(time, query.ended.notified()).await.is_ok();
+        if has_ended || query.sole.get().is_some() {
             break;
         }
         metrics::counter!("briarbank_stream_queries_unanswered_total").increment(1);
     }
     shared.stream_queries.waiting.borrow_mut().remove(&id);
-    query.version.get()
+    query.recorded.get().or(query.sole.get())
+}
+
+/// Returns what this node knows of a stream's version.
+fn origin(shared: &SharedState, stream: &SoughtStream) -> StreamOrigin {
+    let now = Instant::now();
+    if let Some(version) = shared.streams.borrow().version(now, stream.key) {
+        return StreamOrigin::Recorded(version);
+    }
+    let Some(service) = stream
+        .service
+        .as_ref()
+        .filter(|_| has_current_values(shared))
+    else {
+        return StreamOrigin::Unknown;
+    };
+    let dispatcher = shared.dispatcher.borrow();
+    let sole = dispatcher.sole_version(now, service, stream.age_max);
+    sole.map_or(StreamOrigin::Unknown, StreamOrigin::SoleVersion)
+}
+
+/// Returns whether no other node is known to have newer published values.
+fn has_current_values(shared: &SharedState) -> bool {
+    let revision = shared.mirror.borrow().revision();
+    let mut peers = shared.peers.borrow_mut();
+    let newer = peers.peer_with_newer_revision(Instant::now(), revision);
+    newer.is_none() && !shared.store.is_failing.get()
+}
+
+fn to_ms(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
 /// Handles a message of another node about a stream.
@@ -120,12 +171,26 @@
             let mut streams = shared.streams.borrow_mut();
             streams.record(now, stream, version, lifetime);
         }
-        Ok((StreamMessage::Query { sender, id, stream }, _)) => {
-            let version = shared.streams.borrow().version(now, stream);
-            send(shared, sender, &StreamMessage::Answer { id, version });
+        Ok((
+            StreamMessage::Query {
+                sender,
+                id,
+                stream,
+                service,
+                age_max_ms,
+            },
+            _,
+        )) => {
+            let sought = SoughtStream {
+                key: stream,
+                service,
+                age_max: Duration::from_millis(u64::from(age_max_ms)),
+            };
+            let origin = origin(shared, &sought);
+            send(shared, sender, &StreamMessage::Answer { id, origin });
         }
-        Ok((StreamMessage::Answer { id, version }, _)) => {
-            shared.stream_queries.record_answer(id, from, version);
+        Ok((StreamMessage::Answer { id, origin }, _)) => {
+            shared.stream_queries.record_answer(id, from, origin);
         }
         Err(error) => tracing::debug!(%error, "peer: decoding a message about a stream failed"),
     }
@@ -140,8 +205,8 @@
         (id, query)
     }
 
-    /// Ends a query when the version is found, or when nobody asked knows it.
-    fn record_answer(&self, id: u32, from: SocketAddr, version: Option<VersionKey>) {
+    /// Ends a query when a record is found, or when all nodes that were asked have answered.
+    fn record_answer(&self, id: u32, from: SocketAddr, origin: StreamOrigin) {
         let Some(query) = self.waiting.borrow().get(&id).cloned() else {
             return;
         };
@@ -151,15 +216,23 @@
         if !query.unanswered.borrow_mut().remove(&from) {
             return;
         }
-        if version.is_some() {
-            query.version.set(version);
-        }
-        if version.is_some() || query.unanswered.borrow().is_empty() {
+        query.record(origin);
+        if query.recorded.get().is_some() || query.unanswered.borrow().is_empty() {
             query.ended.notify_one();
         }
     }
 }
 
+impl Query {
+    fn record(&self, origin: StreamOrigin) {
+        match origin {
+            StreamOrigin::Unknown => {}
+            StreamOrigin::Recorded(version) => self.recorded.set(Some(version)),
+            StreamOrigin::SoleVersion(version) => self.sole.set(Some(version)),
+        }
+    }
+}
+
 fn send(shared: &SharedState, target: SocketAddrV4, message: &StreamMessage) {
     let Some(socket) = shared.socket.get() else {
         return;
