Treat callers that name no first call as before versions

Cause: such callers name no first call, and nodes that have all just started can prove nothing. What the store lists does not tell it either: the entries of servers there hold neither their start nor a current count of reports (trial with the entries logged).

Ruled out: that the calls name the first one (trial with heads logged).

Change: callers that name no call get the rest of their streams while the node has seen one version only, as before versions were known; named streams still need a record or a proof, since their callers rely on it.

--- a/crates/core/src/flow/stream_versions.rs
+++ b/crates/core/src/flow/stream_versions.rs
@@ -40,12 +40,27 @@
         now: Instant,
         service: &ServiceName,
         time: Duration,
+    ) -> Option<VersionKey> {
+        let is_complete = self.version_log.is_complete(now, time);
+        let seen = self.only_seen_version(now, service, time);
+        seen.filter(|_| is_complete)
+    }
+
+    /// Returns the only version that this node has seen servers of a service with.
+    ///
+    /// Unlike [`Self::sole_version`] it proves nothing of the time before this node's start.
+    #[must_use]
+    pub fn only_seen_version(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        time: Duration,
     ) -> Option<VersionKey> {
         let mut servers = self.of_service(service);
         let version = servers.next()?.version_key;
-        let is_sole = servers.all(|e| e.version_key == version)
-            && self.version_log.is_sole(now, service, version, time);
-        is_sole.then_some(version)
+        let is_only = servers.all(|e| e.version_key == version)
+            && !self.version_log.has_other(now, service, version, time);
+        is_only.then_some(version)
     }
 
     fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &ServerEntry> {
--- a/crates/core/src/flow/version_log.rs
+++ b/crates/core/src/flow/version_log.rs
@@ -61,22 +61,25 @@
         }
     }
 
-    /// Returns whether no other version of the service was listed for that time.
-    pub(crate) fn is_sole(
+    /// Returns whether no listed server was missed for that time.
+    pub(crate) fn is_complete(&self, now: Instant, time: Duration) -> bool {
+        match self.complete_since {
+            Start::Never => false,
+            Start::At(since) => now.saturating_duration_since(since) > time,
+            Start::Always => true,
+        }
+    }
+
+    /// Returns whether another version of the service was seen in that time.
+    pub(crate) fn has_other(
         &self,
         now: Instant,
         service: &ServiceName,
         version: VersionKey,
         time: Duration,
     ) -> bool {
-        let is_within = |at: Instant| now.saturating_duration_since(at) <= time;
-        let is_complete = match self.complete_since {
-            Start::Never => false,
-            Start::At(since) => !is_within(since),
-            Start::Always => true,
-        };
         let former = self.former.get(service).into_iter().flatten();
         let mut others = former.filter(|(former, _)| **former != version);
-        is_complete && !others.any(|(_, at)| is_within(*at))
+        others.any(|(_, at)| now.saturating_duration_since(*at) <= time)
     }
 }
--- a/crates/gateway/src/caller/continuity.rs
+++ b/crates/gateway/src/caller/continuity.rs
@@ -1,9 +1,9 @@
 //! Keeps a stream at the version of software that began it.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Instance, StreamKey};
+use briarbank_core::flow::{Instance, StreamKey, VersionKey};
 
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
@@ -17,9 +17,10 @@
     ///
     /// Other streams stay free until their first event.
     pub(crate) async fn bind_taken_up(&mut self) -> Result<(), Outcome> {
-        if self.admitted.head.taken_up.is_none() {
+        let Some(taken_up) = &self.admitted.head.taken_up else {
             return Ok(());
-        }
+        };
+        let is_named = taken_up.first_call.is_some();
         let route = Arc::clone(&self.admitted.route);
         let sought = SoughtStream {
             key: self.stream_key(),
@@ -29,7 +30,12 @@
             },
             age_max: Duration::from_millis(u64::from(route.timeout_ms)) * AGE_RATIO,
         };
-        let Some(version) = streams::find(&self.shared, &sought).await else {
+        let version = if is_named {
+            streams::find(&self.shared, &sought).await
+        } else {
+            self.only_seen_version(&sought)
+        };
+        let Some(version) = version else {
             metrics::counter!("briarbank_streams_unknown_total").increment(1);
             self.set_failure_reason("version of the stream is unknown");
             return Err(Outcome::NotResumable);
@@ -44,6 +50,16 @@
         Ok(())
     }
 
+    /// Returns the version of a stream whose caller does not name its first call.
+    ///
+    /// Such callers know nothing of versions; they get the rest while this node has seen
+    /// one version only.
+    fn only_seen_version(&self, sought: &SoughtStream) -> Option<VersionKey> {
+        let service = sought.service.as_ref()?;
+        let dispatcher = self.shared.dispatcher.borrow();
+        dispatcher.only_seen_version(Instant::now(), service, sought.age_max)
+    }
+
     /// Records the server that brought the first event of this answer.
     pub(crate) fn record_first_server(&mut self, instance: &Instance) {
         let version = *self.version.get_or_insert_with(|| instance.version_key());
