Give a stream the head of the server of its first event

Callers could get the head of one version's server and the events of another's, when the first one broke off in between.

Cause: the head was kept when a stream went on before its first event.

Change: until an event has been passed on, the head is that of the server in use.

--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::Response;
 use http::header::CONTENT_LENGTH;
+use http::{Response, response};
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
 
@@ -22,6 +22,8 @@
 pub(crate) struct EventStream {
     exchange: Exchange,
     started: Option<StartedAnswer>,
+    /// Head of the server that brings the first event.
+    head: response::Parts,
     splitter: EventSplitter,
     /// Whether an event has been passed on.
     has_event: bool,
@@ -48,9 +50,9 @@
                 );
             }
         }
-        let mut head = started.head.clone();
         let mut stream = Self {
             exchange,
+            head: started.head.clone(),
             started: Some(started),
             splitter: EventSplitter::default(),
             has_event: false,
@@ -65,6 +67,7 @@
             };
             return stream.exchange.refuse(outcome);
         };
+        let mut head = stream.head.clone();
         let shared = &stream.exchange.shared;
         shared.dialect.caller_headers(&mut head.headers);
         // Another server may send the rest, so the length is unknown.
@@ -190,6 +193,9 @@
             return Err(Cut::Stream);
         }
         self.log_resumption(&instance, &started.guard.instance);
+        if !self.has_event {
+            self.head = started.head.clone();
+        }
         self.started = Some(started);
         Ok(())
     }
