Forget queries to other nodes when their callers leave

Found in reading: a caller that left while its call waited for the loads of servers or for a stream's version left an entry behind for good, so that the memory of a node grew with each.

Change: the entry is removed when the wait is dropped. Both kinds of messages are sent by one function.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod apply;
 mod caller;
 mod codec;
+mod datagram;
 mod dialect;
 mod error;
 mod events;
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -1,16 +1,16 @@
 //! Exchange of exact loads with the homes of servers, over the peer port.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use briarbank_core::flow::{Call, LoadMessage, LoadReport, ServerLoad};
 use briarbank_core::ids::ServerName;
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::datagram;
 use crate::shared::SharedState;
 
 /// Time for the answers to a query, some round trips between availability zones.
@@ -28,6 +28,19 @@
     waiting: HashMap<u32, Waiting>,
 }
 
+/// A query that waits for answers until dropped, also when its caller leaves.
+struct PendingQuery<'a> {
+    shared: &'a SharedState,
+    id: u32,
+}
+
+impl Drop for PendingQuery<'_> {
+    fn drop(&mut self) {
+        let mut queries = self.shared.queries.borrow_mut();
+        queries.waiting.remove(&self.id);
+    }
+}
+
 #[derive(Debug)]
 struct Waiting {
     answers_left: usize,
@@ -91,6 +104,7 @@
         return;
     }
     let (id, answered) = shared.queries.borrow_mut().start(homes.len());
+    let _pending = PendingQuery { shared, id };
     for (home, servers) in homes {
         let sender = local;
         send(
@@ -106,7 +120,6 @@
     if timeout(QUERY_TIMEOUT, answered.notified()).await.is_err() {
         metrics::counter!("briarbank_load_queries_unanswered_total").increment(1);
     }
-    shared.queries.borrow_mut().waiting.remove(&id);
 }
 
 /// Handles a load message of another node.
@@ -196,18 +209,6 @@
 }
 
 fn send(shared: &SharedState, target: SocketAddrV4, message: &LoadMessage) {
-    let Some(socket) = shared.socket.get() else {
-        return;
-    };
-    let mut bytes = LoadMessage::PREFIX.to_vec();
-    if let Err(error) =
-        bincode::serde::encode_into_std_write(message, &mut bytes, bincode::config::standard())
-    {
-        tracing::warn!(%error, "peer: encoding a load message failed");
-        return;
-    }
     // A lost message is replaced by the next report, or its query is given up.
-    if let Err(error) = UdpSocket::try_send_to(socket, &bytes, SocketAddr::V4(target)) {
-        tracing::debug!(%error, %target, "peer: sending a load message failed");
-    }
+    datagram::send(shared, target, &LoadMessage::PREFIX, message);
 }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -8,10 +8,10 @@
 
 use briarbank_core::flow::{StreamKey, StreamMessage, StreamOrigin, VersionKey};
 use briarbank_core::ids::ServiceName;
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::datagram;
 use crate::shared::SharedState;
 
 /// Nodes that are told of a stream, besides the one that began it.
@@ -46,6 +46,19 @@
     ended: Notify,
 }
 
+/// A query that waits for answers until dropped, also when its caller leaves.
+struct PendingQuery<'a> {
+    queries: &'a StreamQueries,
+    id: u32,
+    query: Rc<Query>,
+}
+
+impl Drop for PendingQuery<'_> {
+    fn drop(&mut self) {
+        self.queries.waiting.borrow_mut().remove(&self.id);
+    }
+}
+
 /// A stream whose version is looked for.
 #[derive(Clone, Debug)]
 pub(crate) struct SoughtStream {
@@ -90,7 +103,8 @@
     if let StreamOrigin::Recorded(version) = own {
         return Some(version);
     }
-    let (id, query) = shared.stream_queries.start();
+    let pending = shared.stream_queries.start();
+    let (id, query) = (pending.id, &pending.query);
     query.record(own);
     for time in QUERY_TIMEOUTS {
         let now = Instant::now();
@@ -119,7 +133,6 @@
         }
         metrics::counter!("briarbank_stream_queries_unanswered_total").increment(1);
     }
-    shared.stream_queries.waiting.borrow_mut().remove(&id);
     query.recorded.get().or(query.sole.get())
 }
 
@@ -197,12 +210,16 @@
 }
 
 impl StreamQueries {
-    fn start(&self) -> (u32, Rc<Query>) {
+    fn start(&self) -> PendingQuery<'_> {
         let id = self.next_id.get().wrapping_add(1);
         self.next_id.set(id);
         let query = Rc::new(Query::default());
         self.waiting.borrow_mut().insert(id, Rc::clone(&query));
-        (id, query)
+        PendingQuery {
+            queries: self,
+            id,
+            query,
+        }
     }
 
     /// Ends a query when a record is found, or when all nodes that were asked have answered.
@@ -234,18 +251,6 @@
 }
 
 fn send(shared: &SharedState, target: SocketAddrV4, message: &StreamMessage) {
-    let Some(socket) = shared.socket.get() else {
-        return;
-    };
-    let mut bytes = StreamMessage::PREFIX.to_vec();
-    if let Err(error) =
-        bincode::serde::encode_into_std_write(message, &mut bytes, bincode::config::standard())
-    {
-        tracing::warn!(%error, "peer: encoding a message about a stream failed");
-        return;
-    }
     // Other holders have the same record, and a query is repeated.
-    if let Err(error) = UdpSocket::try_send_to(socket, &bytes, SocketAddr::V4(target)) {
-        tracing::debug!(%error, %target, "peer: sending a message about a stream failed");
-    }
+    datagram::send(shared, target, &StreamMessage::PREFIX, message);
 }
