--- /dev/null
+++ b/crates/core/src/flow/homes.rs
@@ -0,0 +1,83 @@
+//! Nodes that hold something for all others, found by rendezvous hashing over live nodes.
+//!
+//! Nodes that know of the same live nodes agree without talking; others may differ for a
+//! moment.
+
+use std::cmp::Reverse;
+use std::net::SocketAddrV4;
+use std::time::Instant;
+
+use crate::flow::peers::{Peer, Peers};
+use crate::flow::server_limits::limit_users;
+use crate::flow::stream_directory::StreamKey;
+use crate::rendezvous;
+
+impl Peers {
+    /// Returns whether the fleet is so large that servers have homes.
+    #[must_use]
+    pub fn has_homes(&self) -> bool {
+        self.others.len() > self.options.mesh_peers_max
+    }
+
+    /// Returns the node that keeps the load of a server, given the hash of its name.
+    ///
+    /// All nodes that know of the same live nodes compute the same home.
+    pub fn home(&mut self, now: Instant, server_key: u32) -> SocketAddrV4 {
+        if let Some(home) = self.homes.get(&server_key) {
+            return *home;
+        }
+        let weight = |address: &SocketAddrV4| home_weight(server_key, *address);
+        let live = self.others.values().filter(|p| self.is_live(now, p));
+        let live = live.map(|p| p.entry.address);
+        let nodes = live.chain((!self.is_leaving).then_some(self.local.address));
+        let home = nodes.max_by_key(weight).unwrap_or(self.local.address);
+        self.homes.insert(server_key, home);
+        home
+    }
+
+    /// Returns this node's part of a server's limit, in requests per second.
+    ///
+    /// The first few nodes in the order of homes share the limit; the part of the others
+    /// is 0.
+    #[must_use]
+    pub fn limit_share(&self, now: Instant, server_key: u32, limit_per_s: f64) -> f64 {
+        let users = limit_users(limit_per_s, self.sharing_nodes(now));
+        let weight = |address: &SocketAddrV4| home_weight(server_key, *address);
+        let own_weight = weight(&self.local.address);
+        let live = self.others.values().filter(|p| self.is_live(now, p));
+        let preceding = live
+            .filter(|p| weight(&p.entry.address) > own_weight)
+            .count();
+        if self.is_leaving || preceding >= users {
+            return 0.0;
+        }
+        limit_per_s / users as f64
+    }
+
+    /// Returns the first `count` other live nodes in the order of a stream's holders.
+    #[must_use]
+    pub fn stream_holders(
+        &self,
+        now: Instant,
+        stream: StreamKey,
+        count: usize,
+    ) -> Vec<SocketAddrV4> {
+        let live = self.others.values().filter(|p| self.is_live(now, p));
+        let weighted = live.map(|p| (order_weight(stream.order_key(), p.entry.address), p));
+        let mut weighted: Vec<(u64, &Peer)> = weighted.collect();
+        weighted.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
+        let first = weighted.into_iter().take(count);
+        first.map(|(_, p)| p.entry.address).collect()
+    }
+}
+
+/// Returns the weight of a node in the order of a server's homes.
+fn home_weight(server_key: u32, address: SocketAddrV4) -> u64 {
+    order_weight(u64::from(server_key), address)
+}
+
+/// Returns the weight of a node in the rendezvous order of a key.
+fn order_weight(key: u64, address: SocketAddrV4) -> u64 {
+    let name_key = rendezvous::key(address.to_string().as_bytes());
+    rendezvous::weight_of(key, name_key)
+}
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -14,6 +14,7 @@
 mod departed;
 mod dispatch;
 mod era;
+mod homes;
 mod instance;
 mod load;
 mod load_directory;
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -12,7 +12,6 @@
 //! Source: van Renesse, Minsky and Hayden, "A gossip-style failure detection
 //! service", 1998.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -24,8 +23,6 @@
 use crate::flow::decaying_sum::decay_factor;
 use crate::flow::load::Load;
 use crate::flow::message::{Heartbeat, HeartbeatEntry, ServerLoad};
-use crate::flow::server_limits::limit_users;
-use crate::flow::stream_directory::StreamKey;
 use crate::rendezvous;
 
 /// Time after which most pending prompts have been prefilled.
@@ -86,8 +83,8 @@
 }
 
 #[derive(Clone, Debug)]
-struct Peer {
-    entry: HeartbeatEntry,
+pub(crate) struct Peer {
+    pub(crate) entry: HeartbeatEntry,
     updated_at: Instant,
     revision: u64,
     is_leaving: bool,
@@ -99,14 +96,14 @@
 /// The nodes that this one knows of, with their state and load.
 #[derive(Debug)]
 pub struct Peers {
-    local: HeartbeatEntry,
-    is_leaving: bool,
-    options: PeerOptions,
+    pub(crate) local: HeartbeatEntry,
+    pub(crate) is_leaving: bool,
+    pub(crate) options: PeerOptions,
     seeds: Vec<SocketAddrV4>,
-    others: BTreeMap<SocketAddrV4, Peer>,
+    pub(crate) others: BTreeMap<SocketAddrV4, Peer>,
     peak: (usize, Option<Instant>),
     /// Homes of servers by the hash of their names, until the next heartbeat.
-    homes: HashMap<u32, SocketAddrV4>,
+    pub(crate) homes: HashMap<u32, SocketAddrV4>,
     /// Hash of the live nodes, and when it last changed.
     membership: (u64, Option<Instant>),
     rng: SmallRng,
@@ -262,7 +259,7 @@
         }
     }
 
-    fn is_live(&self, now: Instant, peer: &Peer) -> bool {
+    pub(crate) fn is_live(&self, now: Instant, peer: &Peer) -> bool {
         let age = now.saturating_duration_since(peer.updated_at);
         age < self.options.failure_timeout && !peer.is_leaving
     }
@@ -305,63 +302,6 @@
         preceding < self.options.watchers || watching < self.options.watchers_min
     }
 
-    /// Returns whether the fleet is so large that servers have homes.
-    #[must_use]
-    pub fn has_homes(&self) -> bool {
-        self.others.len() > self.options.mesh_peers_max
-    }
-
-    /// Returns the node that keeps the load of a server, given the hash of its name.
-    ///
-    /// All nodes that know of the same live nodes compute the same home.
-    pub fn home(&mut self, now: Instant, server_key: u32) -> SocketAddrV4 {
-        if let Some(home) = self.homes.get(&server_key) {
-            return *home;
-        }
-        let weight = |address: &SocketAddrV4| home_weight(server_key, *address);
-        let live = self.others.values().filter(|p| self.is_live(now, p));
-        let live = live.map(|p| p.entry.address);
-        let nodes = live.chain((!self.is_leaving).then_some(self.local.address));
-        let home = nodes.max_by_key(weight).unwrap_or(self.local.address);
-        self.homes.insert(server_key, home);
-        home
-    }
-
-    /// Returns this node's part of a server's limit, in requests per second.
-    ///
-    /// The first few nodes in the order of homes share the limit; the part of the others
-    /// is 0.
-    #[must_use]
-    pub fn limit_share(&self, now: Instant, server_key: u32, limit_per_s: f64) -> f64 {
-        let users = limit_users(limit_per_s, self.sharing_nodes(now));
-        let weight = |address: &SocketAddrV4| home_weight(server_key, *address);
-        let own_weight = weight(&self.local.address);
-        let live = self.others.values().filter(|p| self.is_live(now, p));
-        let preceding = live
-            .filter(|p| weight(&p.entry.address) > own_weight)
-            .count();
-        if self.is_leaving || preceding >= users {
-            return 0.0;
-        }
-        limit_per_s / users as f64
-    }
-
-    /// Returns the first `count` other live nodes in the order of a stream's holders.
-    #[must_use]
-    pub fn stream_holders(
-        &self,
-        now: Instant,
-        stream: StreamKey,
-        count: usize,
-    ) -> Vec<SocketAddrV4> {
-        let live = self.others.values().filter(|p| self.is_live(now, p));
-        let weighted = live.map(|p| (order_weight(stream.order_key(), p.entry.address), p));
-        let mut weighted: Vec<(u64, &Peer)> = weighted.collect();
-        weighted.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
-        let first = weighted.into_iter().take(count);
-        first.map(|(_, p)| p.entry.address).collect()
-    }
-
     /// Returns since when the live nodes are the same; `now` before the first heartbeat.
     #[must_use]
     pub fn stable_since(&self, now: Instant) -> Instant {
@@ -461,14 +401,3 @@
         self.rng.random()
     }
 }
-
-/// Returns the weight of a node in the order of a server's homes.
-fn home_weight(server_key: u32, address: SocketAddrV4) -> u64 {
-    order_weight(u64::from(server_key), address)
-}
-
-/// Returns the weight of a node in the rendezvous order of a key.
-fn order_weight(key: u64, address: SocketAddrV4) -> u64 {
-    let name_key = rendezvous::key(address.to_string().as_bytes());
-    rendezvous::weight_of(key, name_key)
-}
--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -1,7 +1,5 @@
 //! Sends a call to one server and verifies the head of its answer.
 
-use std::time::Duration;
-
 use briarbank_core::flow::{Fault, Instance, Placement};
 use bytes::Bytes;
 use http::{Request, response};
@@ -15,12 +13,6 @@
 use crate::dialect::{AnswerHead, AnswerKind, ForwardContext};
 use crate::server::{Connection, SendError, Sent};
 
-/// Silence after which a retryable call goes to another server.
-///
-/// Multiples of the expected latency and of the latency objective; the longer
-/// time counts.
-const SILENCE_RATIOS: (f64, f64) = (4.0, 2.0);
-
 /// An answer that may be forwarded: its heads, body and connection.
 type AcceptedAnswer = (response::Parts, AnswerHead, Incoming, Connection);
 
@@ -89,17 +81,6 @@
         FailedAttempt { fault, execution }
     }
 
-    /// Returns when a server without an answer counts as silent.
-    fn silence_deadline(&self, placement: &Placement) -> Instant {
-        if !self.has_attempt_left() {
-            return self.deadline;
-        }
-        let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
-        let silence = placement.expected_latency.mul_f64(SILENCE_RATIOS.0);
-        let silence = silence.max(target.mul_f64(SILENCE_RATIOS.1));
-        self.deadline.min(Instant::now() + silence)
-    }
-
     /// Returns the connections that a server admits and the number of nodes sharing them.
     fn connection_limit(&self) -> (u32, usize) {
         let spec = self.admitted.table.service(&self.service);
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -25,11 +25,6 @@
 /// Number of attempts per call that may fail before anything is sent.
 const UNSENT_ATTEMPTS_MAX: u32 = 4;
 
-/// Pause after which a stream resumes at another server.
-///
-/// A multiple of the longest pause that meets the objective.
-const STALL_GAPS: u32 = 4;
-
 /// Delay after which callers may retry a call that no server accepted.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -46,7 +41,7 @@
     pub(crate) body: Bytes,
     began_at: Instant,
     pub(crate) deadline: Instant,
-    tried: Vec<ServerName>,
+    pub(crate) tried: Vec<ServerName>,
     unsent_attempts: u32,
     may_have_run: bool,
     pub(crate) last_event: Option<Arc<str>>,
@@ -243,7 +238,7 @@
         }
     }
 
-    fn call_to_dispatch(&self, now: Instant) -> Call {
+    pub(crate) fn call_to_dispatch(&self, now: Instant) -> Call {
         let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         Call {
             service: self.service.clone(),
@@ -331,32 +326,4 @@
         }
         self.admitted.route.is_repeatable() && self.may_retry(Execution::Unknown, instance)
     }
-
-    /// Returns whether the call may leave a server that is silent for another one.
-    ///
-    /// Without another one, a slow server is better than none.
-    pub(crate) fn can_leave(&self, instance: &Instance) -> bool {
-        if !self.has_attempt_left() {
-            return false;
-        }
-        let mut avoid = self.tried.clone();
-        avoid.push(instance.id.clone());
-        let now = Instant::now();
-        let call = self.call_to_dispatch(now);
-        let mut dispatcher = self.shared.dispatcher.borrow_mut();
-        dispatcher.can_move(now.into_std(), &call, &avoid)
-    }
-
-    /// Returns whether the call may run once more besides the current attempt.
-    pub(crate) fn has_attempt_left(&self) -> bool {
-        let route = &self.admitted.route;
-        route.is_repeatable() && self.record.sends + 1 < route.attempts_max
-    }
-
-    /// Returns the longest pause of a stream that may resume elsewhere.
-    pub(crate) fn stall_timeout(&self) -> Option<Duration> {
-        let route = &self.admitted.route;
-        let gap = Duration::from_millis(u64::from(route.gap_ms.unwrap_or(route.target_ms)));
-        self.has_attempt_left().then_some(gap * STALL_GAPS)
-    }
 }
--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod port;
 mod request;
+mod silence;
 mod stream;
 
 pub(crate) use answer_buffer::AnswerMemory;
