Bound what a message of another node may claim

A datagram of a few bytes ended the process of a node: it claimed a text of 4e16 bytes, and the allocation failed.

Cause: messages were decoded without a bound. The new queries for versions of streams are the first datagrams with a text, which the decoder allocates by its claimed length; lists were safe.

Ruled out: a panic (the process aborted), and the daemons' own protocol (wire has a bound).

Change: all messages between gateways are decoded with a bound of 32 MiB on what they claim; the format is the same.

--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::codec;
 use crate::datagram;
 use crate::shared::SharedState;
 
@@ -124,26 +125,22 @@
 
 /// Handles a load message of another node.
 pub(crate) fn receive(shared: &SharedState, bytes: &[u8]) {
-    let decoded =
-        bincode::serde::decode_from_slice::<LoadMessage, _>(bytes, bincode::config::standard());
+    let decoded = codec::decode_message::<LoadMessage>(bytes);
     let now = Instant::now();
     match decoded {
-        Ok((LoadMessage::Report(report), _)) => {
+        Ok(LoadMessage::Report(report)) => {
             shared.directory.borrow_mut().record(now, &report);
         }
-        Ok((
-            LoadMessage::Query {
-                sender,
-                id,
-                mut servers,
-            },
-            _,
-        )) => {
+        Ok(LoadMessage::Query {
+            sender,
+            id,
+            mut servers,
+        }) => {
             servers.truncate(QUERY_SERVERS_MAX);
             let loads = known_loads(shared, now, sender, &servers);
             send(shared, sender, &LoadMessage::Answer { id, loads });
         }
-        Ok((LoadMessage::Answer { id, loads }, _)) => {
+        Ok(LoadMessage::Answer { id, loads }) => {
             if shared.queries.borrow_mut().record_answer(id) {
                 let mut dispatcher = shared.dispatcher.borrow_mut();
                 dispatcher.set_exact_loads(now, &loads);
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::codec;
 use crate::datagram;
 use crate::shared::SharedState;
 
@@ -168,32 +169,25 @@
 
 /// Handles a message of another node about a stream.
 pub(crate) fn receive(shared: &SharedState, from: SocketAddr, bytes: &[u8]) {
-    let decoded =
-        bincode::serde::decode_from_slice::<StreamMessage, _>(bytes, bincode::config::standard());
+    let decoded = codec::decode_message::<StreamMessage>(bytes);
     let now = Instant::now();
     match decoded {
-        Ok((
-            StreamMessage::Record {
-                stream,
-                version,
-                lifetime_ms,
-            },
-            _,
-        )) => {
+        Ok(StreamMessage::Record {
+            stream,
+            version,
+            lifetime_ms,
+        }) => {
             let lifetime = Duration::from_millis(u64::from(lifetime_ms));
             let mut streams = shared.streams.borrow_mut();
             streams.record(now, stream, version, lifetime);
         }
-        Ok((
-            StreamMessage::Query {
-                sender,
-                id,
-                stream,
-                service,
-                age_max_ms,
-            },
-            _,
-        )) => {
+        Ok(StreamMessage::Query {
+            sender,
+            id,
+            stream,
+            service,
+            age_max_ms,
+        }) => {
             let sought = SoughtStream {
                 key: stream,
                 service,
@@ -202,7 +196,7 @@
             let origin = origin(shared, &sought);
             send(shared, sender, &StreamMessage::Answer { id, origin });
         }
-        Ok((StreamMessage::Answer { id, origin }, _)) => {
+        Ok(StreamMessage::Answer { id, origin }) => {
             shared.stream_queries.record_answer(id, from, origin);
         }
         Err(error) => tracing::debug!(%error, "peer: decoding a message about a stream failed"),
