--- a/crates/gateway/src/caller/silence.rs
+++ b/crates/gateway/src/caller/silence.rs
@@ -53,8 +53,13 @@
 
     /// Returns the longest pause of a stream that may resume elsewhere.
     pub(crate) fn stall_timeout(&self) -> Option<Duration> {
+        self.has_attempt_left().then(|| self.stall_max())
+    }
+
+    /// Returns the time after which a stream without a further event counts as stalled.
+    pub(crate) fn stall_max(&self) -> Duration {
         let route = &self.admitted.route;
         let gap = Duration::from_millis(u64::from(route.gap_ms.unwrap_or(route.target_ms)));
-        self.has_attempt_left().then_some(gap * STALL_GAPS)
+        gap * STALL_GAPS
     }
 }
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -119,6 +119,7 @@
         let deadline = self.exchange.deadline;
         let stall_timeout = self.exchange.stall_timeout();
         let stalls_at = || stall_timeout.map_or(deadline, |pause| Instant::now() + pause);
+        let silent_from = Instant::now() + self.exchange.stall_max();
         let mut until = stalls_at().min(deadline);
         loop {
             let frame = match timeout_at(until, started.body.frame()).await {
@@ -135,6 +136,10 @@
                     until = stalls_at().min(deadline);
                     continue;
                 }
+                // The time limit is no fault of a server that was not silent before.
+                Err(_) if Instant::now() < silent_from => {
+                    return Next::Broken("stream did not end in time", Fault::Cancelled);
+                }
                 Err(_) => return Next::Broken("stream stood still", Fault::Silent),
             };
             let Ok(data) = frame.into_data() else {
