Log and count the ejections of servers

Without it, calls that were refused because sound servers had been ejected could not be told from calls that met servers without room. One line for each ejection, which an ejection time of two seconds and more bounds.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -372,15 +372,17 @@
     }
 
     /// Records the end of an attempt without a complete answer.
-    pub fn record_failure(&mut self, now: Instant, id: AttemptId, fault: Fault) {
+    ///
+    /// Returns whether its server was ejected for it.
+    pub fn record_failure(&mut self, now: Instant, id: AttemptId, fault: Fault) -> bool {
         let Some(server) = self.release_attempt(id) else {
-            return;
+            return false;
         };
         let Some(entry) = self.servers.get_mut(&server) else {
-            return;
+            return false;
         };
         if !entry.record_fault(now, fault, &self.options) {
-            return;
+            return false;
         }
         let service = entry.instance.service.clone();
         let of_service = self.servers.values();
@@ -391,11 +393,14 @@
                 total + 1,
             )
         });
-        if self.options.outlier.may_eject(ejected, total)
-            && let Some(entry) = self.servers.get_mut(&server)
-        {
-            entry.eject(now, &self.options);
+        if !self.options.outlier.may_eject(ejected, total) {
+            return false;
         }
+        let Some(entry) = self.servers.get_mut(&server) else {
+            return false;
+        };
+        entry.eject(now, &self.options);
+        true
     }
 
     fn release_attempt(&mut self, id: AttemptId) -> Option<ServerName> {
--- a/crates/gateway/src/caller/attempt_guard.rs
+++ b/crates/gateway/src/caller/attempt_guard.rs
@@ -58,10 +58,13 @@
     fn report_failure(&mut self, fault: Fault) {
         if let Some(attempt) = self.attempt.take() {
             let now = Instant::now();
-            self.shared
-                .dispatcher
-                .borrow_mut()
-                .record_failure(now, attempt, fault);
+            let mut dispatcher = self.shared.dispatcher.borrow_mut();
+            let is_ejected = dispatcher.record_failure(now, attempt, fault);
+            drop(dispatcher);
+            if is_ejected {
+                metrics::counter!("briarbank_servers_ejected_total").increment(1);
+                tracing::info!(server = %self.instance.id, ?fault, "server: ejected");
+            }
             loads::report_changes(&self.shared);
         }
     }
