Leave a silent server only for one that has begun to answer

Callers saw streams cut after some events, and 502 for calls that may be repeated, while their server was sound: it had been silent for a second. That a server could take the call was checked, but from a view that may be old, and for one call at a time.

The class of fault is giving up what works before its replacement is known to work. Now the silent server is kept while another one is asked, and whichever begins first goes on; the other one is closed at once, so that no two servers work on a stream for longer than the way of a message. Attempts, retry budget and the bound of attempts are as before.

Ruled out: longer times until a server counts as silent only move the moment, and callers of servers that are silent for good would wait longer.

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -18,8 +18,6 @@
 use crate::caller::request::{Admitted, time_left};
 use crate::caller::stream::EventStream;
 use crate::dialect::AnswerKind;
-use crate::loads;
-use crate::log_lines::LineKind;
 use crate::shared::SharedState;
 
 /// Number of attempts per call that may fail before anything is sent.
@@ -201,43 +199,6 @@
         ))
     }
 
-    /// Sends the call until a server starts to answer.
-    pub(crate) async fn start_answer(&mut self) -> Result<StartedAnswer, Outcome> {
-        loop {
-            let now = Instant::now();
-            if now >= self.deadline {
-                return Err(self.final_outcome());
-            }
-            let call = self.call_to_dispatch(now);
-            loads::query(&self.shared, &call, &self.tried).await;
-            let dispatched = {
-                let mut dispatcher = self.shared.dispatcher.borrow_mut();
-                dispatcher.dispatch(std::time::Instant::now(), &call, &self.tried)
-            };
-            loads::report_changes(&self.shared);
-            let placement = match dispatched {
-                Ok(placement) => placement,
-                Err(refusal) => return Err(self.refusal_outcome(refusal)),
-            };
-            let instance = Arc::clone(&placement.instance);
-            self.record.server = Some(instance.id.clone());
-            self.record.expected_ms = Some(placement.expected_latency.as_millis() as u64);
-            let failed = match self.attempt(placement).await {
-                Ok(started) => return Ok(started),
-                Err(failed) => failed,
-            };
-            if self.shared.log_lines.take(LineKind::Attempt) {
-                tracing::info!(
-                    id = %self.record.id, server = %instance.id, fault = ?failed.fault,
-                    trouble = self.record.failure_reason.as_deref(), "call: attempt failed"
-                );
-            }
-            if !self.may_retry(failed.execution, &instance) {
-                return Err(self.final_outcome());
-            }
-        }
-    }
-
     pub(crate) fn call_to_dispatch(&self, now: Instant) -> Call {
         let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         Call {
@@ -250,7 +211,7 @@
         }
     }
 
-    fn refusal_outcome(&mut self, refusal: Refusal) -> Outcome {
+    pub(crate) fn refusal_outcome(&mut self, refusal: Refusal) -> Outcome {
         self.record.failure_reason = Some(format!("{refusal:?}"));
         if self.may_have_run {
             return Outcome::Unknown;
@@ -264,7 +225,7 @@
     }
 
     /// Returns the outcome of a call without further attempts.
-    fn final_outcome(&self) -> Outcome {
+    pub(crate) fn final_outcome(&self) -> Outcome {
         match (self.may_have_run, Instant::now() >= self.deadline) {
             (true, true) => Outcome::TimedOut,
             (true, false) => Outcome::Unknown,
--- a/crates/gateway/src/caller/silence.rs
+++ b/crates/gateway/src/caller/silence.rs
@@ -1,4 +1,4 @@
-//! When a call leaves a server that is silent.
+//! When another server is asked beside one that is silent.
 
 use std::time::Duration;
 
@@ -7,27 +7,23 @@
 
 use crate::caller::exchange::Exchange;
 
-/// Silence after which a retryable call goes to another server.
+/// Silence after which another server is asked for a retryable call.
 ///
 /// Multiples of the expected latency and of the latency objective; the longer
 /// time counts.
 const SILENCE_RATIOS: (f64, f64) = (4.0, 2.0);
 
-/// Pause after which a stream resumes at another server.
+/// Pause after which another server is asked to go on with a stream.
 ///
 /// A multiple of the longest pause that meets the objective.
 const STALL_GAPS: u32 = 4;
 
 impl Exchange {
-    /// Returns when a server without an answer counts as silent.
-    pub(crate) fn silence_deadline(&self, placement: &Placement) -> Instant {
-        if !self.has_attempt_left() {
-            return self.deadline;
-        }
+    /// Returns the time after which a server without an answer counts as silent.
+    pub(crate) fn silence_max(&self, placement: &Placement) -> Duration {
         let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         let silence = placement.expected_latency.mul_f64(SILENCE_RATIOS.0);
-        let silence = silence.max(target.mul_f64(SILENCE_RATIOS.1));
-        self.deadline.min(Instant::now() + silence)
+        silence.max(target.mul_f64(SILENCE_RATIOS.1))
     }
 
     /// Returns whether the call may leave a server that is silent for another one.
@@ -51,11 +47,6 @@
         route.is_repeatable() && self.record.sends + 1 < route.attempts_max
     }
 
-    /// Returns the longest pause of a stream that may resume elsewhere.
-    pub(crate) fn stall_timeout(&self) -> Option<Duration> {
-        self.has_attempt_left().then(|| self.stall_max())
-    }
-
     /// Returns the time after which a stream without a further event counts as stalled.
     pub(crate) fn stall_max(&self) -> Duration {
         let route = &self.admitted.route;
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -7,6 +7,7 @@
 use http::header::CONTENT_LENGTH;
 use http::{Response, response};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use briarbank_core::flow::{Fault, Instance};
@@ -34,6 +35,10 @@
     Events(Bytes),
     End,
     Broken(&'static str, Fault),
+    /// The server is silent, and another one could go on.
+    Silent,
+    /// Another server goes on.
+    Moved,
 }
 
 impl EventStream {
@@ -98,9 +103,13 @@
     /// Returns the next complete events, `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
         loop {
-            match self.read().await {
+            let next = match self.read().await {
+                Next::Silent => self.read_or_move().await,
+                next => next,
+            };
+            match next {
                 Next::Events(bytes) => {
-                    self.record_first_event();
+                    self.record_events();
                     return Ok(Some(bytes));
                 }
                 Next::End => {
@@ -108,59 +117,84 @@
                     return Ok(None);
                 }
                 Next::Broken(reason, fault) => self.resume(reason, fault).await?,
+                Next::Silent | Next::Moved => {}
             }
         }
     }
 
+    /// Reads until events are complete or another server should be asked for them.
     async fn read(&mut self) -> Next {
-        let Some(started) = &mut self.started else {
-            return Next::Broken("stream was cut", Fault::Cancelled);
-        };
+        let stall_max = self.exchange.stall_max();
         let deadline = self.exchange.deadline;
-        let stall_timeout = self.exchange.stall_timeout();
-        let stalls_at = || stall_timeout.map_or(deadline, |pause| Instant::now() + pause);
-        let silent_from = Instant::now() + self.exchange.stall_max();
-        let mut until = stalls_at().min(deadline);
+        let began_at = Instant::now();
+        let mut stalls_at = began_at + stall_max;
         loop {
-            let frame = match timeout_at(until, started.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return Next::Broken("stream broke off", Fault::Broken),
-                Ok(None) if self.splitter.has_partial() => {
-                    return Next::Broken("stream ended within an event", Fault::Broken);
-                }
-                Ok(None) => return Next::End,
-                Err(_)
-                    if Instant::now() < deadline
-                        && !self.exchange.can_leave(&started.guard.instance) =>
-                {
-                    until = stalls_at().min(deadline);
-                    continue;
-                }
-                // The time limit is no fault of a server that was not silent before.
-                Err(_) if Instant::now() < silent_from => {
-                    return Next::Broken("stream did not end in time", Fault::Cancelled);
-                }
-                Err(_) => return Next::Broken("stream stood still", Fault::Silent),
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
+            let Some(started) = &mut self.started else {
+                return Next::Broken("stream was cut", Fault::Cancelled);
             };
-            if let Some(events) = self.splitter.push(data) {
-                started.guard.record_first_event();
-                self.exchange.record.add_chunk();
-                return Next::Events(events);
+            let reading = read_events(&mut started.body, &mut self.splitter);
+            let until = stalls_at.min(deadline);
+            if let Ok(next) = timeout_at(until, reading).await {
+                return next;
+            }
+            if Instant::now() >= deadline {
+                // The time limit is no fault of a server that was not silent before.
+                let is_silent = began_at.elapsed() >= stall_max;
+                let fault = if is_silent {
+                    Fault::Silent
+                } else {
+                    Fault::Cancelled
+                };
+                return Next::Broken("stream did not end in time", fault);
+            }
+            if self.exchange.can_leave(&started.guard.instance) {
+                return Next::Silent;
+            }
+            stalls_at = Instant::now() + stall_max;
+        }
+    }
+
+    /// Waits for the silent server, and for another one that takes the stream.
+    ///
+    /// The silent one is given up when the other one has begun to answer.
+    async fn read_or_move(&mut self) -> Next {
+        let event = self.splitter.last_id().cloned();
+        let Some(started) = &mut self.started else {
+            return Next::Broken("stream was cut", Fault::Cancelled);
+        };
+        let instance = Arc::clone(&started.guard.instance);
+        if !self.exchange.may_resume(&instance, event) {
+            return Next::Silent;
+        }
+        let (body, splitter) = (&mut started.body, &mut self.splitter);
+        let (read, moved) = race(body, splitter, &mut self.exchange).await;
+        let (reason, fault) = match read {
+            Some(Next::Broken(reason, fault)) => (reason, fault),
+            Some(next) => {
+                self.exchange.record.server = Some(instance.id.clone());
+                return next;
             }
-            if self.splitter.is_too_long() {
-                return Next::Broken("event is too long", Fault::Malformed);
+            None => ("stream stood still", Fault::Silent),
+        };
+        match moved {
+            Some(moved) => {
+                self.give_up(reason, fault);
+                self.go_on(&instance, moved);
+                Next::Moved
             }
+            None if fault == Fault::Silent => Next::Silent,
+            None => Next::Broken(reason, fault),
         }
     }
 
-    /// Records the server of the first event, before the caller gets the event.
-    fn record_first_event(&mut self) {
-        if let Some(started) = &self.started
-            && !std::mem::replace(&mut self.has_event, true)
-        {
+    /// Records complete events, before the caller gets them.
+    fn record_events(&mut self) {
+        let Some(started) = &self.started else {
+            return;
+        };
+        started.guard.record_first_event();
+        self.exchange.record.add_chunk();
+        if !std::mem::replace(&mut self.has_event, true) {
             self.exchange.record_first_server(&started.guard.instance);
         }
     }
@@ -176,16 +210,11 @@
         keep_connection(shared, &instance, started.connection, &started.answer_head);
     }
 
-    /// Resumes the stream at another server after the last forwarded event.
+    /// Resumes a broken stream at another server after the last forwarded event.
     async fn resume(&mut self, reason: &'static str, fault: Fault) -> Result<(), Cut> {
-        let Some(started) = self.started.take() else {
+        let Some(instance) = self.give_up(reason, fault) else {
             return Err(Cut::Stream);
         };
-        self.exchange.set_failure_reason(reason);
-        let instance = Arc::clone(&started.guard.instance);
-        started.guard.record_failure(fault);
-        drop(started.connection);
-        self.splitter.drop_partial();
         let event = self.splitter.last_id().cloned();
         let is_expired = Instant::now() >= self.exchange.deadline;
         if is_expired || !self.exchange.may_resume(&instance, event) {
@@ -197,12 +226,27 @@
         if !started.head.status.is_success() {
             return Err(Cut::Stream);
         }
-        self.log_resumption(&instance, &started.guard.instance);
+        self.go_on(&instance, started);
+        Ok(())
+    }
+
+    /// Gives up the server and returns it.
+    fn give_up(&mut self, reason: &str, fault: Fault) -> Option<Arc<Instance>> {
+        let started = self.started.take()?;
+        self.exchange.set_failure_reason(reason);
+        let instance = Arc::clone(&started.guard.instance);
+        started.guard.record_failure(fault);
+        self.splitter.drop_partial();
+        Some(instance)
+    }
+
+    /// Goes on with the answer of another server.
+    fn go_on(&mut self, from: &Instance, started: StartedAnswer) {
+        self.log_resumption(from, &started.guard.instance);
         if !self.has_event {
             self.head = started.head.clone();
         }
         self.started = Some(started);
-        Ok(())
     }
 
     fn log_resumption(&self, from: &Instance, to: &Instance) {
@@ -218,3 +262,50 @@
         );
     }
 }
+
+/// Reads from a silent server while another one is asked to go on.
+///
+/// Returns what the silent one sent, if anything, and the answer of the other one, which
+/// is not waited for once the silent one has gone on.
+async fn race(
+    body: &mut Incoming,
+    splitter: &mut EventSplitter,
+    exchange: &mut Exchange,
+) -> (Option<Next>, Option<StartedAnswer>) {
+    let moving = async {
+        let started = exchange.start_answer().await.ok()?;
+        started.head.status.is_success().then_some(started)
+    };
+    tokio::pin!(moving);
+    tokio::select! {
+        biased;
+        next = read_events(body, splitter) => match next {
+            Next::Broken(..) => (Some(next), moving.await),
+            next => (Some(next), None),
+        },
+        moved = &mut moving => (None, moved),
+    }
+}
+
+/// Reads until events are complete; no bytes are lost when it is dropped.
+async fn read_events(body: &mut Incoming, splitter: &mut EventSplitter) -> Next {
+    loop {
+        let frame = match body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => return Next::Broken("stream broke off", Fault::Broken),
+            None if splitter.has_partial() => {
+                return Next::Broken("stream ended within an event", Fault::Broken);
+            }
+            None => return Next::End,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if let Some(events) = splitter.push(data) {
+            return Next::Events(events);
+        }
+        if splitter.is_too_long() {
+            return Next::Broken("event is too long", Fault::Malformed);
+        }
+    }
+}
