Report calls that time out at a server as possibly run

A call whose server did not answer until its time limit was answered 503 with a time to come back, although it may have run: since the end of the time limit no longer counted the attempt that was waiting.

a_call_whose_server_does_not_answer_in_time_may_have_run failed before (503 on /slip/).

--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -180,6 +180,7 @@
     /// Ends the attempts that have not been answered.
     fn give_up(&mut self, pending: &mut Vec<PendingAttempt>) {
         for attempt in pending.drain(..) {
+            self.may_have_run = true;
             let fault = attempt.unanswered_fault();
             self.set_failure_reason("server was silent");
             self.log_failed_attempt(&attempt.guard.instance, fault);
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -41,7 +41,7 @@
     pub(crate) deadline: Instant,
     pub(crate) tried: Vec<ServerName>,
     unsent_attempts: u32,
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     pub(crate) last_event: Option<Arc<str>>,
     /// Version at which the stream goes on, once it has begun.
     pub(crate) version: Option<VersionKey>,
