Bound the time for which two servers have a stream

Since a silent server kept its stream until another one had begun to answer, however long that took: both could work on it, against the bound of 400 ms.

A server that cannot take a stream refuses within milliseconds, so the silent one is now given up when the other one has had the stream for 300 ms without refusing it. The bound counts from the send, not from the decision to send.

With it: an attempt counts as used only when another server was asked in fact, a server that has the call is not chosen again, and the fault of a server at the deadline is taken from the time since its last event, also when the last search ran into the deadline.

a_stream_is_at_two_servers_for_a_moment_only failed before (both open after 400 ms).

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a call to servers until one answers or no attempt is left.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +41,12 @@
     began_at: Instant,
     pub(crate) deadline: Instant,
     pub(crate) tried: Vec<ServerName>,
+    /// When the call was last sent to a server.
+    pub(crate) sent_at: Rc<Cell<Instant>>,
+    /// Server of a stream that is silent while another one is asked.
+    pub(crate) silent_server: Option<ServerName>,
+    /// Silent server that counts as an attempt once another one is asked.
+    pub(crate) uncounted: Option<Arc<Instance>>,
     unsent_attempts: u32,
     pub(crate) may_have_run: bool,
     pub(crate) last_event: Option<Arc<str>>,
@@ -85,6 +92,9 @@
             body: Bytes::new(),
             began_at,
             tried: Vec::new(),
+            sent_at: Rc::new(Cell::new(began_at)),
+            silent_server: None,
+            uncounted: None,
             unsent_attempts: 0,
             may_have_run: false,
             last_event: None,
--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -10,6 +10,7 @@
 mod guard;
 mod in_flight;
 mod outcome;
+mod pending;
 mod port;
 mod request;
 mod silence;
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -1,5 +1,6 @@
 //! Answers that are streams of events.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -16,9 +17,13 @@
 use crate::caller::body::{AnswerBody, Cut};
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
+use crate::caller::silence::overlap_end;
 use crate::events::EventSplitter;
 use crate::log_lines::LineKind;
 
+/// Why a silent server is given up.
+const STOOD_STILL: &str = "stream stood still";
+
 /// Forwards a stream event by event and resumes it when it breaks off.
 pub(crate) struct EventStream {
     exchange: Exchange,
@@ -28,6 +33,8 @@
     splitter: EventSplitter,
     /// Whether an event has been passed on.
     has_event: bool,
+    /// Since when the next events of the current server are waited for.
+    waiting_since: Instant,
 }
 
 /// Result of a read from the server.
@@ -61,6 +68,7 @@
             started: Some(started),
             splitter: EventSplitter::default(),
             has_event: false,
+            waiting_since: Instant::now(),
         };
         let first = stream.next().await;
         let Ok(first) = first else {
@@ -102,6 +110,7 @@
 
     /// Returns the next complete events, `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
+        self.waiting_since = Instant::now();
         loop {
             let next = match self.read().await {
                 Next::Silent => self.read_or_move().await,
@@ -126,8 +135,7 @@
     async fn read(&mut self) -> Next {
         let stall_max = self.exchange.stall_max();
         let deadline = self.exchange.deadline;
-        let began_at = Instant::now();
-        let mut stalls_at = began_at + stall_max;
+        let mut stalls_at = Instant::now() + stall_max;
         loop {
             let Some(started) = &mut self.started else {
                 return Next::Broken("stream was cut", Fault::Cancelled);
@@ -139,7 +147,7 @@
             }
             if Instant::now() >= deadline {
                 // The time limit is no fault of a server that was not silent before.
-                let is_silent = began_at.elapsed() >= stall_max;
+                let is_silent = self.waiting_since.elapsed() >= stall_max;
                 let fault = if is_silent {
                     Fault::Silent
                 } else {
@@ -155,36 +163,49 @@
     }
 
     /// Waits for the silent server, and for another one that takes the stream.
-    ///
-    /// The silent one is given up when the other one has begun to answer.
     async fn read_or_move(&mut self) -> Next {
-        let event = self.splitter.last_id().cloned();
-        let Some(started) = &mut self.started else {
+        let Some(mut current) = self.started.take() else {
             return Next::Broken("stream was cut", Fault::Cancelled);
         };
-        let instance = Arc::clone(&started.guard.instance);
-        if !self.exchange.may_resume(&instance, event) {
-            return Next::Silent;
-        }
-        let (body, splitter) = (&mut started.body, &mut self.splitter);
-        let (read, moved) = race(body, splitter, &mut self.exchange).await;
-        let (reason, fault) = match read {
-            Some(Next::Broken(reason, fault)) => (reason, fault),
-            Some(next) => {
-                self.exchange.record.server = Some(instance.id.clone());
-                return next;
-            }
-            None => ("stream stood still", Fault::Silent),
+        let from = Arc::clone(&current.guard.instance);
+        let event = self.splitter.last_id().cloned();
+        let sent_at = Rc::clone(&self.exchange.sent_at);
+        sent_at.set(Instant::now());
+        let mut moving = Box::pin(self.exchange.start_other(&from, event));
+        let (next, moved) = tokio::select! {
+            biased;
+            next = read_events(&mut current.body, &mut self.splitter) => (next, None),
+            moved = &mut moving => (Next::Silent, moved),
+            () = overlap_end(&sent_at) => (Next::Broken(STOOD_STILL, Fault::Silent), None),
         };
-        match moved {
-            Some(moved) => {
-                self.give_up(reason, fault);
-                self.go_on(&instance, moved);
-                Next::Moved
+        let (next, moved) = match (next, moved) {
+            (Next::Broken(reason, fault), None) => {
+                // The other server may go on only when this one has stopped.
+                current.guard.record_failure(fault);
+                drop((current.body, current.connection));
+                (Next::Broken(reason, Fault::Cancelled), moving.await)
+            }
+            (_, Some(moved)) => {
+                drop(moving);
+                current.guard.record_failure(Fault::Silent);
+                (Next::Broken(STOOD_STILL, Fault::Cancelled), Some(moved))
+            }
+            (next, None) => {
+                drop(moving);
+                self.exchange.record.server = Some(from.id.clone());
+                self.started = Some(current);
+                (next, None)
             }
-            None if fault == Fault::Silent => Next::Silent,
-            None => Next::Broken(reason, fault),
+        };
+        self.exchange.end_search();
+        let Some(moved) = moved else {
+            return next;
+        };
+        if let Next::Broken(reason, _) = next {
+            self.exchange.set_failure_reason(reason);
         }
+        self.go_on(&from, moved);
+        Next::Moved
     }
 
     /// Records complete events, before the caller gets them.
@@ -220,12 +241,9 @@
         if is_expired || !self.exchange.may_resume(&instance, event) {
             return Err(Cut::Stream);
         }
-        let Ok(started) = self.exchange.start_answer().await else {
+        let Some(started) = self.exchange.start_stream().await else {
             return Err(Cut::Stream);
         };
-        if !started.head.status.is_success() {
-            return Err(Cut::Stream);
-        }
         self.go_on(&instance, started);
         Ok(())
     }
@@ -242,11 +260,13 @@
 
     /// Goes on with the answer of another server.
     fn go_on(&mut self, from: &Instance, started: StartedAnswer) {
+        self.splitter.drop_partial();
         self.log_resumption(from, &started.guard.instance);
         if !self.has_event {
             self.head = started.head.clone();
         }
         self.started = Some(started);
+        self.waiting_since = Instant::now();
     }
 
     fn log_resumption(&self, from: &Instance, to: &Instance) {
@@ -263,30 +283,6 @@
     }
 }
 
-/// Reads from a silent server while another one is asked to go on.
-///
-/// Returns what the silent one sent, if anything, and the answer of the other one, which
-/// is not waited for once the silent one has gone on.
-async fn race(
-    body: &mut Incoming,
-    splitter: &mut EventSplitter,
-    exchange: &mut Exchange,
-) -> (Option<Next>, Option<StartedAnswer>) {
-    let moving = async {
-        let started = exchange.start_answer().await.ok()?;
-        started.head.status.is_success().then_some(started)
-    };
-    tokio::pin!(moving);
-    tokio::select! {
-        biased;
-        next = read_events(body, splitter) => match next {
-            Next::Broken(..) => (Some(next), moving.await),
-            next => (Some(next), None),
-        },
-        moved = &mut moving => (None, moved),
-    }
-}
-
 /// Reads until events are complete; no bytes are lost when it is dropped.
 async fn read_events(body: &mut Incoming, splitter: &mut EventSplitter) -> Next {
     loop {
