Wait for a silent server rather than forward another one's error

A call that may be repeated got the error of the second server, while the first one was silent for a second and would have answered. The error is now kept and forwarded only if no silent server answers.

--- a/crates/gateway/src/caller/pending.rs
+++ b/crates/gateway/src/caller/pending.rs
@@ -46,6 +46,8 @@
 struct Attempts {
     /// In the order of their sends.
     pending: Vec<PendingAttempt>,
+    /// Error of a server, to be forwarded if no silent server answers.
+    error: Option<Box<StartedAnswer>>,
 }
 
 /// What follows when attempts have been waited for.
@@ -68,18 +70,22 @@
             if let Err(outcome) = self.send_next(&mut attempts).await
                 && attempts.pending.is_empty()
             {
-                return Err(outcome);
+                return attempts.error.take().map(|e| *e).ok_or(outcome);
             }
             match self.wait_for_answer(&mut attempts).await {
                 Step::Started(started) => {
                     self.give_up(attempts.pending);
+                    if let Some(error) = attempts.error {
+                        error.guard.record_failure(Fault::Failed);
+                    }
                     self.record.server = Some(started.guard.instance.id.clone());
                     return Ok(*started);
                 }
                 Step::Send => {}
                 Step::End => {
                     self.give_up(attempts.pending);
-                    return Err(self.final_outcome());
+                    let error = attempts.error.take().map(|e| *e);
+                    return error.ok_or_else(|| self.final_outcome());
                 }
             }
         }
@@ -210,6 +216,11 @@
                     answer_head,
                     body,
                 });
+                let is_error = started.head.status.is_server_error();
+                if is_error && !attempts.pending.is_empty() {
+                    attempts.error.get_or_insert(started);
+                    return None;
+                }
                 return Some(Step::Started(started));
             }
             Err(failed) => failed,
