Read the body of a refused call before its connection goes on

Callers saw neither an answer nor a refusal: a call with a body of more than one read that was refused for its key, its route or a missing configuration was answered while its body was still on the way. The connection was then closed with bytes unread, unannounced, and the reset could overtake the refusal; a further request on the connection was lost.

The body is now read within the configured size and one second, before the refusal is sent, and the connection is kept. What takes longer is refused with Connection: close. Ruled out: closing after each refusal, which costs a connection and still races with the bytes on the way.

--- a/crates/gateway/src/caller/outcome.rs
+++ b/crates/gateway/src/caller/outcome.rs
@@ -52,7 +52,7 @@
     }
 
     /// Returns whether unread bytes of the body could pass for another request.
-    fn closes_connection(self) -> bool {
+    pub(crate) fn closes_connection(self) -> bool {
         matches!(
             self,
             Self::BadRequest
--- a/crates/gateway/src/caller/request.rs
+++ b/crates/gateway/src/caller/request.rs
@@ -7,11 +7,11 @@
 use briarbank_core::flow::{Route, RouteTable};
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::Rng;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::caller::body::AnswerBody;
 use crate::caller::exchange::Exchange;
@@ -23,6 +23,9 @@
 /// Delay after which callers may retry while the node starts or stops.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Longest time for the body of a refused call.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Bounds of the delay after which callers may retry while the store is failing.
 ///
 /// An outage lasts for seconds, and most callers retry only once.
@@ -63,11 +66,32 @@
                 tracing::info!(status, path, why = reason, "call: not admitted");
             }
             metrics::counter!("briarbank_calls_total", "outcome" => "not admitted").increment(1);
-            outcome.answer(shared)
+            let mut response = outcome.answer(shared);
+            // Closing a connection with unread bytes would reset it, and lose the answer.
+            if !outcome.closes_connection() && !discard(shared, body).await {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
         }
     }
 }
 
+/// Reads the body of a refused call; returns false if it is too long or takes too long.
+async fn discard(shared: &SharedState, body: Incoming) -> bool {
+    let limits = shared.table().map(|t| t.limits()).unwrap_or_default();
+    let mut body = Limited::new(body, limits.body_bytes as usize);
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return false;
+            }
+        }
+        true
+    };
+    timeout(DISCARD_TIMEOUT, read).await.unwrap_or(false)
+}
+
 /// A call whose head was accepted.
 pub(crate) struct Admitted {
     pub(crate) head: CallHead,
