Read a waiting request before its connection closes as idle

When the idle timeout and a request came due in the same wake-up, one time in two the connection was closed with the request unread. The connection is now polled first, and one with a part of a head is not idle.

a_request_that_waits_when_its_connection_turns_idle_is_answered failed before.

--- a/crates/gateway/src/caller/guard.rs
+++ b/crates/gateway/src/caller/guard.rs
@@ -47,7 +47,7 @@
     }
 
     /// Returns whether a head is incomplete.
-    fn is_partial(&self) -> bool {
+    pub(crate) fn is_partial(&self) -> bool {
         self.is_reading.get() && !self.head.borrow().is_empty()
     }
 
--- a/crates/gateway/src/caller/port.rs
+++ b/crates/gateway/src/caller/port.rs
@@ -92,9 +92,11 @@
             .max_headers(HEADERS_MAX);
         let connection = builder.serve_connection(io, service);
         tokio::pin!(connection);
+        // A request that waits when the connection is due to be closed is read first.
         let served = tokio::select! {
+            biased;
             served = connection.as_mut() => served,
-            () = self.wait_for_end(&activity) => {
+            () = self.wait_for_end(&activity, &guard) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -105,10 +107,10 @@
     }
 
     /// Completes when the connection is idle too long or the node refuses calls.
-    async fn wait_for_end(&self, activity: &Activity) {
+    async fn wait_for_end(&self, activity: &Activity, guard: &HeadGuard) {
         tokio::select! {
             () = self.shared.stop.closed() => {}
-            () = self.wait_until_idle(activity) => {}
+            () = self.wait_until_idle(activity, guard) => {}
         }
     }
 
@@ -118,11 +120,11 @@
     }
 
     /// Completes when the connection has been idle for the configured time.
-    async fn wait_until_idle(&self, activity: &Activity) {
+    async fn wait_until_idle(&self, activity: &Activity, guard: &HeadGuard) {
         loop {
             let limits = self.limits();
             let idle_max = Duration::from_millis(u64::from(limits.idle_timeout_ms));
-            if activity.calls.get() > 0 {
+            if activity.calls.get() > 0 || guard.is_partial() {
                 activity.last.set(Instant::now());
             }
             let until = activity.last.get() + idle_max;
