Keep connections open whose streams outlast the idle timeout

A connection counted as idle from the head of an answer on. A stream that lasted longer than the idle timeout ended well, but then the connection was closed unannounced, and the caller's next request on it was lost: likely where a configuration shortens the timeout. A call is now in flight until its answer has been written.

a_connection_whose_stream_outlasts_the_idle_timeout_stays_open failed before.

--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -1,5 +1,6 @@
 //! Callers' connections, calls and answers.
 
+mod activity;
 mod answer_buffer;
 mod attempt;
 mod attempt_guard;
--- a/crates/gateway/src/caller/port.rs
+++ b/crates/gateway/src/caller/port.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep_until};
 
+use crate::caller::activity::Activity;
 use crate::caller::guard::{GuardedStream, HeadGuard};
 use crate::caller::request;
 use crate::shared::SharedState;
@@ -29,13 +30,6 @@
     pub(crate) shared: Rc<SharedState>,
 }
 
-/// Calls in flight on a connection, and when the last one ended.
-#[derive(Debug)]
-struct Activity {
-    calls: Cell<u32>,
-    last: Cell<Instant>,
-}
-
 impl CallerPort {
     /// Accepts connections until the task is aborted.
     pub(crate) async fn run(self, listener: TcpListener) {
@@ -60,18 +54,14 @@
             tracing::debug!(%error, "caller: setting TCP_NODELAY failed");
         }
         let guard = HeadGuard::new();
-        let activity = Activity {
-            calls: Cell::new(0),
-            last: Cell::new(Instant::now()),
-        };
+        let activity = Activity::new();
         let head_timeout = || Duration::from_millis(u64::from(self.limits().header_timeout_ms));
         let stream = GuardedStream::new(stream, Rc::clone(&guard), head_timeout);
         let io = TokioIo::new(stream);
         let service = service_fn(|incoming| {
             let (shared, guard) = (Rc::clone(&self.shared), Rc::clone(&guard));
-            let activity = &activity;
+            let active = activity.start_call();
             async move {
-                activity.calls.set(activity.calls.get() + 1);
                 let is_ambiguous = guard.is_ambiguous();
                 let mut response = request::serve(&shared, incoming, is_ambiguous).await;
                 if shared.stop.is_stopping() {
@@ -79,9 +69,7 @@
                     response.headers_mut().insert(CONNECTION, close);
                 }
                 guard.expect_head();
-                activity.calls.set(activity.calls.get() - 1);
-                activity.last.set(Instant::now());
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| active.track(body)))
             }
         });
         let mut builder = http1::Builder::new();
@@ -124,10 +112,10 @@
         loop {
             let limits = self.limits();
             let idle_max = Duration::from_millis(u64::from(limits.idle_timeout_ms));
-            if activity.calls.get() > 0 || guard.is_partial() {
-                activity.last.set(Instant::now());
+            if guard.is_partial() {
+                activity.touch();
             }
-            let until = activity.last.get() + idle_max;
+            let until = activity.idle_since() + idle_max;
             if Instant::now() >= until {
                 return;
             }
