Answer in HTTP/1.1 whatever version a server speaks

The version of a server's answer was passed on to the caller. To one of HTTP/1.0, which ends its answers with their connection, the library then wrote no chunks, so that a stream that was cut looked complete to the caller.

a_stream_of_an_old_server_that_is_cut_looks_cut failed before.

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -8,7 +8,7 @@
 use briarbank_core::flow::{Call, Fault, Instance, Refusal, TierRank, VersionKey};
 use briarbank_core::ids::{ServerName, ServiceName};
 use bytes::Bytes;
-use http::{Response, request};
+use http::{Response, Version, request};
 use tokio::time::{Instant, timeout_at};
 
 use crate::caller::attempt_guard::{Execution, StartedAnswer, keep_connection};
@@ -183,6 +183,7 @@
             }
         };
         let mut head = started.head;
+        head.version = Version::HTTP_11;
         if started.answer_head.kind == AnswerKind::Verified && head.status.is_server_error() {
             started.guard.record_server_error(
                 &self.shared,
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http::header::CONTENT_LENGTH;
-use http::{Response, response};
+use http::{Response, Version, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
@@ -83,6 +83,7 @@
         let mut head = stream.head.clone();
         let shared = &stream.exchange.shared;
         shared.dialect.caller_headers(&mut head.headers);
+        head.version = Version::HTTP_11;
         // Another server may send the rest, so the length is unknown.
         head.headers.remove(CONTENT_LENGTH);
         let record = &mut stream.exchange.record;
