Forward a server's error when no other server takes the call

A complete error of a server was dropped for a retry before the retry was placed. Where that was refused or failed, the caller got a 502 of the router instead of the answer that was ready. The error is now kept until another server has begun to answer.

a_server_error_is_forwarded_when_no_other_server_takes_the_call failed before (502).

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -125,15 +125,23 @@
                 Err(outcome) => self.refuse(outcome),
             };
         }
+        // Forwarded if no other server takes the call.
+        let mut error: Option<StartedAnswer> = None;
         loop {
-            let started = match self.start_answer().await {
-                Ok(started) => started,
-                Err(outcome) => return self.refuse(outcome),
+            let started = match (self.start_answer().await, error.take()) {
+                (Ok(started), earlier) => {
+                    if let Some(earlier) = earlier {
+                        earlier.guard.record_failure(Fault::Failed);
+                    }
+                    started
+                }
+                (Err(_), Some(earlier)) => return self.collect_or_refuse(earlier).await,
+                (Err(outcome), None) => return self.refuse(outcome),
             };
             if started.head.status.is_server_error()
                 && self.may_retry_server_error(Execution::Unknown, &started)
             {
-                started.guard.record_failure(Fault::Failed);
+                error = Some(started);
                 continue;
             }
             match self.collect_answer(started).await {
