Wait at a stop until the ends of streams have been written

A caller that read slowly lost the end of its stream at a planned stop: the call was over when its last bytes had been handed to the connection, and the node ended with them in its buffer. The stop waits now until the connections of callers are closed, as they are after their last answer, within the same bound before the kill.

a_planned_stop_waits_until_slow_callers_have_the_end_of_a_stream failed before (one of 44 sizes, 3293393 bytes without the last chunk).

--- a/crates/gateway/src/caller/port.rs
+++ b/crates/gateway/src/caller/port.rs
@@ -1,6 +1,5 @@
 //! Accepts and serves callers' connections.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,17 +32,19 @@
 impl CallerPort {
     /// Accepts connections until the task is aborted.
     pub(crate) async fn run(self, listener: TcpListener) {
-        let open = Rc::new(Cell::new(0_usize));
         loop {
+            let open = &self.shared.caller_connections;
             let (stream, _) = briarbank_net::accept(&listener).await;
             if open.get() >= self.shared.settings().connections_max {
                 metrics::counter!("briarbank_connections_refused_total").increment(1);
                 continue;
             }
             open.set(open.get() + 1);
-            let (port, open) = (self.clone(), Rc::clone(&open));
+            let port = self.clone();
             self.shared.tasks.spawn_local(async move {
+                let shared = Rc::clone(&port.shared);
                 port.serve_connection(stream).await;
+                let open = &shared.caller_connections;
                 open.set(open.get() - 1);
             });
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -128,7 +128,10 @@
     });
 }
 
-/// Waits until new calls are refused and calls in flight have ended.
+/// Waits until new calls are refused and callers have all of their answers.
+///
+/// Connections close when the last answer is written: the end of a stream may still wait
+/// for a slow caller when its call is over.
 ///
 /// Gives up shortly before the process is killed.
 async fn drain_calls(shared: &SharedState) {
@@ -138,7 +141,7 @@
     shared.peers.borrow_mut().leave();
     let finished = async {
         shared.stop.closed().await;
-        while shared.in_flight.get() > 0 {
+        while shared.in_flight.get() > 0 || shared.caller_connections.get() > 0 {
             sleep(STOP_POLL_INTERVAL).await;
         }
         // Lets the last answers leave the process.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -61,6 +61,8 @@
     pub(crate) log_lines: Rc<LogLines>,
     /// Number of callers' calls in flight.
     pub(crate) in_flight: CallCount,
+    /// Number of callers' open connections.
+    pub(crate) caller_connections: Cell<usize>,
 }
 
 /// State of the connection to the store.
@@ -139,6 +141,7 @@
             transfers: Cell::new(0),
             log_lines: Rc::default(),
             in_flight: CallCount::default(),
+            caller_connections: Cell::new(0),
         })
     }
 
