Record which parts of prompts servers crash under

Callers saw one server after the other crash under calls that share one part of their prompts: each node knew only of its own calls, and nothing linked a crash to what the call held.

PartRecords keeps, for each shared part, the newest eight crashes of distinct server processes under calls that were not answered, merges those that peers report, and names what to pass on. An answer acquits the parts of its call of all crashes up to one second after it, and its process of crashes before the call was sent, so that servers that reset connections and go on are no evidence. Crashes within 50 ms count once, since a failure of many servers breaks calls with every part. A part whose crashes are all shared by a part outside the call is let through.

Void crashes are kept as long as others: a node that was cut off would else bring back crashes that answers have disproved.

--- /dev/null
+++ b/crates/core/src/flow/crash_record.rs
@@ -0,0 +1,129 @@
+//! The crashes of servers under calls with one part of a prompt.
+
+use std::time::{Duration, Instant};
+
+/// Crashes that a record holds; further ones replace the oldest.
+pub(crate) const CRASHES_MAX: usize = 8;
+
+/// Crashes closer together than this count as one.
+///
+/// A failure of many servers at once breaks calls with every part.
+const CRASH_SPACING: Duration = Duration::from_millis(50);
+
+/// Crashes for which a part is blamed for the shortest time.
+const CRASHES_BLAMED_SHORTLY: u32 = 3;
+
+/// Bounds of the time after the last crash for which a part is blamed.
+const BLAME_RANGE: (Duration, Duration) = (Duration::from_mins(5), Duration::from_mins(30));
+
+/// Time after the last crash for which a record is kept.
+pub(crate) const CRASH_RETENTION: Duration = BLAME_RANGE.1;
+
+/// A crash of a server process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Crash {
+    /// Hash of the server's name and of the start of its process.
+    pub(crate) process_key: u32,
+    /// The earliest time that a node reported.
+    pub(crate) at: Instant,
+    /// Whether an answer showed that the part did not cause it.
+    pub(crate) is_void: bool,
+}
+
+/// The newest crashes under calls with one part, in the order of time.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashRecord {
+    crashes: Vec<Crash>,
+    /// When a crash was last added or became void.
+    pub(crate) changed_at: Instant,
+}
+
+impl CrashRecord {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            crashes: Vec::new(),
+            changed_at: now,
+        }
+    }
+
+    pub(crate) fn crashes(&self) -> &[Crash] {
+        &self.crashes
+    }
+
+    /// Adds a report of a crash; reports may arrive in any order and repeatedly.
+    pub(crate) fn merge(&mut self, now: Instant, report: Crash) {
+        let known = self.crashes.iter_mut();
+        let mut known = known.filter(|c| c.process_key == report.process_key);
+        let is_changed = if let Some(known) = known.next() {
+            known.at = known.at.min(report.at);
+            let is_changed = report.is_void && !known.is_void;
+            known.is_void |= report.is_void;
+            is_changed
+        } else {
+            self.crashes.push(report);
+            true
+        };
+        self.crashes.sort_by_key(|c| (c.at, c.process_key));
+        let surplus = self.crashes.len().saturating_sub(CRASHES_MAX);
+        let dropped: Vec<Crash> = self.crashes.drain(..surplus).collect();
+        let is_dropped = dropped.iter().any(|c| c.process_key == report.process_key);
+        if is_changed && !is_dropped {
+            self.changed_at = now;
+        }
+    }
+
+    /// Marks the crashes that an answer disproves as void.
+    pub(crate) fn void(&mut self, now: Instant, is_disproved: impl Fn(&Crash) -> bool) {
+        for crash in &mut self.crashes {
+            if !crash.is_void && is_disproved(crash) {
+                crash.is_void = true;
+                self.changed_at = now;
+            }
+        }
+    }
+
+    pub(crate) fn has_process(&self, process_key: u32) -> bool {
+        self.crashes.iter().any(|c| c.process_key == process_key)
+    }
+
+    /// Iterates over the crashes that the part may have caused.
+    pub(crate) fn valid(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|c| !c.is_void)
+    }
+
+    /// Returns the number of valid crashes, of which those at one moment count once.
+    pub(crate) fn count(&self) -> u32 {
+        let mut counted_at: Option<Instant> = None;
+        let mut count = 0;
+        for crash in self.valid() {
+            let is_apart = |at| crash.at.saturating_duration_since(at) >= CRASH_SPACING;
+            if counted_at.is_none_or(is_apart) {
+                counted_at = Some(crash.at);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Returns whether the part has caused that many crashes, as far as is known.
+    pub(crate) fn is_suspect(&self, now: Instant, crashes_min: u32) -> bool {
+        let count = self.count();
+        let Some(last) = self.valid().last().filter(|_| count >= crashes_min) else {
+            return false;
+        };
+        let doublings = count.saturating_sub(CRASHES_BLAMED_SHORTLY).min(8);
+        let period = (BLAME_RANGE.0 * (1 << doublings)).min(BLAME_RANGE.1);
+        now.saturating_duration_since(last.at) < period
+    }
+
+    /// Returns whether all valid crashes of another record are among those of this one.
+    pub(crate) fn includes(&self, other: &Self) -> bool {
+        let is_here = |c: &Crash| self.valid().any(|own| own.process_key == c.process_key);
+        other.valid().all(is_here)
+    }
+
+    pub(crate) fn has_expired(&self, now: Instant) -> bool {
+        let is_old = |c: &Crash| now.saturating_duration_since(c.at) >= CRASH_RETENTION;
+        self.crashes.iter().all(is_old)
+    }
+}
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -10,6 +10,7 @@
 
 mod call;
 mod choice;
+mod crash_record;
 mod decaying_sum;
 mod departed;
 mod dispatch;
@@ -22,11 +23,13 @@
 mod mirror;
 mod notices;
 mod options;
+mod part_records;
 mod peers;
 mod prefix_cache;
 mod prefix_rates;
 mod prompt_sizes;
 mod prompt_time;
+mod recent_times;
 mod removal_log;
 mod retry_budget;
 mod route;
@@ -48,6 +51,9 @@
 pub use message::{Heartbeat, HeartbeatEntry, LoadMessage, LoadReport, ServerLoad};
 pub use mirror::{Change, Delta, Mirror, Removal};
 pub use options::Options;
+pub use part_records::{
+    CRASHES_BLAMED, CRASHES_NO_RETRY, CrashStatement, PartRecords, PartStatement,
+};
 pub use peers::{PeerOptions, PeerView, Peers};
 pub use prompt_time::PromptTime;
 pub use removal_log::{RemovalLog, RemovalNote, RemovalRecord};
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod load;
 mod mirror;
+mod part_records;
 mod peers;
 mod placement;
 mod removals;
