Refuse prompts with a part that crashes servers

A broken connection before an answer has gone on for 100 ms is now recorded as a crash under the shared parts of the call, unless this node stood still meanwhile. An answer that goes on or ends acquits them. Calls are refused after three crashes, repeats after two.

--- /dev/null
+++ b/crates/core/src/flow/attempt.rs
@@ -0,0 +1,63 @@
+//! One attempt of a call in flight.
+
+use std::time::{Duration, Instant};
+
+use crate::flow::call::{Call, Prompt};
+use crate::flow::choice::Choice;
+use crate::flow::part_records::CALL_PARTS_MAX;
+use crate::ids::ServerName;
+
+/// Time after its first event for which an answer goes on if its prompt is sound.
+///
+/// A harmful part crashes a server that begins to write.
+const SOUND_ANSWER_TIME: Duration = Duration::from_millis(100);
+
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) server: ServerName,
+    /// Start of the server's process.
+    pub(crate) born_ms: u64,
+    /// Hash of the server's name and of the start of its process.
+    pub(crate) process_key: u32,
+    pub(crate) sent: Instant,
+    /// Prompt tokens to prefill.
+    pub(crate) tokens: f64,
+    /// Prompt tokens waiting at the server before them when the attempt was sent.
+    pub(crate) queued_tokens: f64,
+    pub(crate) memory_tokens: f64,
+    pub(crate) expected_ms: f64,
+    pub(crate) is_model: bool,
+    pub(crate) is_short: bool,
+    /// Parts of the prompt that other calls share.
+    pub(crate) shared_parts: Box<[u64]>,
+    pub(crate) first_event_at: Option<Instant>,
+    /// Whether the answer has shown that the prompt crashes no server.
+    pub(crate) is_sound: bool,
+}
+
+impl Attempt {
+    pub(crate) fn new(now: Instant, call: &Call, choice: &Choice, process_key: u32) -> Self {
+        let shared_parts = call.prompt.iter().flat_map(Prompt::shared_parts);
+        Self {
+            server: choice.instance.id.clone(),
+            born_ms: choice.instance.born_ms,
+            process_key,
+            sent: now,
+            tokens: choice.tokens,
+            queued_tokens: choice.queued_tokens,
+            memory_tokens: choice.memory_tokens,
+            expected_ms: choice.expected_ms,
+            is_model: call.prompt.is_some(),
+            is_short: choice.is_short,
+            shared_parts: shared_parts.take(CALL_PARTS_MAX).collect(),
+            first_event_at: None,
+            is_sound: false,
+        }
+    }
+
+    /// Returns whether the answer has gone on for long enough after its first event.
+    pub(crate) fn has_gone_on(&self, now: Instant) -> bool {
+        let has_gone_on = |at| now.saturating_duration_since(at) >= SOUND_ANSWER_TIME;
+        self.first_event_at.is_some_and(has_gone_on)
+    }
+}
--- a/crates/core/src/flow/call.rs
+++ b/crates/core/src/flow/call.rs
@@ -32,6 +32,12 @@
         self.parts.iter().rev().nth(1).map(|(part, _)| *part)
     }
 
+    /// Iterates over the hashes of the parts that the prompt shares with others.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let own = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(own).map(|(part, _)| *part)
+    }
+
     /// Returns the number of tokens that no other prompt shares.
     ///
     /// These are all tokens when the parts are unknown.
@@ -100,6 +106,8 @@
     },
     /// The retry budget of the window is used up.
     RepeatBudget,
+    /// A part of the prompt crashes servers.
+    HarmfulPrompt,
 }
 
 /// Why an attempt at a server failed.
--- a/crates/core/src/flow/crash_record.rs
+++ b/crates/core/src/flow/crash_record.rs
@@ -93,22 +93,21 @@
 
     /// Returns the number of valid crashes, of which those at one moment count once.
     pub(crate) fn count(&self) -> u32 {
-        let mut counted_at: Option<Instant> = None;
-        let mut count = 0;
-        for crash in self.valid() {
-            let is_apart = |at| crash.at.saturating_duration_since(at) >= CRASH_SPACING;
-            if counted_at.is_none_or(is_apart) {
-                counted_at = Some(crash.at);
-                count += 1;
-            }
-        }
-        count
+        count(self.valid().copied())
     }
 
     /// Returns whether the part has caused that many crashes, as far as is known.
-    pub(crate) fn is_suspect(&self, now: Instant, crashes_min: u32) -> bool {
-        let count = self.count();
-        let Some(last) = self.valid().last().filter(|_| count >= crashes_min) else {
+    ///
+    /// Crashes that another part explains better do not count.
+    pub(crate) fn is_suspect(
+        &self,
+        now: Instant,
+        crashes_min: u32,
+        is_explained: impl Fn(&Crash) -> bool,
+    ) -> bool {
+        let counted = || self.valid().filter(|c| !is_explained(c));
+        let count = count(counted().copied());
+        let Some(last) = counted().last().filter(|_| count >= crashes_min) else {
             return false;
         };
         let doublings = count.saturating_sub(CRASHES_BLAMED_SHORTLY).min(8);
@@ -116,14 +115,21 @@
         now.saturating_duration_since(last.at) < period
     }
 
-    /// Returns whether all valid crashes of another record are among those of this one.
-    pub(crate) fn includes(&self, other: &Self) -> bool {
-        let is_here = |c: &Crash| self.valid().any(|own| own.process_key == c.process_key);
-        other.valid().all(is_here)
-    }
-
     pub(crate) fn has_expired(&self, now: Instant) -> bool {
         let is_old = |c: &Crash| now.saturating_duration_since(c.at) >= CRASH_RETENTION;
         self.crashes.iter().all(is_old)
     }
 }
+
+fn count(crashes: impl Iterator<Item = Crash>) -> u32 {
+    let mut counted_at: Option<Instant> = None;
+    let mut count = 0;
+    for crash in crashes {
+        let is_apart = |at| crash.at.saturating_duration_since(at) >= CRASH_SPACING;
+        if counted_at.is_none_or(is_apart) {
+            counted_at = Some(crash.at);
+            count += 1;
+        }
+    }
+    count
+}
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -5,13 +5,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::flow::attempt::Attempt;
 use crate::flow::call::{AttemptId, Call, Fault, Placement, Prompt, Refusal};
 use crate::flow::choice::{Candidate, Choice, Pool};
 use crate::flow::departed::DepartedServers;
+use crate::flow::harmful_prompts::SeenCrash;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
 use crate::flow::message::ServerLoad;
 use crate::flow::options::Options;
+use crate::flow::part_records::PartRecords;
 use crate::flow::prefix_rates::PrefixRates;
 use crate::flow::prompt_sizes::PromptSizes;
 use crate::flow::prompt_time::PromptTime;
@@ -22,23 +25,6 @@
 use crate::flow::version_log::VersionLog;
 use crate::ids::{ServerName, ServiceName, ZoneName};
 
-#[derive(Debug)]
-struct Attempt {
-    server: ServerName,
-    /// Start of the server's process.
-    born_ms: u64,
-    sent: Instant,
-    /// Prompt tokens to prefill.
-    tokens: f64,
-    /// Prompt tokens waiting at the server before them when the attempt was sent.
-    queued_tokens: f64,
-    memory_tokens: f64,
-    expected_ms: f64,
-    is_model: bool,
-    is_short: bool,
-    has_first_event: bool,
-}
-
 /// Chooses a server for each call and tracks the attempts in flight.
 ///
 /// See [`crate::flow`] for what is left to its user.
@@ -48,11 +34,15 @@
     options: Options,
     pub(crate) servers: BTreeMap<ServerName, ServerEntry>,
     services: HashMap<ServiceName, Service>,
-    attempts: HashMap<AttemptId, Attempt>,
+    pub(crate) attempts: HashMap<AttemptId, Attempt>,
     next_attempt: u64,
     sharing_nodes: usize,
     pub(crate) departed: DepartedServers,
     pub(crate) version_log: VersionLog,
+    pub(crate) part_records: PartRecords,
+    pub(crate) seen_crashes: Vec<SeenCrash>,
+    /// When this node last stood still.
+    pub(crate) paused_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -78,6 +68,9 @@
             sharing_nodes: 1,
             departed: DepartedServers::default(),
             version_log: VersionLog::default(),
+            part_records: PartRecords::default(),
+            seen_crashes: Vec::new(),
+            paused_at: None,
         }
     }
 
@@ -242,6 +235,9 @@
     ///
     /// The budget has a retry for it, and a healthy server would answer it in time.
     pub fn can_move(&mut self, now: Instant, call: &Call, avoid: &[ServerName]) -> bool {
+        if self.is_harmful(now, call, avoid) {
+            return false;
+        }
         let sharing_nodes = self.sharing_nodes;
         let service = self.services.get_mut(&call.service);
         if !service.is_some_and(|s| s.retry_budget.allows_retry(now, sharing_nodes)) {
@@ -263,13 +259,16 @@
     ///
     /// # Errors
     ///
-    /// No server would answer in time, or none is known.
+    /// No server would answer in time, none is known, or the prompt crashes servers.
     pub fn dispatch(
         &mut self,
         now: Instant,
         call: &Call,
         avoid: &[ServerName],
     ) -> Result<Placement, Refusal> {
+        if self.is_harmful(now, call, avoid) {
+            return Err(Refusal::HarmfulPrompt);
+        }
         let pool = self.pool(now, call).ok_or(Refusal::NoServer)?;
         if pool.candidates.is_empty() {
             return Err(self.closed_refusal(now, call));
@@ -309,44 +308,39 @@
     fn record_attempt(&mut self, now: Instant, call: &Call, choice: Choice) -> Placement {
         self.next_attempt += 1;
         let attempt = AttemptId(self.next_attempt);
-        let instance = choice.instance;
-        if let Some(entry) = self.servers.get_mut(&instance.id) {
+        let mut process_key = 0;
+        if let Some(entry) = self.servers.get_mut(&choice.instance.id) {
+            process_key = entry.process_key();
             entry.record_send(now, choice.tokens, choice.memory_tokens, choice.is_short);
             let parts = call.prompt.iter().flat_map(|p| &p.parts);
             for (part, _) in parts {
                 entry.prefix_cache.touch(now, *part);
             }
         }
-        let entry = Attempt {
-            server: instance.id.clone(),
-            born_ms: instance.born_ms,
-            sent: now,
-            tokens: choice.tokens,
-            queued_tokens: choice.queued_tokens,
-            memory_tokens: choice.memory_tokens,
-            expected_ms: choice.expected_ms,
-            is_model: call.prompt.is_some(),
-            is_short: choice.is_short,
-            has_first_event: false,
-        };
+        let entry = Attempt::new(now, call, &choice, process_key);
         self.attempts.insert(attempt, entry);
         let expected_latency = Duration::from_secs_f64(choice.expected_ms / 1_000.0);
         Placement {
             attempt,
-            instance,
+            instance: choice.instance,
             expected_latency,
         }
     }
 
     /// Records the first event of a stream, or the head of a plain answer.
+    ///
+    /// A later event, reported in the same way, shows that the answer goes on.
     pub fn record_first_event(&mut self, now: Instant, id: AttemptId) {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
-        if attempt.has_first_event {
+        if attempt.first_event_at.is_some() {
+            if attempt.has_gone_on(now) {
+                self.record_answer(now, id);
+            }
             return;
         }
-        attempt.has_first_event = true;
+        attempt.first_event_at = Some(now);
         let Some(entry) = self.servers.get_mut(&attempt.server) else {
             return;
         };
@@ -364,8 +358,9 @@
     /// Records a complete answer.
     pub fn record_success(&mut self, now: Instant, id: AttemptId) {
         self.record_first_event(now, id);
-        if let Some(server) = self.release_attempt(id)
-            && let Some(entry) = self.servers.get_mut(&server)
+        self.record_answer(now, id);
+        if let Some(attempt) = self.release_attempt(id)
+            && let Some(entry) = self.servers.get_mut(&attempt.server)
         {
             entry.record_success();
         }
@@ -375,9 +370,13 @@
     ///
     /// Returns whether its server was ejected for it.
     pub fn record_failure(&mut self, now: Instant, id: AttemptId, fault: Fault) -> bool {
-        let Some(server) = self.release_attempt(id) else {
+        let Some(attempt) = self.release_attempt(id) else {
             return false;
         };
+        if fault == Fault::Broken {
+            self.record_break(now, &attempt);
+        }
+        let server = attempt.server;
         let Some(entry) = self.servers.get_mut(&server) else {
             return false;
         };
@@ -403,10 +402,12 @@
         true
     }
 
-    fn release_attempt(&mut self, id: AttemptId) -> Option<ServerName> {
+    fn release_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
-        let entry = self.servers.get_mut(&attempt.server)?;
-        if !attempt.has_first_event {
+        let Some(entry) = self.servers.get_mut(&attempt.server) else {
+            return Some(attempt);
+        };
+        if attempt.first_event_at.is_none() {
             entry.record_prefill(attempt.tokens);
         }
         // The memory of a former process is gone.
@@ -417,6 +418,6 @@
             0.0
         };
         entry.record_end(memory_tokens, attempt.is_short);
-        Some(attempt.server)
+        Some(attempt)
     }
 }
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -8,6 +8,7 @@
 //! The module does no I/O: its user owns sockets and timers, and reports the
 //! outcome of each attempt.
 
+mod attempt;
 mod call;
 mod choice;
 mod crash_record;
@@ -15,6 +16,7 @@
 mod departed;
 mod dispatch;
 mod era;
+mod harmful_prompts;
 mod homes;
 mod instance;
 mod load;
@@ -45,6 +47,7 @@
 pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
 pub use dispatch::Dispatcher;
 pub use era::{era_of, revision_in_era, stored_revision};
+pub use harmful_prompts::SeenCrash;
 pub use instance::Instance;
 pub use load::Load;
 pub use load_directory::{LoadDirectory, REPORT_INTERVAL};
--- a/crates/core/src/flow/part_records.rs
+++ b/crates/core/src/flow/part_records.rs
@@ -196,20 +196,21 @@
 
     /// Returns whether one of a call's parts has caused that many crashes.
     ///
-    /// A part whose crashes are all shared by another one that is not in the call may be
-    /// innocent: the call is let through, and its answer tells.
+    /// A crash does not count if it may as well be due to a part that is not in the call
+    /// and has as many crashes: the call is let through, and its answer tells.
     #[must_use]
     pub fn is_blamed(&self, now: Instant, parts: &[u64], crashes_min: u32) -> bool {
         if self.records.is_empty() {
             return false;
         }
-        parts.iter().any(|part| {
-            let record = self.records.get(part);
-            record.is_some_and(|record| {
-                let mut others = self.records.iter();
-                record.is_suspect(now, crashes_min)
-                    && others.all(|(other, r)| parts.contains(other) || !r.includes(record))
-            })
+        let records = parts.iter().filter_map(|part| self.records.get(part));
+        let mut suspects = records.filter(|r| r.is_suspect(now, crashes_min, |_| false));
+        suspects.any(|record| {
+            let count = record.count();
+            let others = self.records.iter().filter(|(p, _)| !parts.contains(p));
+            let others = others.filter(|(_, other)| other.count() >= count);
+            let others: Vec<&CrashRecord> = others.map(|(_, other)| other).collect();
+            record.is_suspect(now, crashes_min, |crash| is_shared(crash, &others))
         })
     }
 
@@ -219,12 +220,14 @@
     #[must_use]
     pub fn blamed(&self, now: Instant) -> BTreeMap<u64, BTreeSet<u32>> {
         let suspects = self.records.iter();
-        let suspects = suspects.filter(|(_, record)| record.is_suspect(now, CRASHES_BLAMED));
-        let is_blamed = |record: &CrashRecord| {
-            let mut wider = self.records.values().filter(|r| r.includes(record));
-            wider.all(|r| record.includes(r))
-        };
-        let blamed = suspects.filter(|(_, record)| is_blamed(record));
+        let suspects =
+            suspects.filter(|(_, record)| record.is_suspect(now, CRASHES_BLAMED, |_| false));
+        let blamed = suspects.filter(|(_, record)| {
+            let count = record.count();
+            let others = self.records.values().filter(|other| other.count() > count);
+            let others: Vec<&CrashRecord> = others.collect();
+            record.is_suspect(now, CRASHES_BLAMED, |crash| is_shared(crash, &others))
+        });
         let processes = |r: &CrashRecord| r.valid().map(|c| c.process_key).collect();
         blamed.map(|(part, r)| (*part, processes(r))).collect()
     }
@@ -242,6 +245,12 @@
     }
 }
 
+/// Returns whether others have a crash in common, be it void: a part that has been answered
+/// may turn harmful.
+fn is_shared(crash: &Crash, others: &[&CrashRecord]) -> bool {
+    others.iter().any(|r| r.has_process(crash.process_key))
+}
+
 fn statements_of(now: Instant, record: &CrashRecord) -> Vec<CrashStatement> {
     let statement = |crash: &Crash| CrashStatement {
         process_key: crash.process_key,
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Returns the hash of the name and of the start of the process, the same on all nodes.
+    pub(crate) fn process_key(&self) -> u32 {
+        (rendezvous::weight_of(self.instance.born_ms, self.name_key) >> 32) as u32
+    }
+
     /// Replaces the published entry by a newer one of the same name.
     pub(crate) fn update_instance(&mut self, now: Instant, instance: Instance) {
         self.grace_until = None;
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -1,5 +1,6 @@
 //! Tests of routed traffic: routes, published values, peers, retry budgets and dispatch.
 
+mod crashes;
 mod directory;
 mod engine;
 mod fleet;
@@ -7,6 +8,7 @@
 mod load;
 mod mirror;
 mod part_records;
+mod parts;
 mod peers;
 mod placement;
 mod removals;
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -237,6 +237,7 @@
         }
         match refusal {
             Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
+            Refusal::HarmfulPrompt => Outcome::NotResumable,
             Refusal::NoServer | Refusal::NoServerOfVersion | Refusal::RepeatBudget => {
                 Outcome::NotRun(REFUSED_RETRY_AFTER)
             }
