--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -8,12 +8,15 @@
 //! The module does no I/O: its user owns sockets and timers, and reports the
 //! outcome of each attempt.
 
+mod attempt;
 mod call;
 mod choice;
+mod crash_record;
 mod decaying_sum;
 mod departed;
 mod dispatch;
 mod era;
+mod harmful_prompts;
 mod homes;
 mod instance;
 mod load;
@@ -22,11 +25,13 @@
 mod mirror;
 mod notices;
 mod options;
+mod part_records;
 mod peers;
 mod prefix_cache;
 mod prefix_rates;
 mod prompt_sizes;
 mod prompt_time;
+mod recent_times;
 mod removal_log;
 mod retry_budget;
 mod route;
@@ -42,12 +47,16 @@
 pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
 pub use dispatch::Dispatcher;
 pub use era::{era_of, revision_in_era, stored_revision};
+pub use harmful_prompts::SeenCrash;
 pub use instance::Instance;
 pub use load::Load;
 pub use load_directory::{LoadDirectory, REPORT_INTERVAL};
 pub use message::{Heartbeat, HeartbeatEntry, LoadMessage, LoadReport, ServerLoad};
 pub use mirror::{Change, Delta, Mirror, Removal};
 pub use options::Options;
+pub use part_records::{
+    CRASHES_BLAMED, CRASHES_NO_RETRY, CrashStatement, PartRecords, PartStatement,
+};
 pub use peers::{PeerOptions, PeerView, Peers};
 pub use prompt_time::PromptTime;
 pub use removal_log::{RemovalLog, RemovalNote, RemovalRecord};
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -1,11 +1,14 @@
 //! Tests of routed traffic: routes, published values, peers, retry budgets and dispatch.
 
+mod crashes;
 mod directory;
 mod engine;
 mod fleet;
 mod limits;
 mod load;
 mod mirror;
+mod part_records;
+mod parts;
 mod peers;
 mod placement;
 mod removals;
