Ask another server for a stream only after a second of silence

The soak found calls lost at a server that was silent for 0.8 s before its answers: with short objectives another server was asked after 0.3 s, given the call 0.3 s later, and it refused late. A sound server may be silent for a second; by then a stream is late against any objective, so that asking sooner saves nothing, and costs a second run of the prompt.

--- a/crates/gateway/src/caller/silence.rs
+++ b/crates/gateway/src/caller/silence.rs
@@ -21,6 +21,11 @@
 /// A multiple of the longest pause that meets the objective.
 const STALL_GAPS: u32 = 4;
 
+/// Silence of a stream before which no other server is asked, whatever the objective.
+///
+/// Sound servers may be silent for about a second, and the answer is late by then.
+const STREAM_SILENCE_MIN: Duration = Duration::from_millis(1_200);
+
 /// Longest time for which a stream is at a silent server and at another one.
 ///
 /// A server that cannot take a stream refuses it sooner, and the work of one of the two
@@ -39,7 +44,12 @@
     pub(crate) fn silence_max(&self, placement: &Placement) -> Duration {
         let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         let silence = placement.expected_latency.mul_f64(SILENCE_RATIOS.0);
-        silence.max(target.mul_f64(SILENCE_RATIOS.1))
+        let silence = silence.max(target.mul_f64(SILENCE_RATIOS.1));
+        if self.admitted.route.is_stream() {
+            silence.max(STREAM_SILENCE_MIN)
+        } else {
+            silence
+        }
     }
 
     /// Returns whether the call may leave a server that is silent for another one.
@@ -105,6 +115,6 @@
     pub(crate) fn stall_max(&self) -> Duration {
         let route = &self.admitted.route;
         let gap = Duration::from_millis(u64::from(route.gap_ms.unwrap_or(route.target_ms)));
-        gap * STALL_GAPS
+        (gap * STALL_GAPS).max(STREAM_SILENCE_MIN)
     }
 }
