--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -1,72 +1,22 @@
-//! Sends a call to one server and verifies the head of its answer.
+//! One attempt of a call: its request, and the check of its answer's head.
 
-use briarbank_core::flow::{Fault, Instance, Placement};
+use briarbank_core::flow::{Fault, Instance};
 use bytes::Bytes;
 use http::{Request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::error::Elapsed;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
-use crate::caller::attempt_guard::{AttemptGuard, Execution, FailedAttempt, StartedAnswer};
+use crate::caller::attempt_guard::{Execution, FailedAttempt};
 use crate::caller::exchange::Exchange;
 use crate::dialect::{AnswerHead, AnswerKind, ForwardContext};
 use crate::server::{Connection, SendError, Sent};
 
 /// An answer that may be forwarded: its heads, body and connection.
-type AcceptedAnswer = (response::Parts, AnswerHead, Incoming, Connection);
+pub(crate) type AcceptedAnswer = (response::Parts, AnswerHead, Incoming, Connection);
 
 impl Exchange {
-    /// Sends the call to the chosen server and waits for an answer head.
-    pub(crate) async fn attempt(
-        &mut self,
-        placement: Placement,
-    ) -> Result<StartedAnswer, FailedAttempt> {
-        let guard = AttemptGuard::new(&self.shared, &placement);
-        let failed = match self.send(&placement).await {
-            Ok(Ok(sent)) => match self.check_answer(&placement.instance, sent) {
-                Ok((head, answer_head, body, connection)) => {
-                    return Ok(StartedAnswer {
-                        guard,
-                        connection,
-                        head,
-                        answer_head,
-                        body,
-                    });
-                }
-                Err(failed) => failed,
-            },
-            Ok(Err(error)) => self.classify_send_error(&error),
-            Err(_) => {
-                self.set_failure_reason("server was silent");
-                FailedAttempt {
-                    fault: Fault::Silent,
-                    execution: Execution::Unknown,
-                }
-            }
-        };
-        guard.record_failure(failed.fault);
-        Err(failed)
-    }
-
-    /// Sends the call and waits for a head, for as long as no other server can take it.
-    async fn send(&self, placement: &Placement) -> Result<Result<Sent, SendError>, Elapsed> {
-        let request = self.build_request(&placement.instance);
-        let (connections_max, sharing_nodes) = self.connection_limit();
-        let pool = &self.shared.pool;
-        let sending = pool.send(&placement.instance, request, connections_max, sharing_nodes);
-        tokio::pin!(sending);
-        loop {
-            let until = self.silence_deadline(placement);
-            let sent = timeout_at(until, sending.as_mut()).await;
-            let is_expired = Instant::now() >= self.deadline;
-            if sent.is_ok() || is_expired || self.can_leave(&placement.instance) {
-                return sent;
-            }
-        }
-    }
-
-    fn classify_send_error(&mut self, error: &SendError) -> FailedAttempt {
+    pub(crate) fn classify_send_error(&mut self, error: &SendError) -> FailedAttempt {
         self.record.failure_reason = Some(error.to_string());
         let fault = match error {
             SendError::Connect(_) => Fault::Unreachable,
@@ -82,7 +32,7 @@
     }
 
     /// Returns the connections that a server admits and the number of nodes sharing them.
-    fn connection_limit(&self) -> (u32, usize) {
+    pub(crate) fn connection_limit(&self) -> (u32, usize) {
         let spec = self.admitted.table.service(&self.service);
         let connections_max = spec.map_or(u32::MAX, |s| s.connections_max);
         let now = std::time::Instant::now();
@@ -92,7 +42,7 @@
         )
     }
 
-    fn build_request(&self, instance: &Instance) -> Request<Full<Bytes>> {
+    pub(crate) fn build_request(&self, instance: &Instance) -> Request<Full<Bytes>> {
         let context = ForwardContext {
             instance: instance.id.clone(),
             time_left: self.deadline.saturating_duration_since(Instant::now()),
@@ -110,7 +60,7 @@
     }
 
     /// Verifies that the answer is the server's answer to this call.
-    fn check_answer(
+    pub(crate) fn check_answer(
         &mut self,
         instance: &Instance,
         sent: Sent,
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a call to servers until one answers or no attempt is left.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use briarbank_core::flow::{Call, Fault, Instance, Refusal, TierRank, VersionKey};
 use briarbank_core::ids::{ServerName, ServiceName};
 use bytes::Bytes;
-use http::{Response, request};
+use http::{Response, Version, request};
 use tokio::time::{Instant, timeout_at};
 
 use crate::caller::attempt_guard::{Execution, StartedAnswer, keep_connection};
@@ -18,8 +19,6 @@
 use crate::caller::request::{Admitted, time_left};
 use crate::caller::stream::EventStream;
 use crate::dialect::AnswerKind;
-use crate::loads;
-use crate::log_lines::LineKind;
 use crate::shared::SharedState;
 
 /// Number of attempts per call that may fail before anything is sent.
@@ -42,8 +41,14 @@
     began_at: Instant,
     pub(crate) deadline: Instant,
     pub(crate) tried: Vec<ServerName>,
+    /// When the call was last sent to a server.
+    pub(crate) sent_at: Rc<Cell<Instant>>,
+    /// Server of a stream that is silent while another one is asked.
+    pub(crate) silent_server: Option<ServerName>,
+    /// Silent server that counts as an attempt once another one is asked.
+    pub(crate) uncounted: Option<Arc<Instance>>,
     unsent_attempts: u32,
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     pub(crate) last_event: Option<Arc<str>>,
     /// Version at which the stream goes on, once it has begun.
     pub(crate) version: Option<VersionKey>,
@@ -87,6 +92,9 @@
             body: Bytes::new(),
             began_at,
             tried: Vec::new(),
+            sent_at: Rc::new(Cell::new(began_at)),
+            silent_server: None,
+            uncounted: None,
             unsent_attempts: 0,
             may_have_run: false,
             last_event: None,
@@ -117,15 +125,23 @@
                 Err(outcome) => self.refuse(outcome),
             };
         }
+        // Forwarded if no other server takes the call.
+        let mut error: Option<StartedAnswer> = None;
         loop {
-            let started = match self.start_answer().await {
-                Ok(started) => started,
-                Err(outcome) => return self.refuse(outcome),
+            let started = match (self.start_answer().await, error.take()) {
+                (Ok(started), earlier) => {
+                    if let Some(earlier) = earlier {
+                        earlier.guard.record_failure(Fault::Failed);
+                    }
+                    started
+                }
+                (Err(_), Some(earlier)) => return self.collect_or_refuse(earlier).await,
+                (Err(outcome), None) => return self.refuse(outcome),
             };
             if started.head.status.is_server_error()
                 && self.may_retry_server_error(Execution::Unknown, &started)
             {
-                started.guard.record_failure(Fault::Failed);
+                error = Some(started);
                 continue;
             }
             match self.collect_answer(started).await {
@@ -175,6 +191,7 @@
             }
         };
         let mut head = started.head;
+        head.version = Version::HTTP_11;
         if started.answer_head.kind == AnswerKind::Verified && head.status.is_server_error() {
             started.guard.record_server_error(
                 &self.shared,
@@ -201,43 +218,6 @@
         ))
     }
 
-    /// Sends the call until a server starts to answer.
-    pub(crate) async fn start_answer(&mut self) -> Result<StartedAnswer, Outcome> {
-        loop {
-            let now = Instant::now();
-            if now >= self.deadline {
-                return Err(self.final_outcome());
-            }
-            let call = self.call_to_dispatch(now);
-            loads::query(&self.shared, &call, &self.tried).await;
-            let dispatched = {
-                let mut dispatcher = self.shared.dispatcher.borrow_mut();
-                dispatcher.dispatch(std::time::Instant::now(), &call, &self.tried)
-            };
-            loads::report_changes(&self.shared);
-            let placement = match dispatched {
-                Ok(placement) => placement,
-                Err(refusal) => return Err(self.refusal_outcome(refusal)),
-            };
-            let instance = Arc::clone(&placement.instance);
-            self.record.server = Some(instance.id.clone());
-            self.record.expected_ms = Some(placement.expected_latency.as_millis() as u64);
-            let failed = match self.attempt(placement).await {
-                Ok(started) => return Ok(started),
-                Err(failed) => failed,
-            };
-            if self.shared.log_lines.take(LineKind::Attempt) {
-                tracing::info!(
-                    id = %self.record.id, server = %instance.id, fault = ?failed.fault,
-                    trouble = self.record.failure_reason.as_deref(), "call: attempt failed"
-                );
-            }
-            if !self.may_retry(failed.execution, &instance) {
-                return Err(self.final_outcome());
-            }
-        }
-    }
-
     pub(crate) fn call_to_dispatch(&self, now: Instant) -> Call {
         let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         Call {
@@ -250,13 +230,14 @@
         }
     }
 
-    fn refusal_outcome(&mut self, refusal: Refusal) -> Outcome {
+    pub(crate) fn refusal_outcome(&mut self, refusal: Refusal) -> Outcome {
         self.record.failure_reason = Some(format!("{refusal:?}"));
         if self.may_have_run {
             return Outcome::Unknown;
         }
         match refusal {
             Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
+            Refusal::HarmfulPrompt => Outcome::NotResumable,
             Refusal::NoServer | Refusal::NoServerOfVersion | Refusal::RepeatBudget => {
                 Outcome::NotRun(REFUSED_RETRY_AFTER)
             }
@@ -264,7 +245,7 @@
     }
 
     /// Returns the outcome of a call without further attempts.
-    fn final_outcome(&self) -> Outcome {
+    pub(crate) fn final_outcome(&self) -> Outcome {
         match (self.may_have_run, Instant::now() >= self.deadline) {
             (true, true) => Outcome::TimedOut,
             (true, false) => Outcome::Unknown,
--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -1,5 +1,6 @@
 //! Callers' connections, calls and answers.
 
+mod activity;
 mod answer_buffer;
 mod attempt;
 mod attempt_guard;
@@ -10,6 +11,7 @@
 mod guard;
 mod in_flight;
 mod outcome;
+mod pending;
 mod port;
 mod request;
 mod silence;
--- a/crates/gateway/src/caller/port.rs
+++ b/crates/gateway/src/caller/port.rs
@@ -1,6 +1,5 @@
 //! Accepts and serves callers' connections.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep_until};
 
+use crate::caller::activity::Activity;
 use crate::caller::guard::{GuardedStream, HeadGuard};
 use crate::caller::request;
 use crate::shared::SharedState;
@@ -29,27 +29,22 @@
     pub(crate) shared: Rc<SharedState>,
 }
 
-/// Calls in flight on a connection, and when the last one ended.
-#[derive(Debug)]
-struct Activity {
-    calls: Cell<u32>,
-    last: Cell<Instant>,
-}
-
 impl CallerPort {
     /// Accepts connections until the task is aborted.
     pub(crate) async fn run(self, listener: TcpListener) {
-        let open = Rc::new(Cell::new(0_usize));
         loop {
+            let open = &self.shared.caller_connections;
             let (stream, _) = briarbank_net::accept(&listener).await;
             if open.get() >= self.shared.settings().connections_max {
                 metrics::counter!("briarbank_connections_refused_total").increment(1);
                 continue;
             }
             open.set(open.get() + 1);
-            let (port, open) = (self.clone(), Rc::clone(&open));
+            let port = self.clone();
             self.shared.tasks.spawn_local(async move {
+                let shared = Rc::clone(&port.shared);
                 port.serve_connection(stream).await;
+                let open = &shared.caller_connections;
                 open.set(open.get() - 1);
             });
         }
@@ -60,18 +55,14 @@
             tracing::debug!(%error, "caller: setting TCP_NODELAY failed");
         }
         let guard = HeadGuard::new();
-        let activity = Activity {
-            calls: Cell::new(0),
-            last: Cell::new(Instant::now()),
-        };
+        let activity = Activity::new();
         let head_timeout = || Duration::from_millis(u64::from(self.limits().header_timeout_ms));
         let stream = GuardedStream::new(stream, Rc::clone(&guard), head_timeout);
         let io = TokioIo::new(stream);
         let service = service_fn(|incoming| {
             let (shared, guard) = (Rc::clone(&self.shared), Rc::clone(&guard));
-            let activity = &activity;
+            let active = activity.start_call();
             async move {
-                activity.calls.set(activity.calls.get() + 1);
                 let is_ambiguous = guard.is_ambiguous();
                 let mut response = request::serve(&shared, incoming, is_ambiguous).await;
                 if shared.stop.is_stopping() {
@@ -79,9 +70,7 @@
                     response.headers_mut().insert(CONNECTION, close);
                 }
                 guard.expect_head();
-                activity.calls.set(activity.calls.get() - 1);
-                activity.last.set(Instant::now());
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| active.track(body)))
             }
         });
         let mut builder = http1::Builder::new();
@@ -92,9 +81,11 @@
             .max_headers(HEADERS_MAX);
         let connection = builder.serve_connection(io, service);
         tokio::pin!(connection);
+        // A request that waits when the connection is due to be closed is read first.
         let served = tokio::select! {
+            biased;
             served = connection.as_mut() => served,
-            () = self.wait_for_end(&activity) => {
+            () = self.wait_for_end(&activity, &guard) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -105,10 +96,10 @@
     }
 
     /// Completes when the connection is idle too long or the node refuses calls.
-    async fn wait_for_end(&self, activity: &Activity) {
+    async fn wait_for_end(&self, activity: &Activity, guard: &HeadGuard) {
         tokio::select! {
             () = self.shared.stop.closed() => {}
-            () = self.wait_until_idle(activity) => {}
+            () = self.wait_until_idle(activity, guard) => {}
         }
     }
 
@@ -118,14 +109,14 @@
     }
 
     /// Completes when the connection has been idle for the configured time.
-    async fn wait_until_idle(&self, activity: &Activity) {
+    async fn wait_until_idle(&self, activity: &Activity, guard: &HeadGuard) {
         loop {
             let limits = self.limits();
             let idle_max = Duration::from_millis(u64::from(limits.idle_timeout_ms));
-            if activity.calls.get() > 0 {
-                activity.last.set(Instant::now());
+            if guard.is_partial() {
+                activity.touch();
             }
-            let until = activity.last.get() + idle_max;
+            let until = activity.idle_since() + idle_max;
             if Instant::now() >= until {
                 return;
             }
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -1,12 +1,14 @@
 //! Answers that are streams of events.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http::header::CONTENT_LENGTH;
-use http::{Response, response};
+use http::{Response, Version, response};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use briarbank_core::flow::{Fault, Instance};
@@ -15,9 +17,13 @@
 use crate::caller::body::{AnswerBody, Cut};
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
+use crate::caller::silence::overlap_end;
 use crate::events::EventSplitter;
 use crate::log_lines::LineKind;
 
+/// Why a silent server is given up.
+const STOOD_STILL: &str = "stream stood still";
+
 /// Forwards a stream event by event and resumes it when it breaks off.
 pub(crate) struct EventStream {
     exchange: Exchange,
@@ -27,6 +33,8 @@
     splitter: EventSplitter,
     /// Whether an event has been passed on.
     has_event: bool,
+    /// Since when the next events of the current server are waited for.
+    waiting_since: Instant,
 }
 
 /// Result of a read from the server.
@@ -34,6 +42,10 @@
     Events(Bytes),
     End,
     Broken(&'static str, Fault),
+    /// The server is silent, and another one could go on.
+    Silent,
+    /// Another server goes on.
+    Moved,
 }
 
 impl EventStream {
@@ -56,6 +68,7 @@
             started: Some(started),
             splitter: EventSplitter::default(),
             has_event: false,
+            waiting_since: Instant::now(),
         };
         let first = stream.next().await;
         let Ok(first) = first else {
@@ -70,6 +83,7 @@
         let mut head = stream.head.clone();
         let shared = &stream.exchange.shared;
         shared.dialect.caller_headers(&mut head.headers);
+        head.version = Version::HTTP_11;
         // Another server may send the rest, so the length is unknown.
         head.headers.remove(CONTENT_LENGTH);
         let record = &mut stream.exchange.record;
@@ -97,10 +111,15 @@
 
     /// Returns the next complete events, `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
+        self.waiting_since = Instant::now();
         loop {
-            match self.read().await {
+            let next = match self.read().await {
+                Next::Silent => self.read_or_move().await,
+                next => next,
+            };
+            match next {
                 Next::Events(bytes) => {
-                    self.record_first_event();
+                    self.record_events();
                     return Ok(Some(bytes));
                 }
                 Next::End => {
@@ -108,54 +127,96 @@
                     return Ok(None);
                 }
                 Next::Broken(reason, fault) => self.resume(reason, fault).await?,
+                Next::Silent | Next::Moved => {}
             }
         }
     }
 
+    /// Reads until events are complete or another server should be asked for them.
     async fn read(&mut self) -> Next {
-        let Some(started) = &mut self.started else {
-            return Next::Broken("stream was cut", Fault::Cancelled);
-        };
+        let stall_max = self.exchange.stall_max();
         let deadline = self.exchange.deadline;
-        let stall_timeout = self.exchange.stall_timeout();
-        let stalls_at = || stall_timeout.map_or(deadline, |pause| Instant::now() + pause);
-        let mut until = stalls_at().min(deadline);
+        let mut stalls_at = Instant::now() + stall_max;
         loop {
-            let frame = match timeout_at(until, started.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return Next::Broken("stream broke off", Fault::Broken),
-                Ok(None) if self.splitter.has_partial() => {
-                    return Next::Broken("stream ended within an event", Fault::Broken);
-                }
-                Ok(None) => return Next::End,
-                Err(_)
-                    if Instant::now() < deadline
-                        && !self.exchange.can_leave(&started.guard.instance) =>
-                {
-                    until = stalls_at().min(deadline);
-                    continue;
-                }
-                Err(_) => return Next::Broken("stream stood still", Fault::Silent),
+            let Some(started) = &mut self.started else {
+                return Next::Broken("stream was cut", Fault::Cancelled);
             };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if let Some(events) = self.splitter.push(data) {
-                started.guard.record_first_event();
-                self.exchange.record.add_chunk();
-                return Next::Events(events);
+            let reading = read_events(&mut started.body, &mut self.splitter);
+            let until = stalls_at.min(deadline);
+            if let Ok(next) = timeout_at(until, reading).await {
+                return next;
+            }
+            if Instant::now() >= deadline {
+                // The time limit is no fault of a server that was not silent before.
+                let is_silent = self.waiting_since.elapsed() >= stall_max;
+                let fault = if is_silent {
+                    Fault::Silent
+                } else {
+                    Fault::Cancelled
+                };
+                return Next::Broken("stream did not end in time", fault);
+            }
+            if self.exchange.can_leave(&started.guard.instance) {
+                return Next::Silent;
+            }
+            stalls_at = Instant::now() + stall_max;
+        }
+    }
+
+    /// Waits for the silent server, and for another one that takes the stream.
+    async fn read_or_move(&mut self) -> Next {
+        let Some(mut current) = self.started.take() else {
+            return Next::Broken("stream was cut", Fault::Cancelled);
+        };
+        let from = Arc::clone(&current.guard.instance);
+        let event = self.splitter.last_id().cloned();
+        let sent_at = Rc::clone(&self.exchange.sent_at);
+        sent_at.set(Instant::now());
+        let mut moving = Box::pin(self.exchange.start_other(&from, event));
+        let (next, moved) = tokio::select! {
+            biased;
+            next = read_events(&mut current.body, &mut self.splitter) => (next, None),
+            moved = &mut moving => (Next::Silent, moved),
+            () = overlap_end(&sent_at) => (Next::Broken(STOOD_STILL, Fault::Silent), None),
+        };
+        let (next, moved) = match (next, moved) {
+            (Next::Broken(reason, fault), None) => {
+                // The other server may go on only when this one has stopped.
+                current.guard.record_failure(fault);
+                drop((current.body, current.connection));
+                (Next::Broken(reason, Fault::Cancelled), moving.await)
+            }
+            (_, Some(moved)) => {
+                drop(moving);
+                current.guard.record_failure(Fault::Silent);
+                (Next::Broken(STOOD_STILL, Fault::Cancelled), Some(moved))
             }
-            if self.splitter.is_too_long() {
-                return Next::Broken("event is too long", Fault::Malformed);
+            (next, None) => {
+                drop(moving);
+                self.exchange.record.server = Some(from.id.clone());
+                self.started = Some(current);
+                (next, None)
             }
+        };
+        self.exchange.end_search();
+        let Some(moved) = moved else {
+            return next;
+        };
+        if let Next::Broken(reason, _) = next {
+            self.exchange.set_failure_reason(reason);
         }
+        self.go_on(&from, moved);
+        Next::Moved
     }
 
-    /// Records the server of the first event, before the caller gets the event.
-    fn record_first_event(&mut self) {
-        if let Some(started) = &self.started
-            && !std::mem::replace(&mut self.has_event, true)
-        {
+    /// Records complete events, before the caller gets them.
+    fn record_events(&mut self) {
+        let Some(started) = &self.started else {
+            return;
+        };
+        started.guard.record_first_event();
+        self.exchange.record.add_chunk();
+        if !std::mem::replace(&mut self.has_event, true) {
             self.exchange.record_first_server(&started.guard.instance);
         }
     }
@@ -171,33 +232,42 @@
         keep_connection(shared, &instance, started.connection, &started.answer_head);
     }
 
-    /// Resumes the stream at another server after the last forwarded event.
+    /// Resumes a broken stream at another server after the last forwarded event.
     async fn resume(&mut self, reason: &'static str, fault: Fault) -> Result<(), Cut> {
-        let Some(started) = self.started.take() else {
+        let Some(instance) = self.give_up(reason, fault) else {
             return Err(Cut::Stream);
         };
-        self.exchange.set_failure_reason(reason);
-        let instance = Arc::clone(&started.guard.instance);
-        started.guard.record_failure(fault);
-        drop(started.connection);
-        self.splitter.drop_partial();
         let event = self.splitter.last_id().cloned();
         let is_expired = Instant::now() >= self.exchange.deadline;
         if is_expired || !self.exchange.may_resume(&instance, event) {
             return Err(Cut::Stream);
         }
-        let Ok(started) = self.exchange.start_answer().await else {
+        let Some(started) = self.exchange.start_stream().await else {
             return Err(Cut::Stream);
         };
-        if !started.head.status.is_success() {
-            return Err(Cut::Stream);
-        }
-        self.log_resumption(&instance, &started.guard.instance);
+        self.go_on(&instance, started);
+        Ok(())
+    }
+
+    /// Gives up the server and returns it.
+    fn give_up(&mut self, reason: &str, fault: Fault) -> Option<Arc<Instance>> {
+        let started = self.started.take()?;
+        self.exchange.set_failure_reason(reason);
+        let instance = Arc::clone(&started.guard.instance);
+        started.guard.record_failure(fault);
+        self.splitter.drop_partial();
+        Some(instance)
+    }
+
+    /// Goes on with the answer of another server.
+    fn go_on(&mut self, from: &Instance, started: StartedAnswer) {
+        self.splitter.drop_partial();
+        self.log_resumption(from, &started.guard.instance);
         if !self.has_event {
             self.head = started.head.clone();
         }
         self.started = Some(started);
-        Ok(())
+        self.waiting_since = Instant::now();
     }
 
     fn log_resumption(&self, from: &Instance, to: &Instance) {
@@ -213,3 +283,26 @@
         );
     }
 }
+
+/// Reads until events are complete; no bytes are lost when it is dropped.
+async fn read_events(body: &mut Incoming, splitter: &mut EventSplitter) -> Next {
+    loop {
+        let frame = match body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => return Next::Broken("stream broke off", Fault::Broken),
+            None if splitter.has_partial() => {
+                return Next::Broken("stream ended within an event", Fault::Broken);
+            }
+            None => return Next::End,
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if let Some(events) = splitter.push(data) {
+            return Next::Events(events);
+        }
+        if splitter.is_too_long() {
+            return Next::Broken("event is too long", Fault::Malformed);
+        }
+    }
+}
