Take only crashes for evidence against a prompt

Calls could have been refused for connections that broke for another reason: a path that was dead, bytes that are no answer, an answer that did not end in time and one too large to keep were all reported as a broken connection, which now counts as a crash under the parts of the call. They are reported as silence and malformed answers, which health treats alike, so that nothing else changes.

The reverse: an answer with neither a length nor chunks ends with its connection, also when its server crashes, and would acquit the part that crashed it. Such an end, and an error of the server, no longer count as proof.

an_end_that_may_be_a_crash_is_no_proof failed with every end as proof and passes. The kinds of errors of a dead path have no test: a stand-in can't drop packets.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -357,8 +357,13 @@
 
     /// Records a complete answer.
     pub fn record_success(&mut self, now: Instant, id: AttemptId) {
-        self.record_first_event(now, id);
         self.record_answer(now, id);
+        self.record_end(now, id);
+    }
+
+    /// Records an answer that ended with its connection, as one does that a crash cuts.
+    pub fn record_end(&mut self, now: Instant, id: AttemptId) {
+        self.record_first_event(now, id);
         if let Some(attempt) = self.release_attempt(id)
             && let Some(entry) = self.servers.get_mut(&attempt.server)
         {
--- a/crates/core/tests/flow/parts.rs
+++ b/crates/core/tests/flow/parts.rs
@@ -311,6 +311,29 @@
     dispatcher.blamed_parts(at).len()
 }
 
+/// Guards against a harmful part that is acquitted by the answers that its crashes cut: one
+/// without a length ends like that.
+#[test]
+fn an_end_that_may_be_a_crash_is_no_proof() {
+    let mut dispatcher = dispatcher_of_models();
+    let now = Instant::now();
+    let after = |ms| now + Duration::from_millis(ms);
+    let call = call(&[SYSTEM, GUILTY]);
+    let mut sent = Vec::new();
+    for _ in 0..5 {
+        let placement = send(&mut dispatcher, now, &sent);
+        sent.push(placement);
+    }
+    for (index, placement) in sent.iter().take(3).enumerate() {
+        let at = after(100 * (index as u64 + 1));
+        dispatcher.record_failure(at, placement.attempt, Fault::Broken);
+    }
+    dispatcher.record_end(after(400), sent[3].attempt);
+    assert!(dispatcher.dispatch(after(400), &call, &[]).is_err());
+    dispatcher.record_success(after(500), sent[4].attempt);
+    assert!(dispatcher.dispatch(after(500), &call, &[]).is_ok());
+}
+
 /// Guards against sound parts that are taken for harmful with a server that ends later.
 #[test]
 fn an_answer_that_goes_on_is_no_evidence_when_it_breaks_off() {
--- a/crates/gateway/src/caller/answer_buffer.rs
+++ b/crates/gateway/src/caller/answer_buffer.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use briarbank_core::flow::Fault;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quick_error::quick_error;
 
+use crate::server::break_fault;
+
 /// Largest plain answer; answers are buffered so that broken ones can be retried.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 
@@ -29,6 +32,16 @@
     }
 }
 
+impl BufferError {
+    /// Returns the fault of the server whose answer it was.
+    pub(crate) fn fault(&self) -> Fault {
+        match self {
+            Self::Broken(error) => break_fault(error),
+            Self::TooLarge | Self::NoMemory => Fault::Malformed,
+        }
+    }
+}
+
 /// Memory of all buffered answers of a node.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AnswerMemory {
--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -10,7 +10,7 @@
 use crate::caller::attempt_guard::{Execution, FailedAttempt};
 use crate::caller::exchange::Exchange;
 use crate::dialect::{AnswerHead, AnswerKind, ForwardContext};
-use crate::server::{Connection, SendError, Sent};
+use crate::server::{Connection, SendError, Sent, break_fault};
 
 /// An answer that may be forwarded: its heads, body and connection.
 pub(crate) type AcceptedAnswer = (response::Parts, AnswerHead, Incoming, Connection);
@@ -21,7 +21,7 @@
         let fault = match error {
             SendError::Connect(_) => Fault::Unreachable,
             SendError::Full => Fault::Full,
-            SendError::Broken(_) => Fault::Broken,
+            SendError::Broken(error) => break_fault(error),
         };
         let execution = if error.is_not_sent() {
             Execution::NotSent
--- a/crates/gateway/src/caller/attempt_guard.rs
+++ b/crates/gateway/src/caller/attempt_guard.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use briarbank_core::flow::{AttemptId, Fault, Instance, Placement};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response;
 use hyper::body::Incoming;
 
@@ -40,13 +41,17 @@
         }
     }
 
-    pub(crate) fn record_success(mut self) {
+    /// Records the end of an answer; `is_whole` tells whether it is known to be complete.
+    pub(crate) fn record_success(mut self, is_whole: bool) {
         if let Some(attempt) = self.attempt.take() {
             let now = Instant::now();
-            self.shared
-                .dispatcher
-                .borrow_mut()
-                .record_success(now, attempt);
+            let mut dispatcher = self.shared.dispatcher.borrow_mut();
+            if is_whole {
+                dispatcher.record_success(now, attempt);
+            } else {
+                dispatcher.record_end(now, attempt);
+            }
+            drop(dispatcher);
             loads::report_changes(&self.shared);
         }
     }
@@ -85,6 +90,18 @@
     pub(crate) body: Incoming,
 }
 
+impl StartedAnswer {
+    /// Returns whether an end without an error shows that the server ran the whole call.
+    ///
+    /// An answer without a length also ends when the server crashes.
+    pub(crate) fn has_own_end(&self) -> bool {
+        let headers = &self.head.headers;
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        is_framed && self.head.status.is_success()
+    }
+}
+
 /// An attempt without an answer that can be forwarded.
 pub(crate) struct FailedAttempt {
     pub(crate) fault: Fault,
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -175,17 +175,18 @@
         &mut self,
         started: StartedAnswer,
     ) -> Result<Response<AnswerBody>, bool> {
+        let is_whole = started.has_own_end();
         let collected = self.shared.answer_memory.collect(started.body);
         let failure_reason = match timeout_at(self.deadline, collected).await {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => Err(error.to_string()),
-            Err(_) => Err("answer did not end in time".to_owned()),
+            Ok(Err(error)) => Err((error.fault(), error.to_string())),
+            Err(_) => Err((Fault::Silent, "answer did not end in time".to_owned())),
         };
         let answer = match failure_reason {
             Ok(answer) => answer,
-            Err(failure_reason) => {
+            Err((fault, failure_reason)) => {
                 let instance = Arc::clone(&started.guard.instance);
-                started.guard.record_failure(Fault::Broken);
+                started.guard.record_failure(fault);
                 self.set_failure_reason(&failure_reason);
                 return Err(self.may_retry(Execution::Unknown, &instance));
             }
@@ -200,7 +201,7 @@
             );
         } else {
             let instance = Arc::clone(&started.guard.instance);
-            started.guard.record_success();
+            started.guard.record_success(is_whole);
             keep_connection(
                 &self.shared,
                 &instance,
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -20,6 +20,7 @@
 use crate::caller::silence::overlap_end;
 use crate::events::EventSplitter;
 use crate::log_lines::LineKind;
+use crate::server::break_fault;
 
 /// Why a silent server is given up.
 const STOOD_STILL: &str = "stream stood still";
@@ -227,7 +228,8 @@
             return;
         };
         let instance = Arc::clone(&started.guard.instance);
-        started.guard.record_success();
+        let is_whole = started.has_own_end();
+        started.guard.record_success(is_whole);
         let shared = &self.exchange.shared;
         keep_connection(shared, &instance, started.connection, &started.answer_head);
     }
@@ -289,7 +291,7 @@
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame,
-            Some(Err(_)) => return Next::Broken("stream broke off", Fault::Broken),
+            Some(Err(error)) => return Next::Broken("stream broke off", break_fault(&error)),
             None if splitter.has_partial() => {
                 return Next::Broken("stream ended within an event", Fault::Broken);
             }
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -1,7 +1,9 @@
 //! Connections to servers.
 
+mod break_fault;
 mod connection;
 mod pool;
 
+pub(crate) use break_fault::break_fault;
 pub(crate) use connection::Connection;
 pub(crate) use pool::{Pool, SendError, Sent};
