Tell peers which parts of prompts crash servers

Heartbeats carry the crashes as a second list after the limits of servers; older nodes ignore it, and an empty first list is written only before a second one. A call with a part that crashes servers is refused with 503 and no time to come back, since a retry would end the same way, or with 502 when an attempt may have run. A pause of the host makes the ends of earlier attempts no evidence.

--- a/crates/gateway/src/caller/continuity.rs
+++ b/crates/gateway/src/caller/continuity.rs
@@ -38,7 +38,7 @@
         let Some(version) = version else {
             metrics::counter!("briarbank_streams_unknown_total").increment(1);
             self.set_failure_reason("version of the stream is unknown");
-            return Err(Outcome::NotResumable);
+            return Err(Outcome::NotRepeatable);
         };
         let dispatcher = self.shared.dispatcher.borrow();
         let service = dispatcher.service_of_version(&route, version);
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -233,12 +233,15 @@
 
     pub(crate) fn refusal_outcome(&mut self, refusal: Refusal) -> Outcome {
         self.record.failure_reason = Some(format!("{refusal:?}"));
+        if refusal == Refusal::HarmfulPrompt {
+            metrics::counter!("briarbank_harmful_calls_refused_total").increment(1);
+        }
         if self.may_have_run {
             return Outcome::Unknown;
         }
         match refusal {
             Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
-            Refusal::HarmfulPrompt => Outcome::NotResumable,
+            Refusal::HarmfulPrompt => Outcome::NotRepeatable,
             Refusal::NoServer | Refusal::NoServerOfVersion | Refusal::RepeatBudget => {
                 Outcome::NotRun(REFUSED_RETRY_AFTER)
             }
--- a/crates/gateway/src/caller/outcome.rs
+++ b/crates/gateway/src/caller/outcome.rs
@@ -29,7 +29,7 @@
     /// The call will never run; the caller may retry after the given time.
     NotRun(Duration),
     /// The call has not run, and a retry would end the same way.
-    NotResumable,
+    NotRepeatable,
     /// The call may have run.
     Unknown,
     /// The deadline has passed, and the call may have run.
@@ -45,7 +45,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::NotRun(_) | Self::NotResumable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotRun(_) | Self::NotRepeatable => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -34,14 +34,46 @@
     Ok(bytes)
 }
 
+/// Encodes a message and two lists; empty ones at the end are left out.
+pub(crate) fn encode_two<M: Serialize, T: Serialize, U: Serialize>(
+    message: &M,
+    first: &[T],
+    second: &[U],
+) -> Result<Vec<u8>, EncodeError> {
+    let mut bytes = encode(message, first)?;
+    if !second.is_empty() {
+        if first.is_empty() {
+            bincode::serde::encode_into_std_write(first, &mut bytes, standard())?;
+        }
+        bincode::serde::encode_into_std_write(second, &mut bytes, standard())?;
+    }
+    Ok(bytes)
+}
+
 /// Decodes a message and the list that belongs to it.
 pub(crate) fn decode<M: DeserializeOwned, T: DeserializeOwned>(
     bytes: &[u8],
 ) -> Result<(M, Vec<T>), DecodeError> {
     let (message, length) = bincode::serde::decode_from_slice(bytes, bounded())?;
-    let appended = match bytes.get(length..) {
-        Some(rest) if !rest.is_empty() => bincode::serde::decode_from_slice(rest, bounded())?.0,
-        _ => Vec::new(),
-    };
+    let (appended, _) = decode_list(bytes.get(length..).unwrap_or_default())?;
     Ok((message, appended))
 }
+
+/// Decodes a message and two lists, which are empty in messages of older versions.
+pub(crate) fn decode_two<M: DeserializeOwned, T: DeserializeOwned, U: DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(M, Vec<T>, Vec<U>), DecodeError> {
+    let (message, length) = bincode::serde::decode_from_slice(bytes, bounded())?;
+    let rest = bytes.get(length..).unwrap_or_default();
+    let (first, length) = decode_list(rest)?;
+    let (second, _) = decode_list(rest.get(length..).unwrap_or_default())?;
+    Ok((message, first, second))
+}
+
+/// Decodes a list that may be missing; returns its length in bytes as well.
+fn decode_list<T: DeserializeOwned>(bytes: &[u8]) -> Result<(Vec<T>, usize), DecodeError> {
+    if bytes.is_empty() {
+        return Ok((Vec::new(), 0));
+    }
+    bincode::serde::decode_from_slice(bytes, bounded())
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Heartbeat, LimitStatement, REPORT_INTERVAL};
+use briarbank_core::flow::{Heartbeat, LimitStatement, PartStatement, REPORT_INTERVAL};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -70,8 +70,9 @@
     let mut peers = shared.peers.borrow_mut();
     let (heartbeat, targets) = peers.next_heartbeat(now, revision, is_watching, loads);
     drop(peers);
-    let statements = shared.limits.borrow_mut().statements(now);
-    let Ok(bytes) = codec::encode(&heartbeat, &statements) else {
+    let limits = shared.limits.borrow_mut().statements(now);
+    let parts = shared.dispatcher.borrow_mut().part_statements(now);
+    let Ok(bytes) = codec::encode_two(&heartbeat, &limits, &parts) else {
         tracing::warn!("peer: encoding the heartbeat failed");
         return;
     };
@@ -82,6 +83,7 @@
         }
     }
     shared.divide_limits(now);
+    shared.log_harmful_parts(now);
     let peers = shared.peers.borrow();
     let mut dispatcher = shared.dispatcher.borrow_mut();
     dispatcher.set_peer_loads(&peers.loads(now), peers.sharing_nodes(now));
@@ -105,10 +107,12 @@
         loads::receive(shared, message);
         return;
     }
-    match codec::decode::<Heartbeat, LimitStatement>(bytes) {
-        Ok((heartbeat, statements)) => {
-            shared.peers.borrow_mut().receive(Instant::now(), heartbeat);
-            shared.receive_limits(&statements);
+    match codec::decode_two::<Heartbeat, LimitStatement, PartStatement>(bytes) {
+        Ok((heartbeat, limits, parts)) => {
+            let now = Instant::now();
+            shared.peers.borrow_mut().receive(now, heartbeat);
+            shared.receive_limits(&limits);
+            shared.dispatcher.borrow_mut().receive_parts(now, &parts);
         }
         Err(error) => tracing::debug!(%error, "peer: decoding a datagram failed"),
     }
@@ -149,10 +153,11 @@
     tracing::warn!(pause_ms = pause.as_millis(), "node: resumed after a pause");
     shared.peers.borrow_mut().discard_loads();
     shared.directory.borrow_mut().clear();
-    shared
-        .dispatcher
-        .borrow_mut()
-        .record_missed_changes(Instant::now());
+    let now = Instant::now();
+    let mut dispatcher = shared.dispatcher.borrow_mut();
+    dispatcher.record_missed_changes(now);
+    dispatcher.record_pause(now);
+    drop(dispatcher);
     shared.pool.clear();
     shared.store.connection_suspect.notify_waiters();
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod events;
 mod gossip;
+mod harmful_prompts;
 mod loads;
 mod log_lines;
 mod notices;
--- a/crates/gateway/src/log_lines.rs
+++ b/crates/gateway/src/log_lines.rs
@@ -20,6 +20,8 @@
     Continued,
     /// What a server said of itself.
     Notice,
+    /// A part of prompts that may crash servers.
+    Parts,
 }
 
 impl LineKind {
@@ -32,7 +34,7 @@
             Self::Served => 100,
             Self::Unserved => 400,
             Self::Attempt | Self::NotAdmitted | Self::Continued => 200,
-            Self::Notice => 20,
+            Self::Notice | Self::Parts => 20,
         }
     }
 }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
+use crate::harmful_prompts::hex;
 use crate::shared::SharedState;
 
 /// Time after which a connection to these ports is closed.
@@ -60,6 +61,8 @@
     let peers = shared.peers.borrow().live_count(now);
     metrics::gauge!("briarbank_nodes").set(peers as f64);
     metrics::gauge!("briarbank_calls_in_flight").set(shared.in_flight.get() as f64);
+    let blamed = shared.blamed_parts.borrow().len();
+    metrics::gauge!("briarbank_blamed_parts").set(blamed as f64);
     let version = shared.table().map_or(0, |t| t.version());
     metrics::gauge!("briarbank_config_version").set(version as f64);
     let age = shared
@@ -95,11 +98,17 @@
             })
         })
         .collect();
+    let blamed = dispatcher.blamed_parts(now);
+    let blamed: Vec<_> = blamed
+        .iter()
+        .map(|(part, processes)| json!({"part": hex(*part), "crashes": processes.len()}))
+        .collect();
     json!({
         "host": shared.settings().host.as_str(), "ready": shared.is_ready(),
         "config_version": shared.table().map(|t| t.version()),
         "revision": shared.mirror.borrow().revision(), "store_lost": shared.store.is_failing.get(),
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
+        "blamed_parts": blamed,
     })
     .to_string()
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 
 use crate::caller::{AnswerMemory, CallCount};
 use crate::dialect::Dialect;
+use crate::harmful_prompts::BlamedParts;
 use crate::loads::Queries;
 use crate::log_lines::LogLines;
 use crate::server::Pool;
@@ -41,6 +42,8 @@
     pub(crate) directory: RefCell<LoadDirectory>,
     /// Limits that servers have named.
     pub(crate) limits: RefCell<ServerLimits>,
+    /// Parts that calls were refused for at the last heartbeat.
+    pub(crate) blamed_parts: RefCell<BlamedParts>,
     pub(crate) queries: RefCell<Queries>,
     /// Versions of streams that callers may take up.
     pub(crate) streams: RefCell<StreamDirectory>,
@@ -127,6 +130,7 @@
             peers: RefCell::new(peers),
             directory: RefCell::default(),
             limits: RefCell::default(),
+            blamed_parts: RefCell::default(),
             queries: RefCell::default(),
             streams: RefCell::default(),
             stream_queries: StreamQueries::default(),
