--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -175,17 +175,18 @@
         &mut self,
         started: StartedAnswer,
     ) -> Result<Response<AnswerBody>, bool> {
+        let is_whole = started.has_own_end();
         let collected = self.shared.answer_memory.collect(started.body);
         let failure_reason = match timeout_at(self.deadline, collected).await {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => Err(error.to_string()),
-            Err(_) => Err("answer did not end in time".to_owned()),
+            Ok(Err(error)) => Err((error.fault(), error.to_string())),
+            Err(_) => Err((Fault::Silent, "answer did not end in time".to_owned())),
         };
         let answer = match failure_reason {
             Ok(answer) => answer,
-            Err(failure_reason) => {
+            Err((fault, failure_reason)) => {
                 let instance = Arc::clone(&started.guard.instance);
-                started.guard.record_failure(Fault::Broken);
+                started.guard.record_failure(fault);
                 self.set_failure_reason(&failure_reason);
                 return Err(self.may_retry(Execution::Unknown, &instance));
             }
@@ -200,7 +201,7 @@
             );
         } else {
             let instance = Arc::clone(&started.guard.instance);
-            started.guard.record_success();
+            started.guard.record_success(is_whole);
             keep_connection(
                 &self.shared,
                 &instance,
@@ -232,12 +233,15 @@
 
     pub(crate) fn refusal_outcome(&mut self, refusal: Refusal) -> Outcome {
         self.record.failure_reason = Some(format!("{refusal:?}"));
+        if refusal == Refusal::HarmfulPrompt {
+            metrics::counter!("briarbank_harmful_calls_refused_total").increment(1);
+        }
         if self.may_have_run {
             return Outcome::Unknown;
         }
         match refusal {
             Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
-            Refusal::HarmfulPrompt => Outcome::NotResumable,
+            Refusal::HarmfulPrompt => Outcome::NotRepeatable,
             Refusal::NoServer | Refusal::NoServerOfVersion | Refusal::RepeatBudget => {
                 Outcome::NotRun(REFUSED_RETRY_AFTER)
             }
