End expired calls before the router model repeats one

The model of the router's random histories chose a queued call to arrive again. If that call was past its latest start, the router ended it first and then rightly took the id for a new call, and the model reported "dispatched twice". Ids are unique within a process, so such a call can't arrive.

--- a/crates/core/tests/router/history.rs
+++ b/crates/core/tests/router/history.rs
@@ -263,6 +263,8 @@
     }
 
     fn arrive_again(&mut self, pick: usize) {
+        // Ends the expired calls; the same id would be a new call after that.
+        self.send(Event::Tick);
         let waiting: Vec<_> = self.calls.iter().filter(|(_, c)| c.is_queued()).collect();
         let Some((id, _)) = waiting.get(pick % waiting.len().max(1)) else {
             return;
