Keep a stalled stream until another server takes it

Callers saw a streamed answer end with a server-failed event although its server only paused for about a second and went on.

Cause: a stream without progress for half a second was cancelled at its server before the next server had accepted it. If that one refused, broke off or could not be reached, and so on until the last attempt, the call ended, and the late tokens of the sound server were dropped.

Ruled out: the silence timeouts of the daemon, which are 2 s or more.

The next attempt is now a trial beside the stalled one. The core cancels the stalled attempt when the trial's server has accepted the call, and the trial when the stalled attempt goes on. A failed trial costs the call nothing but an attempt, and a failed running attempt leaves the call to its trial. The daemon sends the trial without reading its answer, so both share the transcript of the answer. A stream that makes progress on an ejected server still moves at once, since the next server resumes it from a fixed token.

The test of a stalled stream expects the cancel after the accept.

--- a/crates/core/examples/policies/baseline.rs
+++ b/crates/core/examples/policies/baseline.rs
@@ -156,6 +156,7 @@
                 server: server_name(server).as_str().into(),
                 tier: 0,
                 resume: false,
+                trial: false,
             }));
         }
     }
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -56,6 +56,11 @@
         self.tokens = (self.tokens + self.options.deposit_ratio).min(self.options.burst);
     }
 
+    /// Returns a withdrawn retry that was not used.
+    pub fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.options.burst);
+    }
+
     /// Withdraws one retry; returns false if the budget is used up.
     pub fn withdraw(&mut self) -> bool {
         if self.tokens < 1.0 {
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -192,6 +192,8 @@
     pub tier: u8,
     /// Whether to resume after the tokens that the caller already received.
     pub resume: bool,
+    /// Whether the running attempt goes on until this one's server accepts the call.
+    pub trial: bool,
 }
 
 /// How an attempt failed.
@@ -212,7 +214,7 @@
     Malformed,
     /// The server reported an error after it may have run the attempt.
     ServerError,
-    /// Preempted by this node for a call of a higher tier.
+    /// Given up by this node, for a call of a higher tier or for another attempt.
     Preempted,
 }
 
--- a/crates/core/src/router/admit.rs
+++ b/crates/core/src/router/admit.rs
@@ -157,6 +157,7 @@
             preemptions: 0,
             may_have_run: false,
             running: None,
+            trial: None,
             tokens: 0,
             version: None,
             tried: Vec::new(),
--- a/crates/core/src/router/attempt.rs
+++ b/crates/core/src/router/attempt.rs
@@ -12,7 +12,7 @@
 /// Tokens over which the time between tokens is averaged.
 const SAMPLE_TOKENS: u32 = 16;
 /// Maximum number of dispatches of one call, including those that a server refused.
-const DISPATCHES_MAX: u32 = 16;
+pub(super) const DISPATCHES_MAX: u32 = 16;
 
 impl Router {
     pub(super) fn handle_caller_gone(
@@ -27,17 +27,14 @@
             return;
         };
         let outcome = entry.outcome();
-        let running = entry.running.take();
-        if let Some(running) = &running {
-            self.release_attempt(now, &entry.call, running);
-            actions.push(Action::Cancel {
-                attempt: running.attempt,
-                server: running.server.clone(),
-            });
+        let open = [entry.running.take(), entry.trial.take()];
+        for open in open.iter().flatten() {
+            self.release_attempt(now, &entry.call, open);
+            actions.push(open.cancel());
         }
         actions.push(Action::End { call: id, outcome });
-        if let Some(running) = running {
-            self.serve_server(now, &running.server, actions);
+        for open in open.iter().flatten() {
+            self.serve_server(now, &open.server, actions);
         }
     }
 
@@ -52,23 +49,44 @@
             self.counters.dropped += 1;
             return;
         };
+        if self.is_trial(id, attempt) {
+            match event {
+                AttemptEvent::Failed(failure) => {
+                    self.handle_trial_failure(now, id, failure, actions);
+                    return;
+                }
+                AttemptEvent::Accepted | AttemptEvent::Progress { .. } | AttemptEvent::Done => {
+                    self.adopt_trial(now, id, actions);
+                }
+            }
+        }
         match event {
-            AttemptEvent::Progress { tokens } => self.handle_progress(now, id, tokens),
+            AttemptEvent::Accepted => {}
+            AttemptEvent::Progress { tokens } => {
+                self.handle_progress(now, id, tokens, actions);
+            }
             AttemptEvent::Done => self.handle_done(now, id, actions),
             AttemptEvent::Failed(failure) => self.handle_failure(now, id, failure, actions),
         }
     }
 
-    fn handle_progress(&mut self, now: Instant, id: CallId, tokens: u32) {
+    fn handle_progress(
+        &mut self,
+        now: Instant,
+        id: CallId,
+        tokens: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.calls.get(&id).is_none_or(|e| tokens <= e.tokens) {
+            return;
+        }
+        self.cancel_trial(now, id, actions);
         let Some(entry) = self.calls.get_mut(&id) else {
             return;
         };
         let Some(running) = entry.running.as_mut() else {
             return;
         };
-        if tokens <= entry.tokens {
-            return;
-        }
         entry.tokens = tokens;
         let version = || Arc::clone(&running.version);
         entry.version.get_or_insert_with(version);
@@ -136,6 +154,7 @@
     }
 
     fn handle_done(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
+        self.cancel_trial(now, id, actions);
         let Some(mut entry) = self.remove_call(id) else {
             return;
         };
@@ -183,7 +202,9 @@
         let call = entry.call.clone();
         self.release_attempt(now, &call, &running);
         self.record_failure(now, &running.server, failure);
-        if !may_retry || !has_attempts_left {
+        if self.promote_trial(id) {
+            // The trial goes on in its place.
+        } else if !may_retry || !has_attempts_left {
             self.give_up(id, Reason::ServerFailed, actions);
         } else if !is_uncounted(failure) && !self.retry_budget(&call.profile).withdraw() {
             self.give_up(id, Reason::RetryBudget, actions);
@@ -195,7 +216,7 @@
     }
 
     /// Records a failed attempt at its server.
-    fn record_failure(&mut self, now: Instant, server: &ServerName, failure: Failure) {
+    pub(super) fn record_failure(&mut self, now: Instant, server: &ServerName, failure: Failure) {
         let Some(entry) = self.servers.get_mut(server) else {
             return;
         };
@@ -267,7 +288,7 @@
 }
 
 /// Whether a failure counts neither as an attempt nor against the retry budget.
-fn is_uncounted(failure: Failure) -> bool {
+pub(super) fn is_uncounted(failure: Failure) -> bool {
     matches!(
         failure,
         Failure::Full | Failure::Leaving | Failure::Preempted
--- a/crates/core/src/router/entry.rs
+++ b/crates/core/src/router/entry.rs
@@ -6,6 +6,7 @@
 use crate::call::{Call, Outcome};
 use crate::ids::{AttemptId, ServerName};
 use crate::queue::Charge;
+use crate::router::event::Action;
 use crate::router::index::Class;
 
 /// Attempt in flight.
@@ -24,6 +25,16 @@
     pub(super) sample: Option<SpeedSample>,
 }
 
+impl RunningAttempt {
+    /// Returns the action that cancels it.
+    pub(super) fn cancel(&self) -> Action {
+        Action::Cancel {
+            attempt: self.attempt,
+            server: self.server.clone(),
+        }
+    }
+}
+
 /// Start of a speed sample.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SpeedSample {
@@ -51,6 +62,8 @@
     /// Whether an earlier attempt may have run.
     pub(super) may_have_run: bool,
     pub(super) running: Option<RunningAttempt>,
+    /// Attempt at another server while the running one is stalled.
+    pub(super) trial: Option<RunningAttempt>,
     /// Tokens delivered to the caller.
     pub(super) tokens: u32,
     /// Version of the server that delivered the first token; others do not fit.
--- a/crates/core/src/router/event.rs
+++ b/crates/core/src/router/event.rs
@@ -14,6 +14,8 @@
         /// Tokens delivered to the caller so far, over all attempts of the call.
         tokens: u32,
     },
+    /// The server accepted the attempt and begins to answer it.
+    Accepted,
     /// The whole answer reached the caller.
     Done,
     /// The attempt ended without the whole answer.
--- a/crates/core/src/router/migrate.rs
+++ b/crates/core/src/router/migrate.rs
@@ -4,12 +4,17 @@
 
 use crate::ids::{CallId, ServerName};
 use crate::queue::Charge;
+use crate::router::attempt;
 use crate::router::entry::{CallEntry, RunningAttempt};
 use crate::router::event::Action;
 use crate::router::state::Router;
 
 /// Multiple of the expected time after which a stream counts as stalled.
 const STALL_RATIO: u32 = 3;
+/// Maximum number of dispatches after which a call still moves to another server.
+///
+/// Leaves some for the failure of the last server.
+const DISPATCHES_MAX: u32 = attempt::DISPATCHES_MAX / 2;
 /// Shorter pauses never count as a stall.
 const STALL_MIN: Duration = Duration::from_millis(500);
 
@@ -31,7 +36,10 @@
         let Some(running) = &entry.running else {
             return false;
         };
-        if !entry.is_idempotent() || entry.call.max_tokens == 0 {
+        if !entry.is_idempotent() || entry.trial.is_some() {
+            return false;
+        }
+        if entry.call.max_tokens == 0 {
             return false;
         }
         self.is_stalled(now, entry, running) || self.is_on_ejected_server(now, running)
@@ -56,7 +64,10 @@
         server.is_some_and(|e| !e.health.is_available(now))
     }
 
-    /// Cancels the attempt and dispatches the call to another server.
+    /// Moves a slow call to another server.
+    ///
+    /// A stalled attempt goes on until the other server accepts the call. One that makes
+    /// slow progress ends at once, since the other server resumes the answer from here.
     fn migrate(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
         let Some(server) = self.migration_server(now, id) else {
             return;
@@ -64,10 +75,20 @@
         let Some(entry) = self.calls.get(&id) else {
             return;
         };
-        let call = entry.call.clone();
-        if !self.retry_budget(&call.profile).withdraw() {
+        let makes_progress = entry.running.as_ref().is_some_and(|running| {
+            running.sample.is_some() && !self.is_stalled(now, entry, running)
+        });
+        let profile = entry.call.profile.clone();
+        if !self.retry_budget(&profile).withdraw() {
             return;
         }
+        if makes_progress {
+            self.leave_server(now, id, actions);
+        }
+        self.dispatch(now, id, server, Charge::default(), actions);
+    }
+
+    fn leave_server(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
         let Some(entry) = self.calls.get_mut(&id) else {
             return;
         };
@@ -76,24 +97,24 @@
         };
         entry.may_have_run = true;
         entry.tried.push(running.server.clone());
+        let call = entry.call.clone();
         self.release_attempt(now, &call, &running);
         if let Some(slow) = self.servers.get_mut(&running.server) {
             slow.health.record_failure();
         }
         self.counters.migrated += 1;
-        actions.push(Action::Cancel {
-            attempt: running.attempt,
-            server: running.server,
-        });
-        self.dispatch(now, id, server, Charge::default(), actions);
+        actions.push(running.cancel());
     }
 
     /// Chooses an untried server with capacity, if the call would finish in time.
     fn migration_server(&mut self, now: Instant, id: CallId) -> Option<ServerName> {
         let entry = self.calls.get(&id)?;
         let running = entry.running.as_ref()?;
+        if entry.attempts >= self.options.attempts_max || entry.dispatches >= DISPATCHES_MAX {
+            return None;
+        }
         let service_time = self.predict(&entry.class, &entry.call, entry.tokens);
-        if entry.attempts >= self.options.attempts_max || now + service_time > entry.deadline {
+        if now + service_time > entry.deadline {
             return None;
         }
         let mut tried = entry.tried.clone();
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -17,6 +17,7 @@
 mod server;
 mod servers;
 mod state;
+mod trial;
 mod waiting;
 
 pub use event::{Action, AttemptEvent, Event};
--- a/crates/core/src/router/preempt.rs
+++ b/crates/core/src/router/preempt.rs
@@ -65,7 +65,11 @@
     fn spare_time(&self, now: Instant, waiting: &CallEntry, entry: &CallEntry) -> Option<Duration> {
         let is_lower_tier = entry.class.profile.tier > waiting.class.profile.tier;
         let resumable = entry.is_idempotent() && entry.tokens > 0;
-        if !is_lower_tier || !resumable || entry.preemptions >= PREEMPTIONS_MAX {
+        if entry.trial.is_some()
+            || !is_lower_tier
+            || !resumable
+            || entry.preemptions >= PREEMPTIONS_MAX
+        {
             return None;
         }
         let running = entry.running.as_ref()?;
@@ -104,10 +108,7 @@
         let call = entry.call.clone();
         self.release_attempt(now, &call, &running);
         self.counters.preempted += 1;
-        actions.push(Action::Cancel {
-            attempt: running.attempt,
-            server: running.server.clone(),
-        });
+        actions.push(running.cancel());
         self.dequeue(waiting);
         self.dispatch(now, waiting, running.server, Charge::default(), actions);
         self.enqueue(now, victim);
--- a/crates/core/src/router/serve.rs
+++ b/crates/core/src/router/serve.rs
@@ -115,6 +115,8 @@
     }
 
     /// Starts a new attempt of a call at a server.
+    ///
+    /// It is a trial if another attempt of the call is running.
     pub(super) fn dispatch(
         &mut self,
         now: Instant,
@@ -135,7 +137,8 @@
         };
         entry.dispatches += 1;
         entry.attempts += 1;
-        entry.running = Some(RunningAttempt {
+        let trial = entry.running.is_some();
+        let started = Some(RunningAttempt {
             attempt,
             server: server.clone(),
             version: version.unwrap_or_default(),
@@ -145,6 +148,11 @@
             charge,
             sample: None,
         });
+        if trial {
+            entry.trial = started;
+        } else {
+            entry.running = started;
+        }
         let resume = entry.tokens > 0;
         let first = entry.dispatches == 1;
         let dispatch = Dispatch {
@@ -153,6 +161,7 @@
             server,
             tier: entry.class.profile.tier,
             resume,
+            trial,
         };
         let profile = entry.call.profile.clone();
         if let Some(server) = self.servers.get_mut(&dispatch.server) {
--- a/crates/core/tests/router/faults.rs
+++ b/crates/core/tests/router/faults.rs
@@ -171,9 +171,11 @@
     harness.now += 100 * MS;
     harness.send_attempt(first.attempt, AttemptEvent::Progress { tokens: 3 });
     let actions = harness.advance(Duration::from_secs(5));
-    assert!(matches!(&actions[0], Action::Cancel { attempt, .. } if *attempt == first.attempt));
     let migrated = only_dispatch(&actions);
     assert_eq!(migrated.call, call);
     assert!(migrated.resume);
     assert_ne!(migrated.server, first.server);
+    let actions = harness.send_attempt(migrated.attempt, AttemptEvent::Accepted);
+    assert_eq!(actions.len(), 1, "{actions:?}");
+    assert!(matches!(&actions[0], Action::Cancel { attempt, .. } if *attempt == first.attempt));
 }
--- a/crates/core/tests/router/main.rs
+++ b/crates/core/tests/router/main.rs
@@ -6,3 +6,4 @@
 mod history;
 mod properties;
 mod shares;
+mod silence;
--- /dev/null
+++ b/crates/core/tests/router/silence.rs
@@ -0,0 +1,124 @@
+//! Servers that pause: a call leaves one only when another has taken it.
+
+use std::time::Duration;
+
+use briarbank_core::call::{Dispatch, Failure, Outcome};
+use briarbank_core::router::{Action, AttemptEvent, Event};
+
+use crate::harness::{Harness, catalog, dispatches, only_dispatch, refusals, server};
+
+const MS: Duration = Duration::from_millis(1);
+/// Longer than the pause after which a stream counts as stalled.
+const PAUSE: Duration = Duration::from_millis(900);
+
+fn servers(count: usize) -> Vec<briarbank_core::catalog::Server> {
+    let names = (0..count).map(|index| format!("s{index}"));
+    names.map(|name| server(&name, &["model"], 32)).collect()
+}
+
+/// Returns a router that knows the speed of its servers.
+fn harness(count: usize) -> Harness {
+    let mut harness = Harness::new(catalog(), servers(count));
+    for _ in 0..20 {
+        harness.run_stream("mid", 20 * MS, 5 * MS, 33);
+    }
+    harness
+}
+
+/// Starts a stream that has delivered tokens.
+fn start_stream(harness: &mut Harness) -> Dispatch {
+    let (_, actions) = harness.arrive("mid", "model");
+    let dispatch = only_dispatch(&actions);
+    harness.now += 20 * MS;
+    harness.send_attempt(dispatch.attempt, AttemptEvent::Progress { tokens: 3 });
+    dispatch
+}
+
+fn assert_completes(harness: &mut Harness, dispatch: &Dispatch) {
+    harness.send_attempt(dispatch.attempt, AttemptEvent::Progress { tokens: 40 });
+    let actions = harness.send_attempt(dispatch.attempt, AttemptEvent::Done);
+    let end = Action::End {
+        call: dispatch.call,
+        outcome: Outcome::Completed,
+    };
+    assert!(actions.contains(&end), "{actions:?}");
+}
+
+fn cancels(actions: &[Action], dispatch: &Dispatch) -> bool {
+    let is_cancel =
+        |a: &Action| matches!(a, Action::Cancel { attempt, .. } if *attempt == dispatch.attempt);
+    actions.iter().any(is_cancel)
+}
+
+/// Guards against the loss of a paused stream when the next server refuses or fails.
+#[test]
+fn paused_stream_goes_on_when_the_next_server_fails() {
+    let failures = [
+        Failure::Full,
+        Failure::Leaving,
+        Failure::NotSent,
+        Failure::Broken,
+        Failure::Malformed,
+        Failure::ServerError,
+    ];
+    for failure in failures {
+        let mut harness = harness(2);
+        let first = start_stream(&mut harness);
+        let actions = harness.advance(PAUSE);
+        let second = only_dispatch(&actions);
+        assert!(!cancels(&actions, &first), "{failure:?}: {actions:?}");
+        let actions = harness.send_attempt(second.attempt, AttemptEvent::Failed(failure));
+        assert_eq!(refusals(&actions), [], "{failure:?}");
+        assert_eq!(dispatches(&actions).len(), 0, "{failure:?}");
+        assert_completes(&mut harness, &first);
+    }
+}
+
+/// Guards against two servers that both work on one call after a pause.
+#[test]
+fn paused_stream_that_goes_on_cancels_the_other_attempt() {
+    let mut harness = harness(2);
+    let first = start_stream(&mut harness);
+    let second = only_dispatch(&harness.advance(PAUSE));
+    let progress = AttemptEvent::Progress { tokens: 9 };
+    let actions = harness.send_attempt(first.attempt, progress);
+    assert!(cancels(&actions, &second), "{actions:?}");
+    let late = harness.send_attempt(second.attempt, AttemptEvent::Accepted);
+    assert_eq!(late, []);
+    assert_completes(&mut harness, &first);
+}
+
+#[test]
+fn paused_stream_moves_when_the_next_server_accepts_it() {
+    let mut harness = harness(2);
+    let first = start_stream(&mut harness);
+    let second = only_dispatch(&harness.advance(PAUSE));
+    assert!(second.trial && second.resume);
+    let actions = harness.send_attempt(second.attempt, AttemptEvent::Accepted);
+    assert!(cancels(&actions, &first), "{actions:?}");
+    let late = harness.send_attempt(first.attempt, AttemptEvent::Done);
+    assert_eq!(late, []);
+    assert_completes(&mut harness, &second);
+    assert_eq!(harness.router.counters().migrated, 1);
+}
+
+/// Guards against a retry beside the attempt that is already under way.
+#[test]
+fn trial_takes_the_place_of_a_stalled_attempt_that_fails() {
+    let mut harness = harness(2);
+    let first = start_stream(&mut harness);
+    let second = only_dispatch(&harness.advance(PAUSE));
+    let failed = AttemptEvent::Failed(Failure::Broken);
+    assert_eq!(harness.send_attempt(first.attempt, failed), []);
+    assert_completes(&mut harness, &second);
+}
+
+#[test]
+fn disconnected_caller_cancels_both_attempts() {
+    let mut harness = harness(2);
+    let first = start_stream(&mut harness);
+    let second = only_dispatch(&harness.advance(PAUSE));
+    let actions = harness.send(Event::CallerGone(first.call));
+    assert!(cancels(&actions, &first) && cancels(&actions, &second));
+    assert_eq!(harness.router.calls(), 0);
+}
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -28,7 +28,8 @@
 #[derive(Debug)]
 struct CallEntry {
     profile: ProfileName,
-    attempt: Option<AttemptId>,
+    /// The last attempt, and those that it may still replace.
+    attempts: Vec<AttemptId>,
     forwarded: bool,
     commands: mpsc::Sender<CallCommand>,
 }
@@ -80,7 +81,7 @@
     ) {
         let entry = CallEntry {
             profile: profile.clone(),
-            attempt: None,
+            attempts: Vec::new(),
             forwarded: false,
             commands,
         };
@@ -118,9 +119,12 @@
             dispatch,
         };
         let id = attempt.dispatch.attempt;
-        if let Some(previous) = entry.attempt.replace(id) {
-            self.attempts.remove(&previous);
+        if !attempt.dispatch.trial {
+            for previous in entry.attempts.drain(..) {
+                self.attempts.remove(&previous);
+            }
         }
+        entry.attempts.push(id);
         self.attempts.insert(id, attempt.dispatch.call);
         send_command(entry, CallCommand::Dispatch(Box::new(attempt)));
     }
@@ -128,6 +132,7 @@
     fn cancel(&mut self, attempt: AttemptId) {
         let call = self.attempts.remove(&attempt);
         if let Some(entry) = call.and_then(|c| self.calls.get_mut(&c)) {
+            entry.attempts.retain(|other| *other != attempt);
             send_command(entry, CallCommand::Cancel(attempt));
         }
     }
@@ -152,8 +157,8 @@
         let Some(entry) = self.calls.remove(&call) else {
             return;
         };
-        if let Some(attempt) = entry.attempt {
-            self.attempts.remove(&attempt);
+        for attempt in &entry.attempts {
+            self.attempts.remove(attempt);
         }
         send_command(&entry, command);
     }
--- a/crates/node/src/call/answer.rs
+++ b/crates/node/src/call/answer.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use super::reply::{CHUNKS_MAX, Chunks, ReplySender};
-use super::{Reply, ReplyAnswer, ReplyBody};
+use super::{Reply, ReplyAnswer, ReplyBody, Transcript};
 use crate::refusal;
 
 /// Longest time that a caller may go without reading its answer.
@@ -26,7 +26,6 @@
     reply: Option<ReplySender>,
     chunks: Option<mpsc::Sender<Bytes>>,
     head: Option<(u16, Arc<str>)>,
-    tokens: u32,
     transcript: Transcript,
     unsent: BytesMut,
     complete: bool,
@@ -34,20 +33,12 @@
     limit_bytes: usize,
 }
 
-/// Text of the answer so far, for an engine that resumes it.
-#[derive(Debug, Default)]
-struct Transcript {
-    text: String,
-    too_long: bool,
-}
-
 impl Answer {
     pub(super) fn new(reply: ReplySender, limit_bytes: usize) -> Self {
         Self {
             reply: Some(reply),
             chunks: None,
             head: None,
-            tokens: 0,
             transcript: Transcript::default(),
             unsent: BytesMut::new(),
             complete: false,
@@ -70,7 +61,7 @@
 
     /// Returns the number of tokens of the answer so far, sent or buffered.
     pub(crate) fn tokens(&self) -> u32 {
-        self.tokens
+        self.transcript.tokens()
     }
 
     /// Returns whether the head of a streamed answer was sent.
@@ -78,9 +69,9 @@
         self.head.is_some()
     }
 
-    /// Returns the text of the answer so far; `None` when it was too long.
-    pub(crate) fn text(&self) -> Option<&str> {
-        (!self.transcript.too_long).then_some(&self.transcript.text)
+    /// Returns the text so far, which goes on with the answer.
+    pub(super) fn transcript(&self) -> Transcript {
+        self.transcript.clone()
     }
 
     /// Starts a streamed answer; does nothing when it is resumed.
@@ -102,14 +93,7 @@
 
     /// Records a token that the next chunk contains.
     pub(crate) fn record_token(&mut self, text: &str) {
-        self.tokens += 1;
-        let transcript = &mut self.transcript;
-        if transcript.too_long || transcript.text.len() + text.len() > self.limit_bytes {
-            transcript.too_long = true;
-            transcript.text = String::new();
-            return;
-        }
-        transcript.text.push_str(text);
+        self.transcript.record_token(text, self.limit_bytes);
     }
 
     /// Buffers a chunk of the streamed answer for [`Self::flush`].
--- a/crates/node/src/call/meter.rs
+++ b/crates/node/src/call/meter.rs
@@ -1,5 +1,7 @@
 //! Metrics of one call.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use briarbank_core::call::{Call, Outcome, Reason};
@@ -11,6 +13,21 @@
 /// Label of calls whose profile is not in the current configuration.
 const UNKNOWN_PROFILE: &str = "-";
 
+/// Mark that bytes of a call may have reached a server.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SentMark(Arc<AtomicBool>);
+
+impl SentMark {
+    /// Sets the mark.
+    pub(crate) fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Durations and counts of one call.
 pub(crate) struct Meter {
     profile: ProfileName,
@@ -21,7 +38,7 @@
     received: Instant,
     objectives: Option<Objectives>,
     attempts: u32,
-    sent: bool,
+    sent: SentMark,
     completed: bool,
     first_token: Option<Instant>,
     last_token: Option<Instant>,
@@ -46,7 +63,7 @@
             received: call.received,
             objectives: None,
             attempts: 0,
-            sent: false,
+            sent: SentMark::default(),
             completed: false,
             first_token: None,
             last_token: None,
@@ -67,9 +84,9 @@
         histogram!("briarbank_queue_seconds", "profile" => profile).record(self.received.elapsed());
     }
 
-    /// Records that bytes of an attempt may have reached its server.
-    pub(crate) fn record_sent(&mut self) {
-        self.sent = true;
+    /// Returns the mark that bytes of an attempt may have reached a server.
+    pub(super) fn sent_mark(&self) -> SentMark {
+        self.sent.clone()
     }
 
     /// Records that `total` tokens were sent to the caller so far.
@@ -143,7 +160,7 @@
 
     /// Counts work whose result was late or was not delivered.
     fn count_wasted(&self) {
-        if !self.sent {
+        if !self.sent.is_set() {
             return;
         }
         counter!("briarbank_wasted_calls_total", "profile" => self.profile_label()).increment(1);
--- a/crates/node/src/call/task.rs
+++ b/crates/node/src/call/task.rs
@@ -2,11 +2,10 @@
 
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarbank_core::call::{Failure, Outcome, Reason, Refusal, StoredAnswer};
+use briarbank_core::call::{Outcome, Reason, Refusal, StoredAnswer};
 use briarbank_core::ids::{AttemptId, HostName};
 use briarbank_core::node::Event;
 use briarbank_core::router::AttemptEvent;
@@ -16,12 +15,12 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use super::running::{AttemptResult, Commands, RunningAttempts, report_failure};
 use super::{Answer, Inbound, Meter, Reply, ReplyAnswer, ReplyBody};
 use crate::command::{Attempt, CallCommand};
 use crate::control::Control;
 use crate::peer::{ForwardError, ForwardedAnswer, Links, forward};
-use crate::progress::Progress;
-use crate::server::{AttemptEnd, AttemptRun, Pool, Upstream};
+use crate::server::{AttemptEnd, Pool, Upstream};
 
 /// Retry delay for callers whose calls were aborted by a shutdown.
 const ABORT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -29,18 +28,6 @@
 /// Longest time to send the refusal of an aborted call.
 const ABORT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// How the execution of an attempt ended.
-enum AttemptResult {
-    /// The attempt ended by itself.
-    Ended(AttemptEnd),
-    /// A command cancelled the attempt.
-    Cancelled,
-    /// Another command replaced the attempt.
-    Superseded(CallCommand),
-    /// The control actor closed the command channel.
-    ControlEnded,
-}
-
 /// One call and its answer.
 pub(super) struct CallTask {
     pub(super) host: HostName,
@@ -140,13 +127,11 @@
     }
 
     async fn execute_attempt(&mut self, attempt: Attempt) -> ControlFlow<()> {
-        let id = attempt.dispatch.attempt;
         if !attempt.idempotent {
             self.answer.keep_bytes();
         }
-        self.meter.record_attempt(attempt.objectives);
         match self.run_attempt(attempt).await {
-            AttemptResult::Ended(end) => self.report_end(id, end),
+            AttemptResult::Ended(id, end) => self.report_end(id, end),
             AttemptResult::Cancelled => ControlFlow::Continue(()),
             AttemptResult::Superseded(command) => Box::pin(self.execute(command)).await,
             AttemptResult::ControlEnded => ControlFlow::Break(()),
@@ -155,35 +140,23 @@
 
     /// Runs one attempt while receiving commands.
     async fn run_attempt(&mut self, attempt: Attempt) -> AttemptResult {
-        let id = attempt.dispatch.attempt;
-        let run = AttemptRun {
+        let sent = self.meter.sent_mark();
+        let attempts = RunningAttempts {
             upstream: Upstream {
                 control: &self.control,
                 pool: &self.pool,
                 inbound: &self.inbound,
-                progress: Progress::new(id),
+                sent: &sent,
             },
             answer: &mut self.answer,
             meter: &mut self.meter,
-            attempt,
+            commands: Commands {
+                receiver: &mut self.commands,
+                gone: &self.gone,
+                gone_reported: &mut self.gone_reported,
+            },
         };
-        let mut work = pin!(run.run());
-        loop {
-            tokio::select! {
-                biased;
-                end = &mut work => return AttemptResult::Ended(end),
-                command = self.commands.recv() => match command {
-                    None => return AttemptResult::ControlEnded,
-                    Some(CallCommand::Cancel(cancelled)) if cancelled == id => return AttemptResult::Cancelled,
-                    Some(CallCommand::Cancel(_)) => {}
-                    Some(command) => return AttemptResult::Superseded(command),
-                },
-                () = self.gone.cancelled(), if !self.gone_reported => {
-                    self.gone_reported = true;
-                    self.control.send_event(Event::CallerGone(self.inbound.call.id));
-                }
-            }
-        }
+        attempts.run(attempt).await
     }
 
     fn report_end(&mut self, attempt: AttemptId, end: AttemptEnd) -> ControlFlow<()> {
@@ -200,25 +173,14 @@
                 ControlFlow::Continue(())
             }
             AttemptEnd::Failed(failure) => {
-                self.log_failure(attempt, failure);
                 // Reports a departed caller again: the core ignores it while an owned call is sent.
                 self.gone_reported = false;
-                self.control
-                    .send_attempt_event(attempt, AttemptEvent::Failed(failure));
+                report_failure(&self.control, &self.inbound, attempt, failure);
                 ControlFlow::Continue(())
             }
         }
     }
 
-    fn log_failure(&self, attempt: AttemptId, failure: Failure) {
-        tracing::info!(
-            request = %self.inbound.call.request,
-            %attempt,
-            ?failure,
-            "call: attempt failed"
-        );
-    }
-
     /// Forwards the call to its owner and relays the answer.
     async fn forward_call(
         &mut self,
--- a/crates/node/src/server/body.rs
+++ b/crates/node/src/server/body.rs
@@ -9,8 +9,10 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use super::exchange::Upstream;
 use super::stream::{AnswerStream, StreamPart};
 use crate::call::Answer;
+use crate::command::Attempt;
 
 /// Longest time for the body to end after the stream's closing event.
 const END_TIMEOUT: Duration = Duration::from_millis(50);
@@ -65,12 +67,14 @@
 pub(super) async fn collect_body(
     mut body: Incoming,
     limit_bytes: usize,
-    silence_timeout: Duration,
+    upstream: &Upstream<'_>,
+    attempt: &Attempt,
 ) -> Result<Bytes, Failure> {
     let mut collected = Vec::new();
+    let silence_timeout = attempt.silence_timeouts.whole;
     loop {
-        let frame = timeout(silence_timeout, body.frame()).await;
-        let Some(frame) = frame.map_err(|_elapsed| Failure::Silent)? else {
+        let frame = upstream.wait_for(attempt, silence_timeout, body.frame());
+        let Some(frame) = frame.await? else {
             return Ok(collected.into());
         };
         let frame = frame.map_err(|_error| Failure::Broken)?;
--- a/crates/node/src/server/request.rs
+++ b/crates/node/src/server/request.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Method, Request};
 use serde_json::Value;
 
-use crate::call::{Answer, Inbound};
+use crate::call::{Inbound, ResumePoint};
 use crate::command::Attempt;
 
 /// Body field with the text that the caller already has.
@@ -53,11 +53,11 @@
 ///
 /// [`Failure::NotSent`] when the answer so far is too long to resume, or when
 /// the call's body is not a JSON object.
-pub(super) fn body(inbound: &Inbound, answer: &Answer) -> Result<Bytes, Failure> {
-    if answer.tokens() == 0 {
+pub(super) fn body(inbound: &Inbound, resume: &ResumePoint) -> Result<Bytes, Failure> {
+    if resume.tokens == 0 {
         return Ok(inbound.body.clone());
     }
-    let text = answer.text().ok_or(Failure::NotSent)?;
+    let text = resume.text.as_deref().ok_or(Failure::NotSent)?;
     let body = serde_json::from_slice(&inbound.body).ok();
     let Some(Value::Object(mut fields)) = body else {
         return Err(Failure::NotSent);
