Wait for a silent server while no other can take the call

Callers of a request that may run only once saw it end with server-failed when its server paused for 2 s in mid-stream and then went on. Requests that may be retried ended with retry-budget, server-failed or hopeless when the budget or the attempts were used up or the other servers were full.

Cause: the silence timeout ended the attempt in the daemon, and only then the core looked for another server.

The daemon now reports each period of silence and waits on, until its server answers or the time limit of the profile has passed. The core starts a trial at another server, if an attempt and budget are left; servers that were tried count as well, since a new connection may work. A trial that is silent itself makes room for another one. Each report counts against the server, and the end at the time limit not once more.

Seen failing before, with the failed attempt of the old daemon in place of the report: the calls without another server, attempt or budget. In a black-box run, a stream that may run once ended with server-failed after a pause of 2.7 s, and is whole now.

--- a/crates/briarbank/tests/silence.rs
+++ b/crates/briarbank/tests/silence.rs
@@ -7,9 +7,12 @@
 use fleet::{Answer, Call, Fleet, POLL, Process, Size, long_prompt};
 use serde_json::json;
 use tokio::time::{sleep, timeout};
+use uuid::Uuid;
 
 /// Pause of a sound engine.
 const PAUSE: Duration = Duration::from_millis(1_300);
+/// Pause beyond the shortest silence timeout of a node.
+const LONG_PAUSE: Duration = Duration::from_millis(2_700);
 /// Longest time for a stream and a pause.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Tokens of the stream that a pause interrupts.
@@ -26,6 +29,7 @@
 /// Starts a fleet whose node knows the speed of the engines.
 async fn start(size: Size) -> Fleet {
     let fleet = Fleet::start(size).await;
+    fleet.wait_ids_owned().await;
     let caller = fleet.caller(0);
     let calls = (0..24).map(|number| {
         let caller = &caller;
@@ -83,3 +87,18 @@
     let answer = stream_over_pause(&fleet, &call, PAUSE).await;
     assert!(answer.assert_stream_of(&prompt) >= TOKENS);
 }
+
+/// Guards against the end of a stream that may run only once at a pause of its engine.
+#[tokio::test]
+async fn stream_that_may_run_once_waits_for_its_engine() {
+    let fleet = start(SIZE).await;
+    let prompt = long_prompt(TOKENS);
+    let call = Call {
+        profile: "orders",
+        id: Some(Uuid::now_v7().to_string()),
+        attempt: Some(1),
+        ..Call::stream(&prompt, 1_000)
+    };
+    let answer = stream_over_pause(&fleet, &call, LONG_PAUSE).await;
+    assert!(answer.assert_stream_of(&prompt) >= TOKENS);
+}
--- a/crates/core/src/router/attempt.rs
+++ b/crates/core/src/router/attempt.rs
@@ -55,6 +55,10 @@
                     self.handle_trial_failure(now, id, failure, actions);
                     return;
                 }
+                AttemptEvent::Silent => {
+                    self.handle_trial_silence(now, id, actions);
+                    return;
+                }
                 AttemptEvent::Accepted | AttemptEvent::Progress { .. } | AttemptEvent::Done => {
                     self.adopt_trial(now, id, actions);
                 }
@@ -62,6 +66,7 @@
         }
         match event {
             AttemptEvent::Accepted => {}
+            AttemptEvent::Silent => self.handle_silence(now, id, actions),
             AttemptEvent::Progress { tokens } => {
                 self.handle_progress(now, id, tokens, actions);
             }
@@ -70,6 +75,18 @@
         }
     }
 
+    /// Moves the call if another server takes it; otherwise the attempt goes on.
+    fn handle_silence(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
+        let entry = self.calls.get_mut(&id);
+        let Some(running) = entry.and_then(|e| e.running.as_mut()) else {
+            return;
+        };
+        running.silent = true;
+        let server = running.server.clone();
+        self.record_failure(now, &server, Failure::Silent);
+        self.migrate_silent(now, id, actions);
+    }
+
     fn handle_progress(
         &mut self,
         now: Instant,
@@ -91,6 +108,7 @@
         let version = || Arc::clone(&running.version);
         entry.version.get_or_insert_with(version);
         running.last_progress = now;
+        running.silent = false;
         let server = running.server.clone();
         let target = entry.call.target.clone();
         let next_sample = SpeedSample {
@@ -201,7 +219,10 @@
         }
         let call = entry.call.clone();
         self.release_attempt(now, &call, &running);
-        self.record_failure(now, &running.server, failure);
+        // Its silence was recorded when it was reported.
+        if failure != Failure::Silent || !running.silent {
+            self.record_failure(now, &running.server, failure);
+        }
         if self.promote_trial(id) {
             // The trial goes on in its place.
         } else if !may_retry || !has_attempts_left {
--- a/crates/core/src/router/entry.rs
+++ b/crates/core/src/router/entry.rs
@@ -23,6 +23,8 @@
     pub(super) charge: Charge,
     /// Start of the current speed sample; `None` before the first token.
     pub(super) sample: Option<SpeedSample>,
+    /// Whether the server was reported as silent since the last progress.
+    pub(super) silent: bool,
 }
 
 impl RunningAttempt {
--- a/crates/core/src/router/event.rs
+++ b/crates/core/src/router/event.rs
@@ -16,6 +16,8 @@
     },
     /// The server accepted the attempt and begins to answer it.
     Accepted,
+    /// The server was silent for longer than its timeout; the attempt goes on.
+    Silent,
     /// The whole answer reached the caller.
     Done,
     /// The attempt ended without the whole answer.
--- a/crates/core/src/router/migrate.rs
+++ b/crates/core/src/router/migrate.rs
@@ -28,7 +28,16 @@
             .copied()
             .collect();
         for id in slow {
-            self.migrate(now, id, actions);
+            self.migrate(now, id, false, actions);
+        }
+    }
+
+    /// Moves a call whose server was reported as silent, if another one takes it.
+    ///
+    /// Servers that were tried may be tried again, since a new connection may work.
+    pub(super) fn migrate_silent(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
+        if self.calls.get(&id).is_some_and(|e| self.is_slow(now, e)) {
+            self.migrate(now, id, true, actions);
         }
     }
 
@@ -39,6 +48,9 @@
         if !entry.is_idempotent() || entry.trial.is_some() {
             return false;
         }
+        if running.silent {
+            return true;
+        }
         if entry.call.max_tokens == 0 {
             return false;
         }
@@ -68,15 +80,15 @@
     ///
     /// A stalled attempt goes on until the other server accepts the call. One that makes
     /// slow progress ends at once, since the other server resumes the answer from here.
-    fn migrate(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
-        let Some(server) = self.migration_server(now, id) else {
+    fn migrate(&mut self, now: Instant, id: CallId, may_repeat: bool, actions: &mut Vec<Action>) {
+        let Some(server) = self.migration_server(now, id, may_repeat) else {
             return;
         };
         let Some(entry) = self.calls.get(&id) else {
             return;
         };
         let makes_progress = entry.running.as_ref().is_some_and(|running| {
-            running.sample.is_some() && !self.is_stalled(now, entry, running)
+            running.sample.is_some() && !running.silent && !self.is_stalled(now, entry, running)
         });
         let profile = entry.call.profile.clone();
         if !self.retry_budget(&profile).withdraw() {
@@ -106,15 +118,22 @@
         actions.push(running.cancel());
     }
 
-    /// Chooses an untried server with capacity, if the call would finish in time.
-    fn migration_server(&mut self, now: Instant, id: CallId) -> Option<ServerName> {
+    /// Chooses a server with capacity, if an attempt is left.
+    ///
+    /// A call whose server is not silent moves only if it would finish in time.
+    fn migration_server(
+        &mut self,
+        now: Instant,
+        id: CallId,
+        may_repeat: bool,
+    ) -> Option<ServerName> {
         let entry = self.calls.get(&id)?;
         let running = entry.running.as_ref()?;
         if entry.attempts >= self.options.attempts_max || entry.dispatches >= DISPATCHES_MAX {
             return None;
         }
         let service_time = self.predict(&entry.class, &entry.call, entry.tokens);
-        if now + service_time > entry.deadline {
+        if !running.silent && now + service_time > entry.deadline {
             return None;
         }
         let mut tried = entry.tried.clone();
@@ -122,7 +141,7 @@
         let mut candidates = self.servers.candidates(now, &self.options, entry, &tried);
         candidates.retain(|c| {
             let server = self.servers.get_at(c.index).map(|e| &e.server.name);
-            server.is_some_and(|name| !tried.contains(name))
+            may_repeat || server.is_some_and(|name| !tried.contains(name))
         });
         let index = self.balancer.choose(entry.call.prefix_key, &candidates)?;
         Some(self.servers.get_at(index)?.server.name.clone())
--- a/crates/core/src/router/serve.rs
+++ b/crates/core/src/router/serve.rs
@@ -147,6 +147,7 @@
             last_progress: now,
             charge,
             sample: None,
+            silent: false,
         });
         if trial {
             entry.trial = started;
--- a/crates/core/src/router/trial.rs
+++ b/crates/core/src/router/trial.rs
@@ -93,4 +93,19 @@
         self.record_failure(now, &trial.server, failure);
         self.serve_server(now, &trial.server, actions);
     }
+
+    /// Cancels a trial whose server is silent as well, so that another can be tried.
+    pub(super) fn handle_trial_silence(
+        &mut self,
+        now: Instant,
+        id: CallId,
+        actions: &mut Vec<Action>,
+    ) {
+        let entry = self.calls.get(&id);
+        let Some(cancel) = entry.and_then(|e| Some(e.trial.as_ref()?.cancel())) else {
+            return;
+        };
+        actions.push(cancel);
+        self.handle_trial_failure(now, id, Failure::Silent, actions);
+    }
 }
--- a/crates/core/tests/router/history.rs
+++ b/crates/core/tests/router/history.rs
@@ -41,6 +41,7 @@
         tokens: u32,
     },
     Accepted(usize),
+    Silent(usize),
     Done(usize),
     Fail {
         attempt: usize,
@@ -75,6 +76,7 @@
         6 => (pick(), 1..40_u32)
             .prop_map(|(attempt, tokens)| Step::Progress { attempt, tokens }),
         2 => pick().prop_map(Step::Accepted),
+        2 => pick().prop_map(Step::Silent),
         4 => pick().prop_map(Step::Done),
         4 => (pick(), 0..FAILURES.len())
             .prop_map(|(attempt, failure)| Step::Fail { attempt, failure }),
@@ -205,6 +207,7 @@
                 }
             }
             Step::Accepted(pick) => self.send_open(*pick, AttemptEvent::Accepted),
+            Step::Silent(pick) => self.send_open(*pick, AttemptEvent::Silent),
             Step::Done(pick) => {
                 if let Some((id, attempt)) = self.pick_open(*pick) {
                     self.end_attempt(id, attempt, AttemptEvent::Done, AttemptState::Done);
--- a/crates/core/tests/router/silence.rs
+++ b/crates/core/tests/router/silence.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use briarbank_core::call::{Dispatch, Failure, Outcome};
-use briarbank_core::router::{Action, AttemptEvent, Event};
+use briarbank_core::router::{Action, AttemptEvent, Event, Options};
 
 use crate::harness::{Harness, catalog, dispatches, only_dispatch, refusals, server};
 
@@ -18,7 +18,11 @@
 
 /// Returns a router that knows the speed of its servers.
 fn harness(count: usize) -> Harness {
-    let mut harness = Harness::new(catalog(), servers(count));
+    harness_with(Options::default(), count)
+}
+
+fn harness_with(options: Options, count: usize) -> Harness {
+    let mut harness = Harness::with_options(options, catalog(), servers(count));
     for _ in 0..20 {
         harness.run_stream("mid", 20 * MS, 5 * MS, 33);
     }
@@ -122,3 +126,50 @@
     assert!(cancels(&actions, &first) && cancels(&actions, &second));
     assert_eq!(harness.router.calls(), 0);
 }
+
+/// Guards against an answer that ends because its server was silent and no other was left.
+#[test]
+fn silent_call_without_another_server_goes_on() {
+    let mut harness = harness(1);
+    let stream = start_stream(&mut harness);
+    let spent = Options {
+        attempts_max: 1,
+        ..Options::default()
+    };
+    let mut without_attempts = harness_with(spent, 2);
+    let last = start_stream(&mut without_attempts);
+    let (_, actions) = harness.arrive("top", "model");
+    let once = only_dispatch(&actions);
+    harness.now += Duration::from_secs(2);
+    without_attempts.now += Duration::from_secs(2);
+    for dispatch in [&stream, &once] {
+        let actions = harness.send_attempt(dispatch.attempt, AttemptEvent::Silent);
+        assert_eq!(refusals(&actions), []);
+        assert!(!cancels(&actions, dispatch), "{actions:?}");
+    }
+    let actions = without_attempts.send_attempt(last.attempt, AttemptEvent::Silent);
+    assert_eq!(actions, []);
+    assert_completes(&mut harness, &stream);
+    assert_completes(&mut harness, &once);
+    assert_completes(&mut without_attempts, &last);
+}
+
+/// Guards against the loss of silent streams when the retry budget is used up.
+#[test]
+fn silent_call_without_retry_budget_goes_on() {
+    let mut harness = harness(4);
+    let streams: Vec<Dispatch> = (0..30).map(|_| start_stream(&mut harness)).collect();
+    harness.now += Duration::from_secs(2);
+    let mut kept = Vec::new();
+    for stream in &streams {
+        let actions = harness.send_attempt(stream.attempt, AttemptEvent::Silent);
+        assert_eq!(refusals(&actions), []);
+        if dispatches(&actions).is_empty() {
+            kept.push(stream);
+        }
+    }
+    assert!(kept.len() >= 8, "the budget is not used up: {}", kept.len());
+    for stream in kept {
+        assert_completes(&mut harness, stream);
+    }
+}
--- a/crates/node/src/server/exchange.rs
+++ b/crates/node/src/server/exchange.rs
@@ -1,10 +1,12 @@
 //! Sending of a call to a server, up to the head of the answer.
 
 use std::future::Future;
-use std::time::Duration;
+use std::pin::pin;
+use std::time::{Duration, Instant};
 
 use briarbank_core::call::Failure;
 use briarbank_core::node::Event;
+use briarbank_core::router::AttemptEvent;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
@@ -53,24 +55,34 @@
 }
 
 impl Upstream<'_> {
-    /// Waits for a server at most for its silence timeout.
+    /// Waits for a server and reports each period of its silence.
+    ///
+    /// The core decides whether the call moves to another server.
     ///
     /// # Errors
     ///
-    /// [`Failure::Silent`] after the timeout.
+    /// [`Failure::Silent`] when the server is silent at the call's time limit.
     pub(super) async fn wait_for<T>(
         &self,
         attempt: &Attempt,
         silence_timeout: Duration,
         answer: impl Future<Output = T>,
     ) -> Result<T, Failure> {
-        let output = timeout(silence_timeout, answer).await;
-        output.map_err(|_elapsed| {
+        let limit = self.inbound.call.received + attempt.silence_timeouts.whole;
+        let mut answer = pin!(answer);
+        loop {
+            if let Ok(output) = timeout(silence_timeout, &mut answer).await {
+                return Ok(output);
+            }
             if let Some(address) = attempt.address {
                 self.pool.purge(address);
             }
-            Failure::Silent
-        })
+            let id = attempt.dispatch.attempt;
+            self.control.send_attempt_event(id, AttemptEvent::Silent);
+            if Instant::now() >= limit {
+                return Err(Failure::Silent);
+            }
+        }
     }
 }
 
