--- a/crates/core/src/router/entry.rs
+++ b/crates/core/src/router/entry.rs
@@ -6,6 +6,7 @@
 use crate::call::{Call, Outcome};
 use crate::ids::{AttemptId, ServerName};
 use crate::queue::Charge;
+use crate::router::event::Action;
 use crate::router::index::Class;
 
 /// Attempt in flight.
@@ -22,6 +23,18 @@
     pub(super) charge: Charge,
     /// Start of the current speed sample; `None` before the first token.
     pub(super) sample: Option<SpeedSample>,
+    /// Whether the server was reported as silent since the last progress.
+    pub(super) silent: bool,
+}
+
+impl RunningAttempt {
+    /// Returns the action that cancels it.
+    pub(super) fn cancel(&self) -> Action {
+        Action::Cancel {
+            attempt: self.attempt,
+            server: self.server.clone(),
+        }
+    }
 }
 
 /// Start of a speed sample.
@@ -51,6 +64,8 @@
     /// Whether an earlier attempt may have run.
     pub(super) may_have_run: bool,
     pub(super) running: Option<RunningAttempt>,
+    /// Attempt at another server while the running one is stalled.
+    pub(super) trial: Option<RunningAttempt>,
     /// Tokens delivered to the caller.
     pub(super) tokens: u32,
     /// Version of the server that delivered the first token; others do not fit.
