--- a/crates/core/src/router/event.rs
+++ b/crates/core/src/router/event.rs
@@ -14,6 +14,10 @@
         /// Tokens delivered to the caller so far, over all attempts of the call.
         tokens: u32,
     },
+    /// The server accepted the attempt and begins to answer it.
+    Accepted,
+    /// The server was silent for longer than its timeout; the attempt goes on.
+    Silent,
     /// The whole answer reached the caller.
     Done,
     /// The attempt ended without the whole answer.
