Blame a server for a stall only if all of it is silent

A server that paused for a second with several streams was taken for a failing one: each stream that moved away counted as a failure, and the next event of the server, even a refusal as full, ejected it for five seconds or more. Streams that left an ejected server counted against it once more.

A stalled stream now counts only when its server as a whole gave no sign of life (progress, the head of an answer or a load report) for 2 s since it was sent a call, and the ejection is decided at that time. A stream that leaves a server which makes progress doesn't count.

Seen failing before: a pause of 0.9 s with more than three streams, followed by one refusal, left the server without any of 12 calls. The test of a server that stays silent failed with the new check taken out: the last call was sent to it 50 ms before the end.

--- a/crates/core/src/router/attempt.rs
+++ b/crates/core/src/router/attempt.rs
@@ -65,7 +65,7 @@
             }
         }
         match event {
-            AttemptEvent::Accepted => {}
+            AttemptEvent::Accepted => self.record_heard(id),
             AttemptEvent::Silent => self.handle_silence(now, id, actions),
             AttemptEvent::Progress { tokens } => {
                 self.handle_progress(now, id, tokens, actions);
@@ -75,6 +75,13 @@
         }
     }
 
+    fn record_heard(&mut self, id: CallId) {
+        let running = self.calls.get(&id).and_then(|e| e.running.as_ref());
+        if let Some(running) = running {
+            self.servers.record_heard(&running.server);
+        }
+    }
+
     /// Moves the call if another server takes it; otherwise the attempt goes on.
     fn handle_silence(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
         let entry = self.calls.get_mut(&id);
@@ -94,6 +101,7 @@
         tokens: u32,
         actions: &mut Vec<Action>,
     ) {
+        self.record_heard(id);
         if self.calls.get(&id).is_none_or(|e| tokens <= e.tokens) {
             return;
         }
@@ -179,6 +187,7 @@
         let Some(running) = entry.running.take() else {
             return;
         };
+        self.servers.record_heard(&running.server);
         self.release_attempt(now, &entry.call, &running);
         let call = &entry.call;
         if call.max_tokens == 0 {
--- a/crates/core/src/router/migrate.rs
+++ b/crates/core/src/router/migrate.rs
@@ -111,9 +111,6 @@
         entry.tried.push(running.server.clone());
         let call = entry.call.clone();
         self.release_attempt(now, &call, &running);
-        if let Some(slow) = self.servers.get_mut(&running.server) {
-            slow.health.record_failure();
-        }
         self.counters.migrated += 1;
         actions.push(running.cancel());
     }
--- a/crates/core/src/router/serve.rs
+++ b/crates/core/src/router/serve.rs
@@ -166,7 +166,7 @@
         };
         let profile = entry.call.profile.clone();
         if let Some(server) = self.servers.get_mut(&dispatch.server) {
-            server.load.record_start();
+            server.record_start(now);
         }
         if first {
             self.retry_budget(&profile).deposit();
--- a/crates/core/src/router/server.rs
+++ b/crates/core/src/router/server.rs
@@ -1,6 +1,6 @@
 //! State of one server in the router.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::call::ServerLoad;
 use crate::catalog::{Server, ServerState};
@@ -12,6 +12,8 @@
 
 /// Maximum age of load reports that change the limit.
 const REPORT_AGE_MAX_MS: u64 = 500;
+/// Silence of a whole server that counts as a failure; a sound one may pause for less.
+const SILENCE_MIN: Duration = Duration::from_secs(2);
 
 /// A listed server, or a removed one with requests in flight.
 #[derive(Debug)]
@@ -26,6 +28,8 @@
     pub(super) health: Health,
     leaving_since: Option<Instant>,
     backoff_until: Option<Instant>,
+    /// First dispatch since the server was last heard.
+    silent_since: Option<Instant>,
 }
 
 impl ServerEntry {
@@ -40,6 +44,7 @@
             health,
             leaving_since: None,
             backoff_until: None,
+            silent_since: None,
         }
     }
 
@@ -56,6 +61,7 @@
 
     /// Records a load report; only a fresh one changes the limit.
     pub(super) fn record_report(&mut self, now: Instant, load: ServerLoad) {
+        self.record_heard();
         self.load.record_report(now, load);
         if load.age_ms <= REPORT_AGE_MAX_MS {
             self.limiter
@@ -63,6 +69,23 @@
         }
     }
 
+    /// Records that a request was sent.
+    pub(super) fn record_start(&mut self, now: Instant) {
+        self.load.record_start();
+        self.silent_since.get_or_insert(now);
+    }
+
+    /// Records that the server gave a sign of life.
+    pub(super) fn record_heard(&mut self) {
+        self.silent_since = None;
+    }
+
+    /// Whether the whole server, not just one of its streams, is silent.
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
+        let silence = self.silent_since.map(|s| now.saturating_duration_since(s));
+        silence.is_some_and(|silence| silence >= SILENCE_MIN)
+    }
+
     pub(super) fn set_leaving(&mut self, now: Instant) {
         self.leaving_since = Some(now);
     }
--- a/crates/core/src/router/servers.rs
+++ b/crates/core/src/router/servers.rs
@@ -103,6 +103,14 @@
         self.entries.get(*self.by_name.get(name)?)
     }
 
+    /// Records a sign of life, which changes no limit.
+    pub(super) fn record_heard(&mut self, name: &ServerName) {
+        let index = self.by_name.get(name).copied();
+        if let Some(entry) = index.and_then(|index| self.entries.get_mut(index)) {
+            entry.record_heard();
+        }
+    }
+
     /// Returns a server for modification and clears the full marks of its targets.
     pub(super) fn get_mut(&mut self, name: &ServerName) -> Option<&mut ServerEntry> {
         let entry = self.entries.get_mut(*self.by_name.get(name)?)?;
--- a/crates/core/src/router/trial.rs
+++ b/crates/core/src/router/trial.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use crate::call::Failure;
-use crate::ids::{AttemptId, CallId};
+use crate::ids::{AttemptId, CallId, ServerName};
 use crate::router::attempt::is_uncounted;
 use crate::router::event::Action;
 use crate::router::state::Router;
@@ -32,13 +32,21 @@
         entry.tried.push(stalled.server.clone());
         let call = entry.call.clone();
         self.release_attempt(now, &call, &stalled);
-        if let Some(slow) = self.servers.get_mut(&stalled.server) {
-            slow.health.record_failure();
-        }
+        self.record_stall(now, &stalled.server);
         self.counters.migrated += 1;
         actions.push(stalled.cancel());
     }
 
+    /// Blames a server for a stalled attempt only if all of its attempts are.
+    fn record_stall(&mut self, now: Instant, server: &ServerName) {
+        let Some(entry) = self.servers.get_mut(server) else {
+            return;
+        };
+        if entry.is_silent(now) {
+            self.record_failure(now, server, Failure::Silent);
+        }
+    }
+
     /// Cancels the trial of a call whose first attempt went on, as if not sent.
     pub(super) fn cancel_trial(&mut self, now: Instant, id: CallId, actions: &mut Vec<Action>) {
         let Some(entry) = self.calls.get_mut(&id) else {
--- a/crates/core/tests/router/silence.rs
+++ b/crates/core/tests/router/silence.rs
@@ -127,6 +127,35 @@
     assert_eq!(harness.router.calls(), 0);
 }
 
+/// Guards against the ejection of a sound server after one pause with several streams.
+#[test]
+fn pause_of_a_server_with_many_streams_is_no_failure() {
+    let mut harness = harness(4);
+    let mut streams: Vec<Dispatch> = (0..24).map(|_| start_stream(&mut harness)).collect();
+    let paused = streams[0].server.clone();
+    for stream in &streams {
+        let progress = AttemptEvent::Progress { tokens: 4 };
+        harness.send_attempt(stream.attempt, progress);
+    }
+    streams.retain(|stream| stream.server == paused);
+    assert!(streams.len() > 3, "{}", streams.len());
+    let moved = harness.advance(PAUSE);
+    for dispatch in dispatches(&moved) {
+        harness.send_attempt(dispatch.attempt, AttemptEvent::Accepted);
+    }
+    // A refusal that says nothing against the server must not complete a run of failures.
+    let calls: Vec<Dispatch> = (0..12)
+        .map(|_| only_dispatch(&harness.arrive("mid", "model").1))
+        .collect();
+    let refused = calls.iter().find(|d| d.server == paused).expect("a call");
+    harness.send_attempt(refused.attempt, AttemptEvent::Failed(Failure::Full));
+    harness.now += 200 * MS;
+    let next: Vec<_> = (0..12)
+        .map(|_| only_dispatch(&harness.arrive("mid", "model").1).server)
+        .collect();
+    assert!(next.contains(&paused), "{paused:?} is ejected: {next:?}");
+}
+
 /// Guards against an answer that ends because its server was silent and no other was left.
 #[test]
 fn silent_call_without_another_server_goes_on() {
@@ -173,3 +202,31 @@
         assert_completes(&mut harness, stream);
     }
 }
+
+/// Guards against servers that are silent for good and get calls for ever.
+#[test]
+fn server_that_stays_silent_is_ejected() {
+    let mut harness = harness(4);
+    let first = start_stream(&mut harness);
+    let silent = first.server.clone();
+    let mut hits = Vec::new();
+    for _ in 0..120 {
+        harness.now += 50 * MS;
+        let (_, mut actions) = harness.arrive("mid", "model");
+        actions.extend(harness.send(Event::Tick));
+        for dispatch in dispatches(&actions) {
+            if dispatch.server == silent {
+                hits.push(harness.now);
+                continue;
+            }
+            harness.send_attempt(dispatch.attempt, AttemptEvent::Accepted);
+            let progress = AttemptEvent::Progress { tokens: 40 };
+            harness.send_attempt(dispatch.attempt, progress);
+            harness.send_attempt(dispatch.attempt, AttemptEvent::Done);
+        }
+    }
+    let last = *hits.last().expect("hits");
+    let time_without = harness.now.saturating_duration_since(last);
+    assert!(hits.len() > 3, "{hits:?}");
+    assert!(time_without > Duration::from_secs(2), "{time_without:?}");
+}
