Complete a stream that breaks off in its closing event

Callers got a server-failed event after the last token when the connection of an engine ended inside the closing event.

Cause: a stream whose last token had arrived was taken as complete only if nothing followed that token. Otherwise it was resumed after the last token, where an engine has nothing left to say, until the attempts were used up.

The end of the input now completes the answer if the last token has arrived and the rest is the start of the closing event. Any other rest still counts as broken.

--- a/crates/node/src/server/sse.rs
+++ b/crates/node/src/server/sse.rs
@@ -53,10 +53,10 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Returns whether no incomplete event is buffered.
+    /// Returns the bytes of the incomplete event.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+    pub fn incomplete(&self) -> &[u8] {
+        &self.buffer
     }
 
     /// Returns the next complete event, or `None` when more bytes are needed.
--- a/crates/node/src/server/stream.rs
+++ b/crates/node/src/server/stream.rs
@@ -105,8 +105,8 @@
     /// Returns the last part when the connection ends before the stream.
     #[must_use]
     pub fn end_of_input(&self) -> StreamPart {
-        if self.finished && self.events.is_empty() {
-            // All tokens have arrived; only the closing event is missing.
+        if self.finished && DONE_EVENT.starts_with(self.events.incomplete()) {
+            // All tokens have arrived; only the closing event, or its end, is missing.
             return StreamPart {
                 chunk: Bytes::from_static(DONE_EVENT),
                 end: Some(StreamEnd::Complete),
--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -208,6 +208,14 @@
     stream.push(token_event(&ATTEMPT.to_string(), 0, "t", true).as_bytes());
     assert_eq!(stream.next_part(|_| {}).end, None);
     assert_eq!(stream.end_of_input().end, Some(StreamEnd::Complete));
+    stream.push(b"data: [DO");
+    assert_eq!(stream.next_part(|_| {}).end, None);
+    assert_eq!(stream.end_of_input().end, Some(StreamEnd::Complete));
+    stream.push(b"x");
+    assert_eq!(
+        stream.end_of_input().end,
+        Some(StreamEnd::Failed(Failure::Broken))
+    );
     let open = AnswerStream::new(ATTEMPT, 0, LIMIT_BYTES);
     assert_eq!(
         open.end_of_input().end,
