Decode zones, cold rates, regions and loads of servers

Cause: operators publish evacuations of availability zones, the rate that cold servers tolerate and regions of routes and workspaces; servers state their load and how long they are cold. The adapter read none of them.

Change: types for these in core and in the dialect, decoded by the adapter.

--- a/crates/core/src/flow/call.rs
+++ b/crates/core/src/flow/call.rs
@@ -5,7 +5,7 @@
 
 use crate::flow::instance::Instance;
 use crate::flow::version::VersionKey;
-use crate::ids::ServiceName;
+use crate::ids::{RegionName, ServiceName};
 
 /// Number of an attempt, unique at one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -77,6 +77,8 @@
     pub identity: Option<u64>,
     /// Set for calls to models.
     pub prompt: Option<Prompt>,
+    /// Lists of regions that all have to hold the server's; empty if any region may.
+    pub allowed_regions: Vec<Arc<[RegionName]>>,
 }
 
 impl Call {
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -57,7 +57,7 @@
 pub use load_directory::{LoadDirectory, REPORT_INTERVAL};
 pub use message::{Heartbeat, HeartbeatEntry, LoadMessage, LoadReport, ServerLoad};
 pub use mirror::{Change, Delta, Mirror, Removal};
-pub use options::Options;
+pub use options::{ColdLimit, Options};
 pub use packed::{KNOWN_CHUNKS_MAX, KnownChunks, PackedDelta};
 pub use part_records::{
     CRASHES_BLAMED, CRASHES_NO_RETRY, CrashStatement, PartRecords, PartStatement,
@@ -68,7 +68,8 @@
 pub use removal_log::{RemovalLog, RemovalNote, RemovalRecord};
 pub use retry_budget::{RetryOptions, SlidingRetryBudget};
 pub use route::{
-    EngineSpec, RequestLimits, Route, RouteConfig, RouteKind, ServiceSpec, Split, WorkspaceEntry,
+    ColdSpec, EngineSpec, RequestLimits, Route, RouteConfig, RouteKind, ServiceSpec, Split,
+    WorkspaceEntry,
 };
 pub use server_limits::{LimitStatement, ServerLimits};
 pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage, StreamOrigin};
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -5,6 +5,24 @@
 use crate::flow::retry_budget::RetryOptions;
 use crate::outlier;
 
+/// Bound on the calls that all nodes together send to a cold server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// Multiple of the rate that the service names for its cold servers.
+    pub excess_ratio: f64,
+    /// Calls allowed beyond that in any second.
+    pub extra_calls: f64,
+}
+
+impl Default for ColdLimit {
+    fn default() -> Self {
+        Self {
+            excess_ratio: 1.0,
+            extra_calls: 0.0,
+        }
+    }
+}
+
 /// Options of [`crate::flow::Dispatcher`].
 ///
 /// Costs are compared with each other as milliseconds of delay.
@@ -12,6 +30,8 @@
 pub struct Options {
     /// Retry budget of each service.
     pub retries: RetryOptions,
+    /// Bound on calls to cold servers.
+    pub cold: ColdLimit,
     /// When a server is ejected and for how long.
     pub outlier: outlier::Options,
     /// Fraction of recent answers that were faults above which a server is ejected.
@@ -87,6 +107,7 @@
     fn default() -> Self {
         Self {
             retries: RetryOptions::default(),
+            cold: ColdLimit::default(),
             outlier: outlier::Options {
                 ejection: Duration::from_secs(2),
                 ejection_max: Duration::from_secs(8),
--- a/crates/core/src/flow/route.rs
+++ b/crates/core/src/flow/route.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::ids::{ServiceName, WorkspaceName};
+use crate::ids::{RegionName, ServiceName, WorkspaceName};
 
 /// How often calls of a route may run and how they are answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +53,8 @@
     pub attempts_max: u32,
     /// Whether calls are accepted without a key.
     pub is_public: bool,
+    /// Regions whose servers may get the calls, `None` for all.
+    pub allowed_regions: Option<Arc<[RegionName]>>,
 }
 
 impl Route {
@@ -98,6 +100,17 @@
     pub event_tokens: u32,
 }
 
+/// How long servers of a service are cold, and what they tolerate meanwhile.
+///
+/// A cold server crashes well above this rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdSpec {
+    /// Time after its start for which a server is cold, in milliseconds.
+    pub duration_ms: u32,
+    /// Calls per 1,000 seconds that a cold server tolerates from all nodes together.
+    pub calls_per_1000_s: u32,
+}
+
 /// A service that calls are routed to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceSpec {
@@ -107,6 +120,8 @@
     pub connections_max: u32,
     /// Set for model services.
     pub engine: Option<EngineSpec>,
+    /// Set for services whose cold servers tolerate a low rate only.
+    pub cold: Option<ColdSpec>,
 }
 
 /// Bounds on what callers may send.
@@ -140,6 +155,8 @@
     pub name: WorkspaceName,
     /// Tier of all its calls; takes precedence over the tier of the route.
     pub tier: Option<u8>,
+    /// Regions whose servers may get its calls, `None` for all.
+    pub allowed_regions: Option<Arc<[RegionName]>>,
 }
 
 /// One version of the published configuration.
--- a/crates/core/src/flow/table.rs
+++ b/crates/core/src/flow/table.rs
@@ -27,6 +27,7 @@
 ///     splits: vec![Split { service: "desk".into(), weight: 1 }],
 ///     attempts_max: 2,
 ///     is_public: false,
+///     allowed_regions: None,
 /// };
 /// let routes = vec![route("/a/"), route("/a/b/")];
 /// let table = RouteTable::new(RouteConfig { routes, ..RouteConfig::default() });
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -48,6 +48,10 @@
     /// Name of an availability zone.
     ZoneName
 }
+name_type! {
+    /// Name of a region, which holds availability zones.
+    RegionName
+}
 name_type! {
     /// Name of a backend server, unique in the server list.
     ServerName
--- a/crates/core/tests/flow/crashes.rs
+++ b/crates/core/tests/flow/crashes.rs
@@ -189,6 +189,7 @@
         time_left: Duration::from_secs(5),
         version: None,
         identity: None,
+        allowed_regions: Vec::new(),
         prompt: Some(Prompt {
             tokens: 500,
             output_tokens_max: 100,
@@ -201,6 +202,7 @@
 pub(crate) fn plain_call(identity: u64) -> Call {
     Call {
         identity: Some(identity),
+        allowed_regions: Vec::new(),
         prompt: None,
         ..call(&[])
     }
--- a/crates/core/tests/flow/fleet.rs
+++ b/crates/core/tests/flow/fleet.rs
@@ -37,6 +37,7 @@
         name: name.into(),
         connections_max: 100,
         engine,
+        cold: None,
     };
     RouteTable::new(RouteConfig {
         version: 1,
@@ -84,6 +85,7 @@
         time_left: Duration::from_secs(5),
         version: None,
         identity: None,
+        allowed_regions: Vec::new(),
         prompt: Some(Prompt {
             tokens,
             output_tokens_max: 100,
@@ -101,6 +103,7 @@
         time_left: Duration::from_secs(1),
         version: None,
         identity: None,
+        allowed_regions: Vec::new(),
         prompt: None,
     }
 }
--- a/crates/core/tests/flow/routes.rs
+++ b/crates/core/tests/flow/routes.rs
@@ -24,6 +24,7 @@
         }],
         attempts_max: 1,
         is_public: false,
+        allowed_regions: None,
     }
 }
 
@@ -32,6 +33,7 @@
         let entry = WorkspaceEntry {
             name: format!("w{index}").as_str().into(),
             tier: *tier,
+            allowed_regions: None,
         };
         (Arc::from(format!("k{index}")), entry)
     });
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -201,6 +201,7 @@
             }],
             attempts_max: 1,
             is_public: false,
+            allowed_regions: None,
         };
         RouteTable::new(RouteConfig {
             version: 1,
@@ -209,6 +210,7 @@
                 name: MODELS.into(),
                 connections_max: 1_000,
                 engine: Some(engine),
+                cold: None,
             }],
             ..RouteConfig::default()
         })
@@ -443,6 +445,7 @@
             time_left: Duration::from_secs(4),
             version: None,
             identity: None,
+            allowed_regions: Vec::new(),
             prompt: Some(request.prompt.clone()),
         }
     }
--- a/crates/core/tests/flow/streams.rs
+++ b/crates/core/tests/flow/streams.rs
@@ -172,6 +172,7 @@
             .collect(),
         attempts_max: 2,
         is_public: true,
+        allowed_regions: None,
     }
 }
 
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -90,7 +90,7 @@
                         dispatcher.record_refusal(now, &server, RESTORED_PAUSE);
                     }
                 }
-                Ok(Published::Other) => {}
+                Ok(Published::Evacuation(_) | Published::Other) => {}
                 Err(error) => {
                     tracing::warn!(%key, revision = change.revision, %error, "values: decoding an entry failed");
                     let removal = RemovalRecord {
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -250,6 +250,7 @@
             version: self.version,
             identity: self.identity,
             prompt: self.admitted.head.prompt.clone(),
+            allowed_regions: self.admitted.allowed_regions(),
         }
     }
 
--- a/crates/gateway/src/caller/request.rs
+++ b/crates/gateway/src/caller/request.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use briarbank_core::flow::{Route, RouteTable};
+use briarbank_core::ids::RegionName;
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
@@ -100,6 +101,18 @@
     pub(crate) workspace: Option<briarbank_core::flow::WorkspaceEntry>,
 }
 
+impl Admitted {
+    /// Returns the lists of regions that bind the call; all of them have to hold the server's.
+    pub(crate) fn allowed_regions(&self) -> Vec<Arc<[RegionName]>> {
+        let of_workspace = self
+            .workspace
+            .as_ref()
+            .and_then(|w| w.allowed_regions.clone());
+        let of_route = self.route.allowed_regions.clone();
+        of_route.into_iter().chain(of_workspace).collect()
+    }
+}
+
 /// Checks the head of a call; an error holds the reason for the log.
 fn admit(
     shared: &SharedState,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use briarbank_core::flow::{Change, Delta, Instance, Prompt, RouteConfig};
-use briarbank_core::ids::{ServerName, WorkspaceName};
+use briarbank_core::ids::{ServerName, WorkspaceName, ZoneName};
 use http::{HeaderMap, request, response};
 
 use crate::error::{DecodeError, HeadError};
@@ -74,6 +74,25 @@
     pub is_leaving: bool,
     /// Time for which it wants no calls from this node.
     pub refusal: Option<Duration>,
+    /// Time for which it is cold, `None` if it does not say.
+    pub cold: Option<Duration>,
+    /// Its load, `None` if it does not say.
+    pub load: Option<StatedLoad>,
+}
+
+/// Load that a server states in an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StatedLoad {
+    /// Calls that it processes.
+    pub running: u32,
+    /// Calls that wait.
+    pub waiting: u32,
+    /// Calls that it can process at the same time.
+    pub slots: u32,
+    /// How long work takes at this moment as a multiple of the usual time.
+    ///
+    /// `None` from servers that have their host to themselves.
+    pub slowness: Option<f64>,
 }
 
 /// Decoded head of an answer, without its status.
@@ -124,6 +143,8 @@
     Config(RouteConfig),
     /// The entry of a server.
     Server(Instance),
+    /// The request to send nothing more to the servers of an availability zone.
+    Evacuation(ZoneName),
     /// A value that the router does not use.
     Other,
 }
@@ -175,4 +196,7 @@
 
     /// Returns the name of the server whose entry has the given key.
     fn server_of_key<'a>(&self, key: &'a str) -> Option<&'a str>;
+
+    /// Returns the name of the availability zone whose evacuation has the given key.
+    fn evacuated_zone_of_key<'a>(&self, key: &'a str) -> Option<&'a str>;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use dialect::{
     AnswerHead, AnswerKind, CallHead, Dialect, ForwardContext, Page, Published, ServerNotice,
-    StoreRead, TakenUpStream,
+    StatedLoad, StoreRead, TakenUpStream,
 };
 pub use error::{DecodeError, Error, HeadError, LoadError};
 pub use run::run;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,10 +1,11 @@
 //! Settings of the daemon.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use briarbank_core::flow::RetryOptions;
-use briarbank_core::ids::{HostName, ZoneName};
+use briarbank_core::flow::{ColdLimit, RetryOptions};
+use briarbank_core::ids::{HostName, RegionName, ZoneName};
 
 use crate::error::LoadError;
 
@@ -58,4 +59,8 @@
     pub report_interval: Duration,
     /// Limits on retries, for all nodes together.
     pub retries: RetryOptions,
+    /// Bound on calls to cold servers, for all nodes together.
+    pub cold: ColdLimit,
+    /// Region of each availability zone.
+    pub zone_regions: BTreeMap<ZoneName, RegionName>,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -112,6 +112,7 @@
         peers.set_link(settings.link_mbps);
         let options = Options {
             retries: settings.retries,
+            cold: settings.cold,
             // The other half is for the time until this node has learned it.
             leaving_use: settings.drain_timeout / 2,
             ..Options::default()
