Return no preferred servers while every server refuses calls

Cause: the search for the servers whose exact loads are asked for clamped a count between 1 and the number of usable servers, which panics when there are none. In fleets with homes of loads it ended the task of each call with a prompt while all servers refused, were limited or were draining, so that its caller got no answer.

Change: the upper bound is at least 1.

Result: a_call_without_a_usable_server_has_no_preferred_servers panicked before and passes now.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -251,7 +251,7 @@
     /// is out of date by the time that a heartbeat delivers it.
     fn short_prompt_servers(&self, short_max: f64) -> usize {
         let short_prompts: f64 = self.candidates.iter().map(|c| c.load.short_prompts).sum();
-        ((short_prompts / short_max).ceil() as usize).clamp(1, self.candidates.len())
+        ((short_prompts / short_max).ceil() as usize).clamp(1, self.candidates.len().max(1))
     }
 
     fn is_short(&self, prompt: &Prompt) -> bool {
--- a/crates/core/tests/flow/placement.rs
+++ b/crates/core/tests/flow/placement.rs
@@ -425,3 +425,23 @@
     assert_eq!(placed.len(), 16);
     assert_eq!(server_names(&placed).len(), 8, "{placed:?}");
 }
+
+/// Guards against a panic in the search for exact loads when every server refuses calls.
+#[test]
+fn a_call_without_a_usable_server_has_no_preferred_servers() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(2, 0);
+    for id in ["m0", "m1"] {
+        dispatcher.record_refusal(now, &server_name(id), Duration::from_secs(1));
+    }
+    assert!(
+        dispatcher
+            .preferred_servers(now, &long_call(1, 1), &[])
+            .is_empty()
+    );
+    assert!(
+        dispatcher
+            .preferred_servers(now, &chat(1, 1), &[])
+            .is_empty()
+    );
+}
