Keep calls within the regions of their route and workspace

Cause: routes and workspaces with allowedRegions were decoded, but their calls went to servers in any region.

Change: the dispatcher filters its candidates by the region of the server's zone, once for all paths: first attempts, retries, rests of streams, leaving servers, preferred servers and can_move. A zone without a region is in no list. The gateway sets the regions at start and at each reload of the settings. A call that servers elsewhere would take is refused as not run (503) with NoServerInRegion.

--- a/crates/core/src/flow/call.rs
+++ b/crates/core/src/flow/call.rs
@@ -107,6 +107,8 @@
     NoServer,
     /// No server of the stream's version may be sent calls.
     NoServerOfVersion,
+    /// Servers may be sent calls, but none in a region that the call may reach.
+    NoServerInRegion,
     /// No server would answer in time.
     Busy {
         /// Time until capacity is expected.
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::flow::prefix_rates::PrefixRates;
 use crate::flow::prompt_sizes::PromptSizes;
 use crate::flow::prompt_time::PromptTime;
+use crate::flow::regions::ZoneRegions;
 use crate::flow::retry_budget::{RetryOptions, SlidingRetryBudget};
 use crate::flow::route::EngineSpec;
 use crate::flow::server::ServerEntry;
@@ -34,6 +35,7 @@
     options: Options,
     pub(crate) servers: BTreeMap<ServerName, ServerEntry>,
     services: HashMap<ServiceName, Service>,
+    pub(crate) zone_regions: ZoneRegions,
     pub(crate) attempts: HashMap<AttemptId, Attempt>,
     next_attempt: u64,
     sharing_nodes: usize,
@@ -63,6 +65,7 @@
             options,
             servers: BTreeMap::new(),
             services: HashMap::new(),
+            zone_regions: ZoneRegions::default(),
             attempts: HashMap::new(),
             next_attempt: 0,
             sharing_nodes: 1,
@@ -279,7 +282,7 @@
 
     fn pool(&self, now: Instant, call: &Call) -> Option<Pool<'_>> {
         let service = self.services.get(&call.service)?;
-        let is_usable = |e: &&ServerEntry| e.fits(call) && e.accepts_calls(now);
+        let is_usable = |e: &&ServerEntry| self.may_get(e, call) && e.accepts_calls(now);
         let mut candidates: Vec<Candidate<'_>> = self
             .servers
             .values()
@@ -287,7 +290,8 @@
             .map(|e| Candidate::new(e, now))
             .collect();
         if candidates.is_empty() && call.version.is_some() {
-            let is_left = |e: &&ServerEntry| e.fits(call) && e.accepts_rest(now, &self.options);
+            let is_left =
+                |e: &&ServerEntry| self.may_get(e, call) && e.accepts_rest(now, &self.options);
             let leaving = self.servers.values().filter(is_left);
             candidates.extend(leaving.map(|e| Candidate::new(e, now)));
         }
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -36,6 +36,7 @@
 mod prompt_time;
 mod recent_times;
 mod removal_log;
+mod regions;
 mod retry_budget;
 mod route;
 mod server;
--- a/crates/core/src/flow/notices.rs
+++ b/crates/core/src/flow/notices.rs
@@ -46,10 +46,11 @@
     ///
     /// It holds the time until the first one does by its limit or its own refusal.
     pub(crate) fn closed_refusal(&self, now: Instant, call: &Call) -> Refusal {
-        let fitting = self.servers.values().filter(|e| e.fits(call));
+        let fitting = self.servers.values().filter(|e| self.may_get(e, call));
         let fitting = fitting.filter(|e| e.may_accept_calls(now));
         let waits: Vec<Duration> = fitting.filter_map(|e| e.admission_wait(now)).collect();
         let no_server = match call.version {
+            _ if self.is_barred_by_region(now, call) => Refusal::NoServerInRegion,
             Some(_) => Refusal::NoServerOfVersion,
             None => Refusal::NoServer,
         };
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -265,9 +265,10 @@
         match refusal {
             Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
             Refusal::HarmfulPrompt => Outcome::NotRepeatable,
-            Refusal::NoServer | Refusal::NoServerOfVersion | Refusal::RepeatBudget => {
-                Outcome::NotRun(REFUSED_RETRY_AFTER)
-            }
+            Refusal::NoServer
+            | Refusal::NoServerOfVersion
+            | Refusal::NoServerInRegion
+            | Refusal::RepeatBudget => Outcome::NotRun(REFUSED_RETRY_AFTER),
         }
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -118,6 +118,7 @@
             ..Options::default()
         };
         let mut dispatcher = Dispatcher::new(settings.zone.clone(), options);
+        dispatcher.set_zone_regions(settings.zone_regions.clone());
         if settings.is_first_start {
             dispatcher.record_first_start();
         }
