Start a new process under an old id without loads and faults

Cause: an entry with another start of its process kept the calls in flight of the process before as load, and their ends still counted for the new process: breaks and timeouts ejected or paused it, late answers made it seem slow. The load was reported to the server's home as well, until those calls ended.

Change: the entry starts from nothing. An attempt changes an entry only while the process that it was sent to is the listed one. The end of the former load is reported to the home at once, also when the entry was removed before it returned.

--- a/crates/core/src/flow/attempt.rs
+++ b/crates/core/src/flow/attempt.rs
@@ -1,10 +1,12 @@
 //! One attempt of a call in flight.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::flow::call::Call;
 use crate::flow::choice::Choice;
 use crate::flow::part_records::CALL_SUSPECTS_MAX;
+use crate::flow::server::ServerEntry;
 use crate::ids::ServerName;
 
 /// Time after its first event for which an answer goes on if its prompt is sound.
@@ -57,6 +59,15 @@
         }
     }
 
+    /// Returns the entry of the server, `None` if another process has its name by now.
+    pub(crate) fn entry<'a>(
+        &self,
+        servers: &'a mut BTreeMap<ServerName, ServerEntry>,
+    ) -> Option<&'a mut ServerEntry> {
+        let entry = servers.get_mut(&self.server);
+        entry.filter(|entry| entry.instance.born_ms == self.born_ms)
+    }
+
     /// Returns whether the answer has gone on for long enough after its first event.
     pub(crate) fn has_gone_on(&self, now: Instant) -> bool {
         let has_gone_on = |at| now.saturating_duration_since(at) >= SOUND_ANSWER_TIME;
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -120,7 +120,12 @@
                 entry.update_instance(now, instance);
                 entry
             }
-            Entry::Vacant(vacant) => vacant.insert(ServerEntry::new(instance)),
+            Entry::Vacant(vacant) => {
+                let has_calls = self.attempts.values().any(|a| a.server == *vacant.key());
+                let entry = vacant.insert(ServerEntry::new(instance));
+                entry.is_load_changed = has_calls;
+                entry
+            }
         };
         entry.is_leaving = is_leaving;
     }
@@ -345,7 +350,7 @@
             return;
         }
         attempt.first_event_at = Some(now);
-        let Some(entry) = self.servers.get_mut(&attempt.server) else {
+        let Some(entry) = attempt.entry(&mut self.servers) else {
             return;
         };
         let time_ms = now.saturating_duration_since(attempt.sent).as_secs_f64() * 1_000.0;
@@ -369,7 +374,7 @@
     pub fn record_end(&mut self, now: Instant, id: AttemptId) {
         self.record_first_event(now, id);
         if let Some(attempt) = self.release_attempt(id)
-            && let Some(entry) = self.servers.get_mut(&attempt.server)
+            && let Some(entry) = attempt.entry(&mut self.servers)
         {
             entry.record_success();
         }
@@ -385,8 +390,7 @@
         if fault == Fault::Broken {
             self.record_break(now, &attempt);
         }
-        let server = attempt.server;
-        let Some(entry) = self.servers.get_mut(&server) else {
+        let Some(entry) = attempt.entry(&mut self.servers) else {
             return false;
         };
         if !entry.record_fault(now, fault, &self.options) {
@@ -404,7 +408,7 @@
         if !self.options.outlier.may_eject(ejected, total) {
             return false;
         }
-        let Some(entry) = self.servers.get_mut(&server) else {
+        let Some(entry) = self.servers.get_mut(&attempt.server) else {
             return false;
         };
         entry.eject(now, &self.options);
@@ -413,20 +417,13 @@
 
     fn release_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
         let attempt = self.attempts.remove(&id)?;
-        let Some(entry) = self.servers.get_mut(&attempt.server) else {
+        let Some(entry) = attempt.entry(&mut self.servers) else {
             return Some(attempt);
         };
         if attempt.first_event_at.is_none() {
             entry.record_prefill(attempt.tokens);
         }
-        // The memory of a former process is gone.
-        let is_same_process = attempt.born_ms == entry.instance.born_ms;
-        let memory_tokens = if is_same_process {
-            attempt.memory_tokens
-        } else {
-            0.0
-        };
-        entry.record_end(memory_tokens, attempt.is_short);
+        entry.record_end(attempt.memory_tokens, attempt.is_short);
         Some(attempt)
     }
 }
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -49,7 +49,7 @@
     /// Load of other nodes as the server's home told it, and when.
     exact_load: Option<(Load, Instant)>,
     /// Whether the node's load changed since it was last reported.
-    is_load_changed: bool,
+    pub(crate) is_load_changed: bool,
     pub(crate) prefix_cache: PrefixCache,
     pub(crate) health: Health,
     /// Response time as a multiple of the expected one, as a running mean.
@@ -118,10 +118,10 @@
             self.record_leaving(now);
         }
         if instance.born_ms != self.instance.born_ms {
-            // A new process starts with an empty cache and without faults; only the
-            // calls in flight carry over.
+            // A new process has none of the calls, caches and faults of the one before. Homes
+            // still have the load of the latter, so the new one is reported.
             *self = Self {
-                own_load: self.own_load,
+                is_load_changed: true,
                 ..Self::new(instance)
             };
         } else if *self.instance != instance {
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -12,6 +12,7 @@
 mod parts;
 mod peers;
 mod placement;
+mod processes;
 mod regions;
 mod removals;
 mod repeats;
