Ignore what a former process says of its server

Cause: tables of statements are keyed by the server's name. A process on its way out that says in a late answer that it leaves, refuses calls or has a limit was taken for the one that is listed since; "leaves" keeps a process without calls for good. A limit that the process before had named bound the new one for 10 to 60 s, since peers pass it on.

Change: notices count only from the listed process. When a server is listed with another process, its limit is dropped, and statements from more than 250 ms before that are ignored.

--- /dev/null
+++ b/crates/core/src/flow/processes.rs
@@ -0,0 +1,15 @@
+//! Processes that servers run under their names, one after the other.
+
+use crate::flow::dispatch::Dispatcher;
+use crate::flow::instance::Instance;
+
+impl Dispatcher {
+    /// Returns whether the process is the one that its server is listed with.
+    ///
+    /// What another process says does not concern the listed one.
+    #[must_use]
+    pub fn is_listed(&self, instance: &Instance) -> bool {
+        let listed = self.servers.get(&instance.id);
+        listed.is_some_and(|entry| entry.instance.born_ms == instance.born_ms)
+    }
+}
--- a/crates/core/src/flow/server_limits.rs
+++ b/crates/core/src/flow/server_limits.rs
@@ -9,7 +9,7 @@
 //! Nothing is agreed upon. Two nodes that know of different peers may use the parts of
 //! different nodes for a moment.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,17 @@
 /// Statements that are passed on in one heartbeat.
 const PASSED_ON_MAX: usize = 64;
 
+/// Processes that are known by the start of the latest one of each server.
+///
+/// The server that was listed first is forgotten first.
+const PROCESSES_MAX: usize = 8_192;
+
+/// Age of a statement up to which it comes from the process that has just been listed.
+///
+/// Other nodes learn of the process and pass on its statements a few heartbeats earlier. A
+/// process takes longer than that to replace the one before.
+const LISTING_DELAY: Duration = Duration::from_millis(250);
+
 /// Smallest rate of one node that uses a limited server, in requests per second.
 const SHARE_PER_S_MIN: f64 = 1.0;
 
@@ -66,6 +77,14 @@
     f64::from(per_1000_s) / 1_000.0
 }
 
+/// The latest process of a server.
+#[derive(Clone, Copy, Debug)]
+struct Process {
+    born_ms: u64,
+    /// Time before which statements are those of another process, `None` for the first one.
+    since: Option<Instant>,
+}
+
 /// The newest statements of servers about their limits.
 ///
 /// # Examples
@@ -84,6 +103,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimits {
     statements: BTreeMap<u32, Statement>,
+    processes: BTreeMap<u32, Process>,
+    /// Servers in the order in which they were first listed.
+    listed: VecDeque<u32>,
 }
 
 impl ServerLimits {
@@ -100,6 +122,36 @@
         self.update(server_key, Statement { per_1000_s, at })
     }
 
+    /// Records the process that a server is listed with; returns whether a limit ended.
+    ///
+    /// Statements of another process before it are dropped, also those that peers pass on.
+    pub fn record_process(&mut self, now: Instant, server_key: u32, born_ms: u64) -> bool {
+        let Some(known) = self.processes.get_mut(&server_key) else {
+            self.insert_process(server_key, born_ms);
+            return false;
+        };
+        if known.born_ms == born_ms {
+            return false;
+        }
+        let since = now.checked_sub(LISTING_DELAY);
+        *known = Process { born_ms, since };
+        let is_former = |s: &Statement| since.is_some_and(|since| s.at < since);
+        let has_limit = self.statements.get(&server_key).is_some_and(is_former);
+        has_limit && self.statements.remove(&server_key).is_some()
+    }
+
+    fn insert_process(&mut self, server_key: u32, born_ms: u64) {
+        let since = None;
+        self.processes
+            .insert(server_key, Process { born_ms, since });
+        self.listed.push_back(server_key);
+        if self.listed.len() > PROCESSES_MAX
+            && let Some(first) = self.listed.pop_front()
+        {
+            self.processes.remove(&first);
+        }
+    }
+
     /// Records the statements that a peer passes on; returns whether a limit changed.
     pub fn receive(&mut self, now: Instant, statements: &[LimitStatement]) -> bool {
         let mut is_changed = false;
@@ -117,6 +169,11 @@
     }
 
     fn update(&mut self, server_key: u32, statement: Statement) -> bool {
+        let process = self.processes.get(&server_key);
+        let since = process.and_then(|process| process.since);
+        if since.is_some_and(|since| statement.at < since) {
+            return false;
+        }
         let is_full = self.statements.len() >= STATEMENTS_MAX;
         let Some(known) = self.statements.get_mut(&server_key) else {
             if is_full {
--- a/crates/core/tests/flow/processes.rs
+++ b/crates/core/tests/flow/processes.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Dispatcher, Fault, Instance};
+use briarbank_core::flow::{Dispatcher, Fault, Instance, ServerLimits};
+use briarbank_core::ids::ServerName;
 
 use crate::fleet::{DESK, MODELS, dispatcher, instance, long_call, plain_call, server_name};
 
@@ -103,3 +104,61 @@
     };
     assert_eq!(expected_after(true), expected_after(false));
 }
+
+/// Guards against statements of the process before that are taken for the new one's, such as
+/// that it leaves, after which the new one would get no calls for good.
+#[test]
+fn only_the_listed_process_speaks_for_its_server() {
+    let mut dispatcher = dispatcher(0, 1);
+    let before = instance("d0", DESK, 6);
+    assert!(dispatcher.is_listed(&before));
+    dispatcher.add_server(Instant::now(), restarted("d0", DESK));
+    assert!(!dispatcher.is_listed(&before));
+    assert!(dispatcher.is_listed(&restarted("d0", DESK)));
+    let unknown = Instance {
+        id: ServerName::new("unknown"),
+        ..before
+    };
+    assert!(!dispatcher.is_listed(&unknown));
+}
+
+/// Guards against a limit that outlives the process that named it, at this node or through
+/// peers that pass it on for up to a minute.
+#[test]
+fn a_limit_ends_with_the_process_that_named_it() {
+    let now = Instant::now();
+    let (mut limits, mut peer) = (ServerLimits::default(), ServerLimits::default());
+    assert!(!limits.record_process(now, 7, 1));
+    limits.record(now, 7, Some(0.1));
+    let before = limits.statements(now);
+    assert!(!limits.record_process(now, 7, 1), "same process");
+    assert_eq!(limits.rate_per_s(now, 7), Some(0.1));
+
+    let later = now + Duration::from_secs(2);
+    assert!(limits.record_process(later, 7, 2));
+    assert_eq!(limits.rate_per_s(later, 7), None);
+    // A peer that has not read the new entry yet passes the former limit on.
+    peer.receive(now, &before);
+    assert!(!limits.receive(later, &peer.statements(later)));
+    assert_eq!(limits.rate_per_s(later, 7), None);
+}
+
+/// Guards against the loss of a new process's limit: other nodes may have read its entry, and
+/// have been told its limit, a few heartbeats before this node reads the entry.
+#[test]
+fn a_limit_of_the_new_process_is_kept_though_peers_hear_it_first() {
+    let now = Instant::now();
+    let (mut limits, mut peer) = (ServerLimits::default(), ServerLimits::default());
+    limits.record_process(now, 7, 1);
+    let later = now + Duration::from_secs(2);
+    peer.record(later, 7, Some(3.0));
+    let read_at = later + Duration::from_millis(200);
+    assert!(limits.receive(read_at, &peer.statements(read_at)));
+    limits.record_process(read_at, 7, 2);
+    assert_eq!(limits.rate_per_s(read_at, 7), Some(3.0));
+    // A node that starts takes over what its peers know.
+    let mut started = ServerLimits::default();
+    let much_later = later + Duration::from_secs(5);
+    started.record_process(much_later, 7, 2);
+    assert!(started.receive(much_later, &peer.statements(much_later)));
+}
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -83,12 +83,14 @@
                         source = source.name(),
                         "values: server listed"
                     );
-                    let server = instance.id.clone();
+                    let listed = instance.clone();
                     let mut dispatcher = self.dispatcher.borrow_mut();
                     dispatcher.add_server(now, instance);
                     if is_from_before_removal {
-                        dispatcher.record_refusal(now, &server, RESTORED_PAUSE);
+                        dispatcher.record_refusal(now, &listed.id, RESTORED_PAUSE);
                     }
+                    drop(dispatcher);
+                    self.record_process(now, &listed);
                 }
                 Ok(Published::Evacuation(_) | Published::Other) => {}
                 Err(error) => {
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -12,6 +12,9 @@
     /// Records what a server said of itself.
     pub(crate) fn record_notice(&self, instance: &Instance, notice: ServerNotice) {
         let now = Instant::now();
+        if !self.dispatcher.borrow().is_listed(instance) {
+            return;
+        }
         if let Some(limit_per_s) = notice.limit_per_s {
             metrics::counter!("briarbank_limited_answers_total").increment(1);
             if self.log_lines.take(LineKind::Notice) {
@@ -50,6 +53,19 @@
         }
     }
 
+    /// Ends the limit of a server whose process is another one than before.
+    pub(crate) fn record_process(&self, now: Instant, instance: &Instance) {
+        let Some(server_key) = self.dispatcher.borrow().server_key(&instance.id) else {
+            return;
+        };
+        let mut limits = self.limits.borrow_mut();
+        let is_ended = limits.record_process(now, server_key, instance.born_ms);
+        drop(limits);
+        if is_ended {
+            self.divide_limits(now);
+        }
+    }
+
     /// Applies this node's parts of the limits of servers.
     pub(crate) fn divide_limits(&self, now: Instant) {
         let rates = self.limits.borrow().rates_per_s(now);
