Count no connections to a former process for the new one

Cause: the number of open connections outlived a change of the process. Connections to one that was gone without closing them used up the node's share of the new one's connections until the calls timed out, and calls were refused as if it were full.

Change: connections keep the counter of the process that they were opened to.

--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -57,7 +57,7 @@
 }
 
 /// Connections to one server process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ServerConnections {
     born_ms: u64,
     /// Number of open connections, idle ones included.
@@ -65,6 +65,16 @@
     idle: Vec<Connection>,
 }
 
+impl ServerConnections {
+    fn new(instance: &Instance) -> Self {
+        Self {
+            born_ms: instance.born_ms,
+            open: Rc::default(),
+            idle: Vec::new(),
+        }
+    }
+}
+
 /// Idle connections and connection counts by server.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -123,8 +133,8 @@
         let mut servers = self.servers.borrow_mut();
         let server = servers.get_mut(&instance.id)?;
         if server.born_ms != instance.born_ms {
-            server.idle.clear();
-            server.born_ms = instance.born_ms;
+            // Connections to the process before don't count at this one.
+            *server = ServerConnections::new(instance);
         }
         let now = Instant::now();
         let is_fresh = |c: &Connection| {
@@ -146,10 +156,7 @@
             let mut servers = self.servers.borrow_mut();
             let server = servers
                 .entry(instance.id.clone())
-                .or_insert_with(|| ServerConnections {
-                    born_ms: instance.born_ms,
-                    ..ServerConnections::default()
-                });
+                .or_insert_with(|| ServerConnections::new(instance));
             Rc::clone(&server.open)
         };
         if open.get() >= connections_max {
