Show the regions of zones and count calls without one

Cause: an operator could see neither the map of zones to regions that is in force at a node nor how many calls it refuses for their regions, and the line of a listed server lacked its zone.

Change: zone_regions in the state dump, briarbank_calls_without_region_total, and the zone in the line.

The counter is not tested.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -78,7 +78,7 @@
                     tracing::info!(
                         server = %instance.id, service = %instance.service,
                         software = &*instance.version,
-                        address = %instance.address, born_ms = instance.born_ms,
+                        address = %instance.address, zone = %instance.zone, born_ms = instance.born_ms,
                         draining = instance.is_draining, revision = change.revision,
                         source = source.name(),
                         "values: server listed"
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -266,6 +266,9 @@
             Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
             Refusal::HarmfulPrompt => Outcome::NotRepeatable,
             Refusal::NoServer
+        }
+        if refusal == Refusal::NoServerInRegion {
+            metrics::counter!("briarbank_calls_without_region_total").increment(1);
             | Refusal::NoServerOfVersion
             | Refusal::NoServerInRegion
             | Refusal::RepeatBudget => Outcome::NotRun(REFUSED_RETRY_AFTER),
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -1,5 +1,6 @@
 //! Ports for the balancer and for operators.
 
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -103,12 +104,18 @@
         .iter()
         .map(|(part, processes)| json!({"part": hex(*part), "crashes": processes.len()}))
         .collect();
+    let settings = shared.settings();
+    let regions: BTreeMap<&str, &str> = settings
+        .zone_regions
+        .iter()
+        .map(|(zone, region)| (zone.as_str(), region.as_str()))
+        .collect();
     json!({
         "host": shared.settings().host.as_str(), "ready": shared.is_ready(),
         "config_version": shared.table().map(|t| t.version()),
         "revision": shared.values.borrow().revision(), "store_lost": shared.store.is_failing.get(),
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
-        "blamed_parts": blamed,
+        "blamed_parts": blamed, "zone_regions": regions,
     })
     .to_string()
 }
