Answer 502 to refusals without proof of calls that may run once

Cause: 408, 421, 429 and 503 tell the caller of a call that may run only once that it has not run.

Change: the caller of such a call gets 502.

--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -9,14 +9,14 @@
 use briarbank_core::ids::{ServerName, ServiceName};
 use briarbank_core::rendezvous;
 use bytes::Bytes;
-use http::{Response, Version, request};
+use http::{Response, StatusCode, Version, request};
 use tokio::time::{Instant, timeout_at};
 
 use crate::caller::attempt_guard::{Execution, StartedAnswer, keep_connection};
 use crate::caller::body::AnswerBody;
 use crate::caller::call_record::CallRecord;
 use crate::caller::in_flight::InFlight;
-use crate::caller::outcome::Outcome;
+use crate::caller::outcome::{Outcome, means_not_run};
 use crate::caller::request::{Admitted, time_left};
 use crate::caller::stream::EventStream;
 use crate::dialect::AnswerKind;
@@ -159,7 +159,8 @@
                 (Err(_), Some(earlier)) => return self.collect_or_refuse(earlier).await,
                 (Err(outcome), None) => return self.refuse(outcome),
             };
-            if started.head.status.is_server_error()
+            let status = started.head.status;
+            if (status.is_server_error() || status == StatusCode::MISDIRECTED_REQUEST)
                 && self.may_retry_server_error(Execution::Unknown, &started)
             {
                 error = Some(started);
@@ -230,6 +231,13 @@
                 &started.answer_head,
             );
         }
+        if means_not_run(head.status) && !self.admitted.route.is_repeatable() {
+            // The server did not say that it will never run the call.
+            metrics::counter!("briarbank_unproven_refusals_total").increment(1);
+            self.may_have_run = true;
+            self.set_failure_reason("server's refusal does not prove that the call did not run");
+            return Err(false);
+        }
         self.shared.dialect.caller_headers(&mut head.headers);
         self.record.status = head.status.as_u16();
         self.record.is_whole = true;
@@ -259,6 +267,9 @@
         if refusal == Refusal::HarmfulPrompt {
             metrics::counter!("briarbank_harmful_calls_refused_total").increment(1);
         }
+        if refusal == Refusal::NoServerInRegion {
+            metrics::counter!("briarbank_calls_without_region_total").increment(1);
+        }
         if self.may_have_run {
             return Outcome::Unknown;
         }
@@ -266,9 +277,6 @@
             Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
             Refusal::HarmfulPrompt => Outcome::NotRepeatable,
             Refusal::NoServer
-        }
-        if refusal == Refusal::NoServerInRegion {
-            metrics::counter!("briarbank_calls_without_region_total").increment(1);
             | Refusal::NoServerOfVersion
             | Refusal::NoServerInRegion
             | Refusal::RepeatBudget => Outcome::NotRun(REFUSED_RETRY_AFTER),
--- a/crates/gateway/src/caller/outcome.rs
+++ b/crates/gateway/src/caller/outcome.rs
@@ -36,6 +36,17 @@
     TimedOut,
 }
 
+/// Returns whether a status tells callers that a call has not run.
+pub(crate) fn means_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 impl Outcome {
     pub(crate) fn status(self) -> StatusCode {
         match self {
