--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -78,17 +78,19 @@
                     tracing::info!(
                         server = %instance.id, service = %instance.service,
                         software = &*instance.version,
-                        address = %instance.address, born_ms = instance.born_ms,
+                        address = %instance.address, zone = %instance.zone, born_ms = instance.born_ms,
                         draining = instance.is_draining, revision = change.revision,
                         source = source.name(),
                         "values: server listed"
                     );
-                    let server = instance.id.clone();
+                    let listed = instance.clone();
                     let mut dispatcher = self.dispatcher.borrow_mut();
                     dispatcher.add_server(now, instance);
                     if is_from_before_removal {
-                        dispatcher.record_refusal(now, &server, RESTORED_PAUSE);
+                        dispatcher.record_refusal(now, &listed.id, RESTORED_PAUSE);
                     }
+                    drop(dispatcher);
+                    self.record_process(now, &listed);
                 }
                 Ok(Published::Evacuation(_) | Published::Other) => {}
                 Err(error) => {
