Return the lines of fields of a text

Checks that work on a translated document know the path of a field but not its line. config now gives the lines of paths (lines_of), reads a file with a bound (read), and tells whether a path leads through a field (FieldPath::contains).

--- a/crates/config/src/decode.rs
+++ b/crates/config/src/decode.rs
@@ -11,7 +11,7 @@
 use crate::checker::{Checker, Validate};
 use crate::error::{Error, FileError};
 use crate::fault::{FAULT_LIMIT, Fault};
-use crate::field::Step;
+use crate::field::{FieldPath, Step};
 use crate::mismatch::{Mismatch, Problem};
 use crate::tree::{Field, Kind, Tree};
 
@@ -87,14 +87,34 @@
 ///
 /// Returns [`FileError`], which names the file and its faults.
 pub fn load<T: DeserializeOwned + Validate>(path: &Path) -> Result<T, FileError> {
+    let bytes = read(path, SIZE_LIMIT_BYTES)?;
+    parse_bytes(&bytes).map_err(|e| FileError::Invalid(path.to_path_buf(), e))
+}
+
+/// Reads a file, and at most one byte beyond the limit.
+///
+/// # Errors
+///
+/// Returns [`FileError::Read`], which names the file.
+pub fn read(path: &Path, limit_bytes: usize) -> Result<Vec<u8>, FileError> {
     let read = || {
         let mut bytes = Vec::new();
-        let limit = SIZE_LIMIT_BYTES as u64 + 1;
+        let limit = limit_bytes as u64 + 1;
         File::open(path)?.take(limit).read_to_end(&mut bytes)?;
         Ok(bytes)
     };
-    let bytes = read().map_err(|e| FileError::Read(path.to_path_buf(), e))?;
-    parse_bytes(&bytes).map_err(|e| FileError::Invalid(path.to_path_buf(), e))
+    read().map_err(|e| FileError::Read(path.to_path_buf(), e))
+}
+
+/// Returns the line of each field, or of the innermost value around it, from 1.
+///
+/// The lines are `None` if the text cannot be parsed.
+#[must_use]
+pub fn lines_of(text: &str, paths: &[&FieldPath]) -> Vec<Option<usize>> {
+    let Ok((tree, _)) = Tree::parse(text) else {
+        return vec![None; paths.len()];
+    };
+    paths.iter().map(|path| Some(tree.line(path))).collect()
 }
 
 /// Deserializes the tree, repairing it after each fault to find the remaining ones.
--- a/crates/config/src/field.rs
+++ b/crates/config/src/field.rs
@@ -51,6 +51,13 @@
         Self { steps }
     }
 
+    /// Returns whether the path leads to the named field or through it.
+    #[must_use]
+    pub fn contains(&self, name: &str) -> bool {
+        let is_named = |step: &Step| matches!(step, Step::Field(field) if *field == *name);
+        self.steps.iter().any(is_named)
+    }
+
     /// Returns whether the last step is the named field.
     pub(crate) fn ends_with(&self, name: &str) -> bool {
         matches!(self.steps.last(), Some(Step::Field(field)) if *field == *name)
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,7 +20,7 @@
 mod tree;
 
 pub use checker::{Checker, Validate};
-pub use decode::{SIZE_LIMIT_BYTES, load, parse, validate};
+pub use decode::{SIZE_LIMIT_BYTES, lines_of, load, parse, read, validate};
 pub use document::{
     ConfigDocument, DocumentDecoder, HostsDocument, ServersDocument, parse_config, parse_hosts,
     parse_servers,
