--- a/crates/briarbank/src/error.rs
+++ b/crates/briarbank/src/error.rs
@@ -29,6 +29,10 @@
         NothingToCheck {
             display("name at least one file to check; see `briarbank check --help`")
         }
+        /// `check` was called with a file or value that needs another file.
+        CheckUsage(what: &'static str) {
+            display("{what}; see `briarbank check --help`")
+        }
         /// The log filter can't be parsed.
         LogFilter(error: tracing_subscriber::filter::ParseError) {
             source(error)
@@ -147,7 +151,9 @@
     #[must_use]
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::NoCommand | Self::NothingToCheck | Self::LogFilter(_) => EXIT_USAGE,
+            Self::NoCommand | Self::NothingToCheck | Self::CheckUsage(_) | Self::LogFilter(_) => {
+                EXIT_USAGE
+            }
             Self::Config(_)
             | Self::Platform(_)
             | Self::Invalid(_)
--- a/crates/briarbank/src/lib.rs
+++ b/crates/briarbank/src/lib.rs
@@ -4,6 +4,8 @@
 //! router, the stand-ins and the decoding of settings are separate crates.
 
 mod check;
+mod check_report;
+mod config_check;
 mod demo;
 mod dump;
 mod error;
