Place long prompts by what the homes of servers know

Cause: a node of a large fleet sends few calls to each server, so that it learned neither its speed nor what its cache holds. Prompts whose prefix nobody held went where its hash points, however slow or busy that server was.

Change: reports to a server's home carry the prompt parts sent, the time to the first event and the momentary slowness that the server states; answers of homes carry the sums and which of the call's parts the server holds (flow::PrefillDirectory). The choice is among the four servers asked, by the end of the prefill; parts that one of them holds cost their prefill again elsewhere. Nodes without an answer decide by the rendezvous order as before, and fleets without homes are not touched.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -5,8 +5,10 @@
 use std::time::{Duration, Instant};
 
 use crate::flow::call::{Call, Prompt, Refusal, TierRank};
+use crate::flow::insights;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
+use crate::flow::message::ServerInsight;
 use crate::flow::options::Options;
 use crate::flow::prompt_sizes::PromptSizes;
 use crate::flow::prompt_time::PromptTime;
@@ -31,6 +33,9 @@
 /// That server holds them only if the first one was too busy before.
 const SECOND_UNCACHED_RATIO: f64 = 0.5;
 
+/// Time for which a server that shares its host is typically slower or faster.
+const MOMENT_MS: f64 = 600.0;
+
 /// Servers whose exact load is asked for before a choice.
 const PREFERRED_MAX: usize = 4;
 
@@ -44,6 +49,8 @@
     pub(crate) zone: &'a ZoneName,
     pub(crate) engine: Option<EngineSpec>,
     pub(crate) prompt_time: PromptTime,
+    /// Mean prefill time per token that the homes of servers know, in milliseconds.
+    pub(crate) shared_ms_per_token: Option<f64>,
     pub(crate) prompt_sizes: PromptSizes,
     /// Calls per second, over all nodes, whose prompts share the call's prefix.
     pub(crate) prefix_calls_per_s: f64,
@@ -56,6 +63,26 @@
     pub(crate) load: Load,
     /// Whether the load was told by the server's home just now.
     pub(crate) is_exact: bool,
+    /// What the server's home told of it just now.
+    pub(crate) insight: Option<&'a ServerInsight>,
+}
+
+impl Candidate<'_> {
+    /// Returns how many of the call's first shared parts the server holds, if it is known.
+    fn held_parts(&self) -> Option<usize> {
+        self.insight?.held_parts.map(usize::from)
+    }
+
+    /// Returns how long work takes at this moment as a multiple of the usual time.
+    ///
+    /// The older the figure, the more likely the moment is over.
+    fn moment_slowness(&self) -> f64 {
+        let Some((percent, age_ms)) = self.insight.and_then(|i| i.moment) else {
+            return 1.0;
+        };
+        let left_ratio = (1.0 - f64::from(age_ms) / MOMENT_MS).max(0.0);
+        1.0 + (f64::from(percent) / 100.0 - 1.0) * left_ratio
+    }
 }
 
 impl<'a> Candidate<'a> {
@@ -64,6 +91,7 @@
             entry,
             load: entry.load(now),
             is_exact: entry.exact_load(now).is_some(),
+            insight: entry.insight(now),
         }
     }
 }
@@ -222,8 +250,8 @@
             .map(|(candidate, rank)| {
                 let mut cost = self.model_cost(now, prompt, candidate, rank);
                 cost.cost_ms += candidate.load.running * self.options.in_flight_cost_ms;
-                cost.has_capacity &=
-                    rank < servers_max && self.accepts_long_prompts(&candidate.load);
+                let is_near = rank < servers_max || candidate.held_parts().is_some();
+                cost.has_capacity &= is_near && self.accepts_long_prompts(&candidate.load);
                 cost
             })
             .collect()
@@ -232,15 +260,14 @@
     /// Returns the fraction of their time that servers prefill long prompts.
     fn busy_ratio(&self) -> f64 {
         let rates = self.candidates.iter().map(|c| c.load.tokens_per_s);
-        let token_s = self.prompt_time.ms_per_token() / 1_000.0;
+        let token_s = self.ms_per_token() / 1_000.0;
         rates.sum::<f64>() * token_s / self.candidates.len().max(1) as f64
     }
 
     /// Returns how many servers a long prompt may go to; a frequent prefix gets more.
     fn long_prompt_servers(&self, prompt: &Prompt) -> usize {
         let unshared = f64::from(prompt.unshared_tokens());
-        let busy_ratio =
-            self.prefix_calls_per_s * unshared * self.prompt_time.ms_per_token() / 1_000.0;
+        let busy_ratio = self.prefix_calls_per_s * unshared * self.ms_per_token() / 1_000.0;
         let needed = (busy_ratio / self.options.prefix_busy_ratio).ceil() as usize;
         needed.max(self.options.spill_servers)
     }
@@ -254,6 +281,26 @@
         ((short_prompts / short_max).ceil() as usize).clamp(1, self.candidates.len())
     }
 
+    /// Returns the prefill time per token at a server of mean speed, in milliseconds.
+    fn ms_per_token(&self) -> f64 {
+        self.shared_ms_per_token
+            .unwrap_or_else(|| self.prompt_time.ms_per_token())
+    }
+
+    /// Returns the time to the first event of an empty prompt, in milliseconds.
+    fn base_ms(&self) -> f64 {
+        self.prompt_time.base_ms_at(self.ms_per_token())
+    }
+
+    /// Returns how long work takes at a server as a multiple of the mean.
+    fn slowness(&self, candidate: &Candidate<'_>) -> f64 {
+        let general = match (candidate.entry.samples(), self.shared_ms_per_token) {
+            (Some(samples), Some(mean)) => insights::slowness(&samples, self.base_ms(), mean),
+            _ => candidate.entry.slowness,
+        };
+        general * candidate.moment_slowness()
+    }
+
     fn is_short(&self, prompt: &Prompt) -> bool {
         self.prompt_sizes.is_short(prompt.tokens)
     }
@@ -278,7 +325,7 @@
 
     /// Returns the cost that keeps short prompts off servers that prefill or are full.
     fn short_prompt_cost_ms(&self, load: &Load, short_max: f64) -> f64 {
-        let busy_ratio = load.tokens_per_s * self.prompt_time.ms_per_token() / 1_000.0;
+        let busy_ratio = load.tokens_per_s * self.ms_per_token() / 1_000.0;
         let full_ratio = load.short_prompts / short_max;
         busy_ratio.min(1.0) * self.options.prefill_cost_ms
             + (full_ratio - 1.0).max(0.0) * self.options.full_cost_ms
@@ -316,14 +363,14 @@
         rank: usize,
     ) -> ServerCost<'a> {
         let Candidate { entry, load, .. } = candidate;
-        let tokens = uncached_tokens(now, prompt, entry, rank);
-        let token_ms = self.prompt_time.ms_per_token() * entry.slowness;
+        let tokens = uncached_tokens(now, prompt, candidate, rank);
+        let slowness = self.slowness(candidate);
+        let token_ms = self.ms_per_token() * slowness;
         let wait_ms = token_ms * load.pending_tokens;
         let prefill_ms = token_ms * tokens;
-        let unshared = f64::from(prompt.unshared_tokens());
-        let repeated_prefill_ms =
-            token_ms * (tokens - unshared).max(0.0) * self.options.prefill_again_ratio;
-        let expected_ms = self.prompt_time.base_ms() * entry.slowness + wait_ms + prefill_ms;
+        let repeated_tokens = self.repeated_tokens(prompt, candidate, tokens);
+        let repeated_prefill_ms = token_ms * repeated_tokens * self.options.prefill_again_ratio;
+        let expected_ms = self.base_ms() * slowness + wait_ms + prefill_ms;
         let cost_ms = expected_ms + repeated_prefill_ms + self.zone_cost_ms(entry);
         ServerCost {
             entry,
@@ -336,6 +383,17 @@
         }
     }
 
+    /// Returns how many of the tokens to prefill another server is known or likely to hold.
+    fn repeated_tokens(&self, prompt: &Prompt, candidate: &Candidate<'_>, tokens: f64) -> f64 {
+        let Some(held) = candidate.held_parts() else {
+            return (tokens - f64::from(prompt.unshared_tokens())).max(0.0);
+        };
+        let known = self.candidates.iter().filter_map(Candidate::held_parts);
+        let most = known.max().unwrap_or(held);
+        let parts = prompt.parts.iter().take(most).skip(held);
+        parts.map(|(_, tokens)| f64::from(*tokens)).sum()
+    }
+
     fn has_capacity(&self, candidate: &Candidate<'_>) -> bool {
         let Candidate { entry, load, .. } = candidate;
         let Some(engine) = self.engine else {
@@ -407,8 +465,19 @@
 }
 
 /// Returns how many tokens of a prompt a server is expected to prefill.
-fn uncached_tokens(now: Instant, prompt: &Prompt, entry: &ServerEntry, rank: usize) -> f64 {
-    let shared = prompt.parts.len().saturating_sub(1);
+fn uncached_tokens(now: Instant, prompt: &Prompt, candidate: &Candidate<'_>, rank: usize) -> f64 {
+    let (entry, shared) = (candidate.entry, prompt.parts.len().saturating_sub(1));
+    if let Some(held) = candidate.held_parts() {
+        let is_own_held = held >= shared
+            && (prompt.parts.last()).is_some_and(|(own, _)| entry.prefix_cache.contains(now, *own));
+        let held = if is_own_held {
+            prompt.parts.len()
+        } else {
+            held
+        };
+        let held_tokens: u32 = prompt.parts.iter().take(held).map(|(_, t)| *t).sum();
+        return f64::from(prompt.tokens.saturating_sub(held_tokens));
+    }
     let uncached_ratio = match rank {
         0 => 0.0,
         1 => SECOND_UNCACHED_RATIO,
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::flow::choice::{Candidate, Choice, Pool};
 use crate::flow::departed::DepartedServers;
 use crate::flow::harmful_prompts::SeenCrash;
+use crate::flow::insights;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
 use crate::flow::message::ServerLoad;
@@ -277,6 +278,12 @@
         Ok(self.record_attempt(now, call, choice))
     }
 
+    /// Returns whether a prompt of the call's service is a short one.
+    pub(crate) fn is_short(&self, call: &Call, prompt: &Prompt) -> bool {
+        let service = self.services.get(&call.service);
+        service.is_none_or(|s| s.prompt_sizes.is_short(prompt.tokens))
+    }
+
     fn pool(&self, now: Instant, call: &Call) -> Option<Pool<'_>> {
         let service = self.services.get(&call.service)?;
         let is_usable = |e: &&ServerEntry| e.fits(call) && e.accepts_calls(now);
@@ -294,11 +301,15 @@
         let prefix = call.prompt.as_ref().and_then(Prompt::prefix_key);
         let own_calls_per_s =
             prefix.map_or(0.0, |prefix| service.prefix_rates.calls_per_s(now, prefix));
+        let samples = candidates.iter().filter_map(|c| c.entry.samples());
+        let base_ms = service.prompt_time.base_ms();
+        let shared_ms_per_token = insights::mean_ms_per_token(samples, base_ms);
         Some(Pool {
             candidates,
             zone: &self.zone,
             engine: service.engine,
             prompt_time: service.prompt_time,
+            shared_ms_per_token,
             prompt_sizes: service.prompt_sizes,
             prefix_calls_per_s: own_calls_per_s * self.sharing_nodes as f64,
             options: &self.options,
@@ -316,6 +327,9 @@
             for (part, _) in parts {
                 entry.prefix_cache.touch(now, *part);
             }
+            if !choice.is_short {
+                entry.sight_parts(call.prompt.iter().flat_map(Prompt::shared_parts));
+            }
         }
         let entry = Attempt::new(now, call, &choice, process_key);
         self.attempts.insert(attempt, entry);
@@ -351,6 +365,9 @@
         {
             let tokens = attempt.tokens + attempt.queued_tokens;
             service.prompt_time.record(tokens, time_ms / entry.slowness);
+            if !attempt.is_short {
+                entry.sight_sample(tokens, time_ms);
+            }
         }
         entry.record_response_time(time_ms / attempt.expected_ms.max(1.0) * entry.slowness);
     }
--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -62,6 +62,96 @@
     pub loads: Vec<ServerLoad>,
 }
 
+/// Times to the first event of calls with long prompts, summed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PrefillSample {
+    /// Number of calls, fractional when they have lost weight.
+    pub calls: f32,
+    /// Prompt tokens that were prefilled, those queued before them included.
+    pub tokens: f32,
+    /// Times to the first event, in milliseconds.
+    pub time_ms: f32,
+}
+
+impl PrefillSample {
+    /// Most tokens and milliseconds of one call that count.
+    const CALL_MAX: f32 = 200_000.0;
+
+    /// Returns the sum of two samples.
+    #[must_use]
+    pub fn sum(&self, other: &Self) -> Self {
+        Self {
+            calls: self.calls + other.calls,
+            tokens: self.tokens + other.tokens,
+            time_ms: self.time_ms + other.time_ms,
+        }
+    }
+
+    /// Returns the sample with its weight multiplied by a factor.
+    #[must_use]
+    pub fn scaled(&self, factor: f64) -> Self {
+        let factor = factor as f32;
+        Self {
+            calls: self.calls * factor,
+            tokens: self.tokens * factor,
+            time_ms: self.time_ms * factor,
+        }
+    }
+
+    /// Returns the sample of one call within bounds, empty if a figure is no number.
+    #[must_use]
+    pub fn clamped(&self) -> Self {
+        if !(self.tokens.is_finite() && self.time_ms.is_finite()) {
+            return Self::default();
+        }
+        Self {
+            calls: 1.0,
+            tokens: self.tokens.clamp(0.0, Self::CALL_MAX),
+            time_ms: self.time_ms.clamp(0.0, Self::CALL_MAX),
+        }
+    }
+}
+
+/// What a node has seen of a server since its last report.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServerSighting {
+    /// Hash of the server's name.
+    pub server_key: u32,
+    /// Hash of its name and of the start of its process.
+    pub process_key: u32,
+    /// Hashes of shared prompt parts that were sent to it.
+    pub parts: Vec<u32>,
+    /// Time to the first event of a call.
+    pub sample: Option<PrefillSample>,
+    /// How long work takes there at this moment, in percent of the usual time.
+    pub moment_percent: Option<u16>,
+}
+
+/// What the home of a server knows of it, for a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerInsight {
+    /// Hash of the server's name.
+    pub server_key: u32,
+    /// Recent times to first events.
+    pub samples: PrefillSample,
+    /// How many of the prompt's first shared parts its cache holds, `None` if unknown.
+    pub held_parts: Option<u8>,
+    /// Time that work takes in percent of the usual, and the age of this figure in
+    /// milliseconds.
+    pub moment: Option<(u16, u16)>,
+}
+
+/// Details that nodes append to a [`LoadMessage`], at most once; older nodes ignore them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadDetails {
+    /// Of a report: what the sender has seen of the servers.
+    pub sightings: Vec<ServerSighting>,
+    /// Of a query: hashes of the prompt's shared parts, in order.
+    pub parts: Vec<u32>,
+    /// Of an answer: what the home knows of the servers.
+    pub insights: Vec<ServerInsight>,
+}
+
 /// Message between a node and the home of servers, sent after [`Self::PREFIX`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoadMessage {
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -18,6 +18,7 @@
 mod era;
 mod harmful_prompts;
 mod homes;
+mod insights;
 mod instance;
 mod load;
 mod load_directory;
@@ -29,6 +30,7 @@
 mod part_records;
 mod peer_values;
 mod peers;
+mod prefill_directory;
 mod prefix_cache;
 mod prefix_rates;
 mod process_lives;
@@ -55,7 +57,10 @@
 pub use instance::Instance;
 pub use load::Load;
 pub use load_directory::{LoadDirectory, REPORT_INTERVAL};
-pub use message::{Heartbeat, HeartbeatEntry, LoadMessage, LoadReport, ServerLoad};
+pub use message::{
+    Heartbeat, HeartbeatEntry, LoadDetails, LoadMessage, LoadReport, PrefillSample, ServerInsight,
+    ServerLoad, ServerSighting,
+};
 pub use mirror::{Change, Delta, Mirror, Removal};
 pub use options::{ColdLimit, Options};
 pub use packed::{KNOWN_CHUNKS_MAX, KnownChunks, PackedDelta};
@@ -64,6 +69,7 @@
 };
 pub use peer_values::ValueSource;
 pub use peers::{PeerOptions, PeerView, Peers};
+pub use prefill_directory::PrefillDirectory;
 pub use prompt_time::PromptTime;
 pub use removal_log::{RemovalLog, RemovalNote, RemovalRecord};
 pub use retry_budget::{RetryOptions, SlidingRetryBudget};
--- a/crates/core/src/flow/prompt_time.rs
+++ b/crates/core/src/flow/prompt_time.rs
@@ -77,7 +77,13 @@
     /// Returns the time to the first event of an empty prompt, in milliseconds.
     #[must_use]
     pub fn base_ms(&self) -> f64 {
-        let base = (self.times - self.ms_per_token() * self.tokens) / self.weight.max(1e-9);
+        self.base_ms_at(self.ms_per_token())
+    }
+
+    /// Returns the same if the time per token is known to be that.
+    #[must_use]
+    pub fn base_ms_at(&self, ms_per_token: f64) -> f64 {
+        let base = (self.times - ms_per_token * self.tokens) / self.weight.max(1e-9);
         base.max(0.0)
     }
 }
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -8,7 +8,7 @@
 use crate::flow::decaying_sum::DecayingSum;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
-use crate::flow::message::ServerLoad;
+use crate::flow::message::{PrefillSample, ServerInsight, ServerLoad, ServerSighting};
 use crate::flow::options::Options;
 use crate::flow::prefix_cache::PrefixCache;
 use crate::flow::token_bucket::TokenBucket;
@@ -37,6 +37,14 @@
 /// Bounds of one sample of the slowness.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 4.0);
 
+/// Prompt parts that one report to a server's home names.
+const SIGHTED_PARTS_MAX: usize = 32;
+
+/// Returns the hash by which nodes name a prompt part to each other.
+pub(crate) fn part_key(part: u64) -> u32 {
+    (part >> 32) as u32
+}
+
 #[derive(Debug)]
 pub(crate) struct ServerEntry {
     pub(crate) instance: Arc<Instance>,
@@ -48,6 +56,12 @@
     pub(crate) peer_load: Load,
     /// Load of other nodes as the server's home told it, and when.
     exact_load: Option<(Load, Instant)>,
+    /// What the server's home told of it, and when.
+    insight: Option<(ServerInsight, Instant)>,
+    /// Times to first events that its home last told.
+    samples: Option<PrefillSample>,
+    /// What this node has seen of the server and not reported to its home.
+    sighting: ServerSighting,
     /// Whether the node's load changed since it was last reported.
     is_load_changed: bool,
     pub(crate) prefix_cache: PrefixCache,
@@ -83,6 +97,9 @@
             own_load: Load::default(),
             peer_load: Load::default(),
             exact_load: None,
+            insight: None,
+            samples: None,
+            sighting: ServerSighting::default(),
             is_load_changed: false,
             prefix_cache: PrefixCache::default(),
             health: Health::default(),
@@ -216,6 +233,59 @@
         self.exact_load = Some((exact_load, now));
     }
 
+    /// Returns what the server's home told of it just now.
+    pub(crate) fn insight(&self, now: Instant) -> Option<&ServerInsight> {
+        let (insight, at) = self.insight.as_ref()?;
+        (now.saturating_duration_since(*at) < EXACT_LOAD_TTL).then_some(insight)
+    }
+
+    /// Sets what the server's home told of it.
+    pub(crate) fn set_insight(&mut self, now: Instant, insight: ServerInsight) {
+        self.insight = Some((insight, now));
+        self.samples = Some(insight.samples);
+    }
+
+    /// Returns recent times to first events at the server, as its home last told them.
+    pub(crate) fn samples(&self) -> Option<PrefillSample> {
+        self.samples
+    }
+
+    /// Records shared parts of a prompt that is sent, for the server's home.
+    pub(crate) fn sight_parts(&mut self, parts: impl Iterator<Item = u64>) {
+        let room = SIGHTED_PARTS_MAX.saturating_sub(self.sighting.parts.len());
+        self.sighting.parts.extend(parts.map(part_key).take(room));
+    }
+
+    /// Records the first event of a call with a long prompt, for the server's home.
+    pub(crate) fn sight_sample(&mut self, tokens: f64, time_ms: f64) {
+        self.sighting.sample = Some(PrefillSample {
+            calls: 1.0,
+            tokens: tokens as f32,
+            time_ms: time_ms as f32,
+        });
+    }
+
+    /// Records how long work takes at this moment as a multiple of the usual time.
+    pub(crate) fn sight_moment(&mut self, slowness: f64) {
+        self.sighting.moment_percent = Some((slowness * 100.0) as u16);
+    }
+
+    /// Returns what was seen since the last report, `None` if that is nothing.
+    pub(crate) fn take_sighting(&mut self) -> Option<ServerSighting> {
+        let is_empty = self.sighting.parts.is_empty()
+            && self.sighting.sample.is_none()
+            && self.sighting.moment_percent.is_none();
+        if is_empty {
+            return None;
+        }
+        let sighting = std::mem::take(&mut self.sighting);
+        Some(ServerSighting {
+            server_key: self.key,
+            process_key: self.process_key(),
+            ..sighting
+        })
+    }
+
     /// Returns the node's load if it changed since it was last taken, also when it ended.
     pub(crate) fn take_changed_load(&mut self, now: Instant) -> Option<ServerLoad> {
         let is_changed = std::mem::take(&mut self.is_load_changed);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -103,6 +103,7 @@
     let loads = shared.dispatcher.borrow().reported_loads(now);
     loads::report(shared, now, &loads);
     shared.directory.borrow_mut().expire(now);
+    shared.prefills.borrow_mut().expire(now);
     shared.streams.borrow_mut().expire(now);
 }
 
@@ -187,6 +188,7 @@
     tracing::warn!(pause_ms = pause.as_millis(), "node: resumed after a pause");
     shared.peers.borrow_mut().discard_loads();
     shared.directory.borrow_mut().clear();
+    shared.prefills.borrow_mut().clear();
     let now = Instant::now();
     let mut dispatcher = shared.dispatcher.borrow_mut();
     dispatcher.record_missed_changes(now);
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Call, LoadMessage, LoadReport, ServerLoad};
+use briarbank_core::flow::{
+    Call, LoadDetails, LoadMessage, LoadReport, ServerLoad, ServerSighting,
+};
 use briarbank_core::ids::ServerName;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -60,11 +62,13 @@
     report(shared, now, &changed);
 }
 
-/// Reports loads to the homes of the servers.
+/// Reports loads, and what was seen of the servers, to the homes of the servers.
 pub(crate) fn report(shared: &SharedState, now: Instant, loads: &[ServerLoad]) {
     if loads.is_empty() || !shared.peers.borrow().has_homes() {
         return;
     }
+    let sightings = shared.dispatcher.borrow_mut().take_sightings();
+    let mut sightings = by_home(shared, now, sightings.into_iter(), |s| s.server_key);
     for (home, loads) in by_home(shared, now, loads.iter().copied(), |load| load.server_key) {
         let sequence = shared.next_report();
         let local = shared.peers.borrow().local();
@@ -74,10 +78,27 @@
             sequence,
             loads,
         };
+        let details = LoadDetails {
+            sightings: sightings.remove(&home).unwrap_or_default(),
+            ..LoadDetails::default()
+        };
         if home == local.address {
             shared.directory.borrow_mut().record(now, &report);
+            record_sightings(shared, now, &details.sightings);
         } else {
-            send(shared, home, &LoadMessage::Report(report));
+            send(shared, home, &LoadMessage::Report(report), details);
+        }
+    }
+}
+
+fn record_sightings(shared: &SharedState, now: Instant, sightings: &[ServerSighting]) {
+    let dispatcher = shared.dispatcher.borrow();
+    let is_unused = shared.caches_began_empty(now);
+    let mut prefills = shared.prefills.borrow_mut();
+    for sighting in sightings {
+        // A report about another process than the present one is out of date.
+        if dispatcher.process_key(sighting.server_key) == Some(sighting.process_key) {
+            prefills.record(now, sighting, is_unused);
         }
     }
 }
@@ -95,11 +116,14 @@
         .borrow()
         .preferred_servers(now, call, tried);
     let mut homes = by_home(shared, now, servers.into_iter(), |server| *server);
+    let parts = shared.dispatcher.borrow().parts_to_ask(call);
     let local = shared.peers.borrow().local().address;
     if let Some(servers) = homes.remove(&local) {
         let loads = known_loads(shared, now, local, &servers);
+        let details = known_details(shared, now, &servers, &parts);
         let mut dispatcher = shared.dispatcher.borrow_mut();
         dispatcher.set_exact_loads(now, &loads);
+        dispatcher.set_insights(now, &details.insights);
     }
     if homes.is_empty() {
         return;
@@ -108,15 +132,16 @@
     let _pending = PendingQuery { shared, id };
     for (home, servers) in homes {
         let sender = local;
-        send(
-            shared,
-            home,
-            &LoadMessage::Query {
-                sender,
-                id,
-                servers,
-            },
-        );
+        let query = LoadMessage::Query {
+            sender,
+            id,
+            servers,
+        };
+        let details = LoadDetails {
+            parts: parts.clone(),
+            ..LoadDetails::default()
+        };
+        send(shared, home, &query, details);
     }
     if timeout(QUERY_TIMEOUT, answered.notified()).await.is_err() {
         metrics::counter!("briarbank_load_queries_unanswered_total").increment(1);
@@ -125,28 +150,36 @@
 
 /// Handles a load message of another node.
 pub(crate) fn receive(shared: &SharedState, bytes: &[u8]) {
-    let decoded = codec::decode_message::<LoadMessage>(bytes);
+    let (message, details) = match codec::decode::<LoadMessage, LoadDetails>(bytes) {
+        Ok((message, details)) => (message, details.into_iter().next().unwrap_or_default()),
+        Err(error) => {
+            tracing::debug!(%error, "peer: decoding a load message failed");
+            return;
+        }
+    };
     let now = Instant::now();
-    match decoded {
-        Ok(LoadMessage::Report(report)) => {
+    match message {
+        LoadMessage::Report(report) => {
             shared.directory.borrow_mut().record(now, &report);
+            record_sightings(shared, now, &details.sightings);
         }
-        Ok(LoadMessage::Query {
+        LoadMessage::Query {
             sender,
             id,
             mut servers,
-        }) => {
+        } => {
             servers.truncate(QUERY_SERVERS_MAX);
             let loads = known_loads(shared, now, sender, &servers);
-            send(shared, sender, &LoadMessage::Answer { id, loads });
+            let details = known_details(shared, now, &servers, &details.parts);
+            send(shared, sender, &LoadMessage::Answer { id, loads }, details);
         }
-        Ok(LoadMessage::Answer { id, loads }) => {
+        LoadMessage::Answer { id, loads } => {
             if shared.queries.borrow_mut().record_answer(id) {
                 let mut dispatcher = shared.dispatcher.borrow_mut();
                 dispatcher.set_exact_loads(now, &loads);
+                dispatcher.set_insights(now, &details.insights);
             }
         }
-        Err(error) => tracing::debug!(%error, "peer: decoding a load message failed"),
     }
 }
 
@@ -205,7 +238,32 @@
     loads.collect()
 }
 
-fn send(shared: &SharedState, target: SocketAddrV4, message: &LoadMessage) {
+/// Returns what this node, as their home, knows of servers for a prompt with these parts.
+fn known_details(
+    shared: &SharedState,
+    now: Instant,
+    servers: &[u32],
+    parts: &[u32],
+) -> LoadDetails {
+    if parts.is_empty() {
+        return LoadDetails::default();
+    }
+    let dispatcher = shared.dispatcher.borrow();
+    let is_unused = shared.caches_began_empty(now);
+    let mut prefills = shared.prefills.borrow_mut();
+    let insights = servers.iter().filter_map(|server| {
+        let process_key = dispatcher.process_key(*server)?;
+        prefills.insight(now, *server, process_key, parts, is_unused)
+    });
+    LoadDetails {
+        insights: insights.collect(),
+        ..LoadDetails::default()
+    }
+}
+
+fn send(shared: &SharedState, target: SocketAddrV4, message: &LoadMessage, details: LoadDetails) {
+    let is_empty = details == LoadDetails::default();
+    let appended = if is_empty { Vec::new() } else { vec![details] };
     // A lost message is replaced by the next report, or its query is given up.
-    datagram::send(shared, target, &LoadMessage::PREFIX, message);
+    datagram::send_with(shared, target, &LoadMessage::PREFIX, message, &appended);
 }
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -18,6 +18,10 @@
                 tracing::info!(server = %instance.id, limit_per_s, "server: names its limit");
             }
         }
+        if let Some(slowness) = notice.load.and_then(|load| load.slowness) {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            dispatcher.record_moment(&instance.id, slowness);
+        }
         if notice.is_leaving {
             if self.log_lines.take(LineKind::Notice) {
                 tracing::info!(server = %instance.id, "server: leaves");
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use briarbank_core::flow::{
-    Dispatcher, LoadDirectory, Options, PeerOptions, Peers, RemovalLog, RouteTable, ServerLimits,
-    StreamDirectory, Values,
+    Dispatcher, LoadDirectory, Options, PeerOptions, Peers, PrefillDirectory, RemovalLog,
+    RouteTable, ServerLimits, StreamDirectory, Values,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -29,6 +29,9 @@
 /// before the failure. After a shorter failure a missing entry was removed.
 const OUTAGE_REPORTS: u32 = 2;
 
+/// Time after a change of the live nodes for which homes of servers may be new.
+const STABLE_TIME: Duration = Duration::from_secs(5);
+
 /// State of a node; no borrow lives across an await.
 pub(crate) struct SharedState {
     settings: RefCell<Rc<Settings>>,
@@ -41,6 +44,8 @@
     pub(crate) peers: RefCell<Peers>,
     /// Loads of the servers that this node is the home of.
     pub(crate) directory: RefCell<LoadDirectory>,
+    /// Prefill speed and cached parts of the servers that this node is the home of.
+    pub(crate) prefills: RefCell<PrefillDirectory>,
     /// Limits that servers have named.
     pub(crate) limits: RefCell<ServerLimits>,
     /// Parts that calls were refused for at the last heartbeat.
@@ -131,6 +136,7 @@
             removals: RefCell::default(),
             peers: RefCell::new(peers),
             directory: RefCell::default(),
+            prefills: RefCell::default(),
             limits: RefCell::default(),
             blamed_parts: RefCell::default(),
             queries: RefCell::default(),
@@ -158,6 +164,16 @@
         number
     }
 
+    /// Returns whether servers that no call was reported of have empty caches.
+    ///
+    /// That is known while the whole fleet has started for the first time and the homes of
+    /// the servers have not changed since.
+    pub(crate) fn caches_began_empty(&self, now: Instant) -> bool {
+        let stable_since = self.peers.borrow().stable_since(now);
+        let is_stable = now.saturating_duration_since(stable_since) >= STABLE_TIME;
+        is_stable && self.settings.borrow().is_first_start
+    }
+
     /// Returns the settings in force.
     pub(crate) fn settings(&self) -> Rc<Settings> {
         Rc::clone(&self.settings.borrow())
