Fill servers of few slots with chats, keep only whole prefixes together

Cause: a fifth of 16 slots is three chats, so that chats took servers that long prompts need; and a first part that many prefixes share drew all prompts to the few servers that had read it.

Change: a server gets eight chats before the next one is used, within 0.6 of its slots; prefill that is repeated costs extra only where a server holds the whole prefix.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -316,7 +316,11 @@
     fn short_max(&self) -> f64 {
         let ratio =
             self.options.short_ratio_min + self.busy_ratio() * self.options.short_ratio_slope;
-        (self.slots() * ratio.min(self.options.short_ratio_max)).max(1.0)
+        let most = self.slots() * self.options.short_ratio_max;
+        (self.slots() * ratio)
+            .max(self.options.short_prompts_min)
+            .min(most)
+            .max(1.0)
     }
 
     fn slots(&self) -> f64 {
@@ -388,9 +392,13 @@
         let Some(held) = candidate.held_parts() else {
             return (tokens - f64::from(prompt.unshared_tokens())).max(0.0);
         };
-        let known = self.candidates.iter().filter_map(Candidate::held_parts);
-        let most = known.max().unwrap_or(held);
-        let parts = prompt.parts.iter().take(most).skip(held);
+        let shared = prompt.parts.len().saturating_sub(1);
+        let mut known = self.candidates.iter().filter_map(Candidate::held_parts);
+        if !known.any(|held| held >= shared) {
+            // A part that many prefixes begin with is worth less than an idle server.
+            return 0.0;
+        }
+        let parts = prompt.parts.iter().take(shared).skip(held);
         parts.map(|(_, tokens)| f64::from(*tokens)).sum()
     }
 
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -75,6 +75,11 @@
     pub short_ratio_slope: f64,
     /// Upper bound of that fraction.
     pub short_ratio_max: f64,
+    /// Short prompts that a server gets before another one is used, within that upper bound.
+    ///
+    /// With few slots the fraction alone would spread them over servers that long prompts
+    /// need; so few of them slow each other little.
+    pub short_prompts_min: f64,
     /// Cost to a short prompt of each excess position in the common order, in milliseconds.
     ///
     /// Positions are in excess beyond the servers that the short prompts in flight need.
@@ -129,6 +134,7 @@
             short_ratio_min: 0.2,
             short_ratio_slope: 1.6,
             short_ratio_max: 0.6,
+            short_prompts_min: 8.0,
             order_cost_ms: 50.0,
             full_cost_ms: 1_000.0,
             inexact_cost_ms: 200.0,
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -42,7 +42,7 @@
 
 /// Returns the hash by which nodes name a prompt part to each other.
 pub(crate) fn part_key(part: u64) -> u32 {
-    (part >> 32) as u32
+    (part >> 32) as u32 ^ part as u32
 }
 
 #[derive(Debug)]
--- a/crates/core/tests/flow/engine.rs
+++ b/crates/core/tests/flow/engine.rs
@@ -23,6 +23,16 @@
     pub(crate) event_tokens: u64,
 }
 
+impl EngineTiming {
+    /// Returns the timing of an engine that works `speed` times as fast.
+    pub(crate) fn scaled(mut self, speed: f64) -> Self {
+        self.step_us = (self.step_us as f64 / speed) as u64;
+        self.step_us_per_call = (self.step_us_per_call as f64 / speed) as u64;
+        self.tokens_per_ms = (self.tokens_per_ms as f64 * speed).max(1.0) as u64;
+        self
+    }
+}
+
 /// A call at an engine.
 #[derive(Clone, Debug)]
 struct Job {
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -3,7 +3,7 @@
 use briarbank_core::flow::{Options, PeerOptions};
 
 use crate::engine::EngineTiming;
-use crate::simulation::{Burst, CallKind, KindOutcome, Scenario};
+use crate::simulation::{Burst, CallKind, KindOutcome, Outcome, Scenario};
 
 const LONG_PROMPTS: CallKind = CallKind {
     calls_per_s: 432.0,
@@ -56,6 +56,67 @@
         peers: PeerOptions::default(),
         knows_all: false,
         has_homes: true,
+        has_insights: false,
+        speeds: &[],
+    }
+}
+
+/// Returns a scenario with 61 nodes and 90 engines of unequal speed and empty caches.
+///
+/// A burst of long prompts comes first, then one of chats, then long prompts again.
+fn order_desk() -> Scenario {
+    let scenario = large();
+    let timing = EngineTiming {
+        step_us: 6_350,
+        step_us_per_call: 1,
+        tokens_per_ms: 31,
+        chunk_tokens: 4_096,
+        slots: 16,
+        cache_tokens: 230_000,
+        event_tokens: 5,
+    };
+    let long_prompts = CallKind {
+        calls_per_s: 86.0,
+        target_ms: 800,
+        gap_ms: 500,
+        prefix: (3_780, 604),
+        events: 10.4,
+        bursts: &[
+            Burst {
+                from_ms: 0,
+                until_ms: 5_000,
+                times: 2.69,
+            },
+            Burst {
+                from_ms: 10_500,
+                until_ms: 13_000,
+                times: 2.43,
+            },
+        ],
+        ..LONG_PROMPTS
+    };
+    let chats = CallKind {
+        calls_per_s: 66.0,
+        target_ms: 500,
+        gap_ms: 300,
+        prefix: (79, 601),
+        events: 58.0,
+        bursts: &[Burst {
+            from_ms: 5_500,
+            until_ms: 10_000,
+            times: 2.56,
+        }],
+        ..CHATS
+    };
+    Scenario {
+        nodes: 61,
+        servers: 90,
+        seconds: 14,
+        timing,
+        kinds: vec![long_prompts, chats],
+        has_insights: true,
+        speeds: &[0.55, 1.2, 1.2, 1.2],
+        ..scenario
     }
 }
 
@@ -419,3 +480,39 @@
         }
     }
 }
+
+/// Returns the fraction of long prompts in time that arrived in the first two seconds.
+fn first_in_time_ratio(outcome: &Outcome) -> f64 {
+    let first = outcome.by_second.iter().take(2).map(|kinds| kinds[LONG]);
+    let (in_time, calls) = first.fold((0, 0), |(in_time, calls), kind| {
+        (in_time + kind.in_time, calls + kind.calls)
+    });
+    in_time as f64 / calls.max(1) as f64
+}
+
+/// Guards against late prompts while all caches are empty and some servers are slow.
+///
+/// A prefix that nobody held went where its hash points, and no node knew who was slow.
+/// Three quarters of the calls in time is what callers get of such a burst at least.
+#[test]
+fn prompts_without_a_cached_prefix_go_where_their_prefill_ends_first() {
+    let without = Scenario {
+        has_insights: false,
+        ..order_desk()
+    };
+    let (with, without) = (order_desk().run(), without.run());
+    let first = first_in_time_ratio(&with);
+    assert!(first > 0.75, "{first}");
+    assert!(
+        first > first_in_time_ratio(&without) + 0.1,
+        "{first} with knowledge of servers, {} without",
+        first_in_time_ratio(&without)
+    );
+    let long = with.kinds[LONG].in_time_ratio();
+    assert!(long > 0.9, "{long} of {}", with.kinds[LONG].calls);
+    assert!(
+        with.kinds[CHAT].in_time_ratio() > 0.95,
+        "{:?}",
+        with.kinds[CHAT]
+    );
+}
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -12,6 +12,7 @@
 mod parts;
 mod peers;
 mod placement;
+mod prefills;
 mod removals;
 mod repeats;
 mod routes;
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -7,8 +7,8 @@
 
 use briarbank_core::flow::{
     AttemptId, Call, Dispatcher, EngineSpec, Load, LoadDirectory, LoadReport, Options, PeerOptions,
-    Peers, Prompt, Refusal, Route, RouteConfig, RouteKind, RouteTable, ServerLoad, ServiceSpec,
-    Split,
+    Peers, PrefillDirectory, Prompt, Refusal, Route, RouteConfig, RouteKind, RouteTable,
+    ServerLoad, ServiceSpec, Split,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -75,6 +75,10 @@
     pub(crate) knows_all: bool,
     /// Whether nodes ask the homes of servers for loads.
     pub(crate) has_homes: bool,
+    /// Whether the homes also tell prefill speeds and cached parts.
+    pub(crate) has_insights: bool,
+    /// Speeds of the servers as multiples of the usual one, in turn.
+    pub(crate) speeds: &'static [f64],
 }
 
 /// Results of one kind of call.
@@ -133,6 +137,7 @@
     dispatcher: Dispatcher,
     peers: Peers,
     directory: LoadDirectory,
+    prefills: PrefillDirectory,
     /// Number of its load reports so far.
     reports: u32,
     heartbeats: u64,
@@ -179,6 +184,14 @@
         simulation.outcome
     }
 
+    fn engines(&self) -> Vec<Engine> {
+        let engine = |server: usize| {
+            let speed = self.speeds.get(server % self.speeds.len().max(1));
+            Engine::new(self.timing.scaled(speed.copied().unwrap_or(1.0)))
+        };
+        (0..self.servers).map(engine).collect()
+    }
+
     /// Returns the configuration, with a route for each kind of call.
     fn table(&self) -> RouteTable {
         let engine = EngineSpec {
@@ -245,6 +258,7 @@
                 dispatcher,
                 peers,
                 directory: LoadDirectory::default(),
+                prefills: PrefillDirectory::default(),
                 reports: 0,
                 heartbeats: 0,
             }
@@ -258,9 +272,7 @@
             event_count: 0,
             nodes: (0..scenario.nodes).map(node).collect(),
             table: table.clone(),
-            engines: (0..scenario.servers)
-                .map(|_| Engine::new(scenario.timing))
-                .collect(),
+            engines: scenario.engines(),
             server_indexes: names.into_iter().zip(0..).collect(),
             prefilled: HashSet::new(),
             requests: Vec::new(),
@@ -381,6 +393,10 @@
         if !self.scenario.has_homes || !self.nodes[node].peers.has_homes() {
             return;
         }
+        for sighting in self.nodes[node].dispatcher.take_sightings() {
+            let home = node_index(self.nodes[node].peers.home(now, sighting.server_key));
+            self.nodes[home].prefills.record(now, &sighting, true);
+        }
         for load in loads {
             let sender = &mut self.nodes[node];
             sender.reports += 1;
@@ -416,7 +432,18 @@
             let stable_since = home.peers.stable_since(now);
             let load = home.directory.load(now, server, address, stable_since);
             let loads: Vec<ServerLoad> = load.into_iter().collect();
-            self.nodes[node].dispatcher.set_exact_loads(now, &loads);
+            let parts = self.nodes[node].dispatcher.parts_to_ask(call);
+            let process = self.nodes[node].dispatcher.process_key(server);
+            let insight = process
+                .filter(|_| self.scenario.has_insights && !parts.is_empty())
+                .and_then(|process| {
+                    let home = node_index(self.nodes[node].peers.home(now, server));
+                    let prefills = &mut self.nodes[home].prefills;
+                    prefills.insight(now, server, process, &parts, true)
+                });
+            let dispatcher = &mut self.nodes[node].dispatcher;
+            dispatcher.set_exact_loads(now, &loads);
+            dispatcher.set_insights(now, insight.as_slice());
         }
     }
 
