Stop sending to servers of evacuated zones

Cause: an operator who has to empty an availability zone could only take its servers out of the list, one by one, and nodes would send to them in between.

A server entry holds the time from which it gets no calls; the pool of candidates, and the leaving servers that take rests of streams, leave out those whose time has come. Without any other server a call is refused as ZonesEvacuated, not run, with a retry time of 1 s. The bound on ejections counts servers in use only: with most servers evacuated, all others could be ejected.

--- a/crates/core/src/flow/call.rs
+++ b/crates/core/src/flow/call.rs
@@ -107,6 +107,8 @@
     NoServer,
     /// No server of the stream's version may be sent calls.
     NoServerOfVersion,
+    /// All servers that the call could go to are in evacuated zones.
+    ZonesEvacuated,
     /// No server would answer in time.
     Busy {
         /// Time until capacity is expected.
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::flow::call::{AttemptId, Call, Fault, Placement, Prompt, Refusal};
 use crate::flow::choice::{Candidate, Choice, Pool};
 use crate::flow::departed::DepartedServers;
+use crate::flow::evacuation::Evacuations;
 use crate::flow::harmful_prompts::SeenCrash;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
@@ -38,6 +39,7 @@
     next_attempt: u64,
     sharing_nodes: usize,
     pub(crate) departed: DepartedServers,
+    pub(crate) evacuations: Evacuations,
     pub(crate) version_log: VersionLog,
     pub(crate) part_records: PartRecords,
     pub(crate) seen_crashes: Vec<SeenCrash>,
@@ -67,6 +69,7 @@
             next_attempt: 0,
             sharing_nodes: 1,
             departed: DepartedServers::default(),
+            evacuations: Evacuations::default(),
             version_log: VersionLog::default(),
             part_records: PartRecords::default(),
             seen_crashes: Vec::new(),
@@ -120,6 +123,7 @@
             Entry::Vacant(vacant) => vacant.insert(ServerEntry::new(instance)),
         };
         entry.is_leaving = is_leaving;
+        self.evacuations.stop_listed(now, entry);
     }
 
     /// Removes a server whose published entry is gone.
@@ -390,7 +394,9 @@
         }
         let service = entry.instance.service.clone();
         let of_service = self.servers.values();
-        let of_service = of_service.filter(|e| e.instance.service == service);
+        // Only servers in use count: of few that are left, most could be ejected else.
+        let of_service =
+            of_service.filter(|e| e.instance.service == service && !e.is_evacuated(now));
         let (ejected, total) = of_service.fold((0, 0), |(ejected, total), e| {
             (
                 ejected + usize::from(!e.health.is_available(now)),
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -16,6 +16,7 @@
 mod departed;
 mod dispatch;
 mod era;
+mod evacuation;
 mod harmful_prompts;
 mod homes;
 mod instance;
--- a/crates/core/src/flow/notices.rs
+++ b/crates/core/src/flow/notices.rs
@@ -5,6 +5,7 @@
 use crate::flow::call::{Call, Refusal};
 use crate::flow::choice::RETRY_AFTER_RANGE;
 use crate::flow::dispatch::Dispatcher;
+use crate::flow::server::ServerEntry;
 use crate::ids::ServerName;
 
 impl Dispatcher {
@@ -47,9 +48,11 @@
     /// It holds the time until the first one does by its limit or its own refusal.
     pub(crate) fn closed_refusal(&self, now: Instant, call: &Call) -> Refusal {
         let fitting = self.servers.values().filter(|e| e.fits(call));
-        let fitting = fitting.filter(|e| e.may_accept_calls(now));
-        let waits: Vec<Duration> = fitting.filter_map(|e| e.admission_wait(now)).collect();
+        let accepting = fitting.clone().filter(|e| e.may_accept_calls(now));
+        let waits: Vec<Duration> = accepting.filter_map(|e| e.admission_wait(now)).collect();
+        let is_stopped = |e: &ServerEntry| e.is_in_service(now) && e.is_evacuated(now);
         let no_server = match call.version {
+            _ if fitting.clone().any(is_stopped) => Refusal::ZonesEvacuated,
             Some(_) => Refusal::NoServerOfVersion,
             None => Refusal::NoServer,
         };
--- a/crates/core/src/flow/peer_values.rs
+++ b/crates/core/src/flow/peer_values.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    fn is_fresh(&self, now: Instant) -> bool {
+        let age = |at| now.saturating_duration_since(at);
+        self.values.heard_at.is_some_and(|at| age(at) < FRESH_AGE)
+    }
+
     fn link_mbps(&self) -> Option<u32> {
         let known = self.values.statement.map(|s| s.link_mbps);
         known.filter(|mbps| *mbps > 0)
@@ -123,6 +128,15 @@
         preceding < self.options.watchers || watching < self.options.watchers_min
     }
 
+    /// Returns whether changes that the store publishes now reach this node by peers.
+    ///
+    /// It has just heard of one, and one that is live watches the store.
+    #[must_use]
+    pub fn hears_watcher(&self, now: Instant) -> bool {
+        let live = || self.others.values().filter(|p| self.is_live(now, p));
+        live().any(|p| p.is_watching) && live().any(|p| p.is_fresh(now))
+    }
+
     /// Returns a live peer with a newer change of a kind than `revision`.
     ///
     /// It is one of those with the widest links that were heard of lately and have not
@@ -143,11 +157,7 @@
         if revision == 0 {
             sources.retain(|p| p.changed_revision(kind) == newest);
         }
-        let is_fresh = |p: &Peer| {
-            let age = |at| now.saturating_duration_since(at);
-            p.values.heard_at.is_some_and(|at| age(at) < FRESH_AGE)
-        };
-        prefer(&mut sources, is_fresh);
+        prefer(&mut sources, |p| p.is_fresh(now));
         prefer(&mut sources, |p| {
             p.values.paused_until.is_none_or(|until| until <= now)
         });
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -67,6 +67,8 @@
     pub(crate) is_leaving: bool,
     /// When this node learned that the server leaves, `None` if it has always known.
     leaving_since: Option<Instant>,
+    /// From when the server gets no calls because its zone is evacuated.
+    pub(crate) stops_at: Option<Instant>,
     /// End of the time for which the server has said that it wants no calls.
     refused_until: Option<Instant>,
     /// Set while the server names a limit.
@@ -100,6 +102,7 @@
             paused_until: None,
             is_leaving: false,
             leaving_since: None,
+            stops_at: None,
             refused_until: None,
             limit: None,
         }
@@ -125,6 +128,9 @@
                 ..Self::new(instance)
             };
         } else if *self.instance != instance {
+            if instance.zone != self.instance.zone {
+                self.stops_at = None;
+            }
             self.version_key = instance.version_key();
             self.instance = Arc::new(instance);
         }
@@ -147,10 +153,25 @@
 
     /// Returns whether the server may be sent calls, now or in its next turn.
     pub(crate) fn may_accept_calls(&self, now: Instant) -> bool {
+        self.is_in_service(now) && !self.is_evacuated(now)
+    }
+
+    /// Returns whether the server may be sent calls unless its zone is evacuated.
+    pub(crate) fn is_in_service(&self, now: Instant) -> bool {
         let has_lapsed = self.grace_until.is_some_and(|until| now >= until);
         !self.instance.is_draining && !self.is_leaving && !has_lapsed
     }
 
+    /// Lets the server get no calls from then, or from when it was to stop if that is sooner.
+    pub(crate) fn stop_at(&mut self, at: Instant) {
+        self.stops_at = Some(self.stops_at.map_or(at, |earlier| earlier.min(at)));
+    }
+
+    /// Returns whether the server gets no calls because its zone is evacuated.
+    pub(crate) fn is_evacuated(&self, now: Instant) -> bool {
+        self.stops_at.is_some_and(|at| now >= at)
+    }
+
     /// Records that the server leaves.
     pub(crate) fn record_leaving(&mut self, now: Instant) {
         self.leaving_since.get_or_insert(now);
@@ -160,7 +181,7 @@
     pub(crate) fn accepts_rest(&self, now: Instant, options: &Options) -> bool {
         let is_recent = |since: Instant| now < since + options.leaving_use;
         let has_lapsed = self.grace_until.is_some_and(|until| now >= until);
-        self.leaving_since.is_some_and(is_recent) && !has_lapsed
+        self.leaving_since.is_some_and(is_recent) && !has_lapsed && !self.is_evacuated(now)
     }
 
     /// Returns the time until the server's limit and refusals admit a call.
--- a/crates/core/src/flow/values.rs
+++ b/crates/core/src/flow/values.rs
@@ -1,7 +1,8 @@
 //! All published values, replicated in two kinds.
 //!
 //! A change of a few bytes must not wait for one of a megabyte: entries of servers change
-//! often and at once for their callers, documents such as the configuration are large.
+//! often and at once for their callers, as do evacuations of zones, documents such as the
+//! configuration are large.
 //! Nodes tell each other the newest change of each kind that they have, and fetch the
 //! kinds apart.
 
@@ -15,7 +16,7 @@
 /// Kind of a published value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ValueKind {
-    /// The entry of a server: small.
+    /// The entry of a server or the evacuation of a zone: small.
     Entry,
     /// All others, such as the configuration: perhaps large.
     Document,
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod directory;
 mod engine;
+mod evacuation;
 mod fleet;
 mod harmful_calls;
 mod limits;
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -28,6 +28,11 @@
 /// Delay after which callers may retry a call that no server accepted.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Delay after which callers may retry a call whose servers are all in evacuated zones.
+///
+/// Operators end evacuations by hand, so that nothing is gained by retries at a higher rate.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Returns a hash of a call's host, path, caller and body.
 fn identity(head: &request::Parts, admitted: &Admitted, body: &Bytes) -> u64 {
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
@@ -265,6 +270,7 @@
         match refusal {
             Refusal::Busy { retry_after, .. } => Outcome::NotRun(retry_after),
             Refusal::HarmfulPrompt => Outcome::NotRepeatable,
+            Refusal::ZonesEvacuated => Outcome::NotRun(EVACUATED_RETRY_AFTER),
             Refusal::NoServer | Refusal::NoServerOfVersion | Refusal::RepeatBudget => {
                 Outcome::NotRun(REFUSED_RETRY_AFTER)
             }
