Evacuate zones at the gateway, and bound lines about strange entries

Cause: the key of an evacuation was decoded and ignored. Entries of other writers that cannot be decoded were logged without a bound, with a second line about the removal of a server that was never listed, and entries of unknown services without any.

Change: an evacuation is a ValueKind::Entry; it begins with a value of its key and ends with the removal, from whatever source. Servers stop one after the other if the change is seen as it happens (gateway::Freshness), else at once. Pool::send checks once more when a connection is open, so that a call placed before is not sent. Log lines of begin and end, gauges briarbank_evacuated_zones and briarbank_evacuated_servers, counter briarbank_sends_withdrawn_total, and zones in /state. At most 20 lines a second about entries. Entry deltas and document deltas of peers are cleared of the other kind, since nodes of earlier builds send evacuations as documents; no test covers that.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -1,13 +1,16 @@
 //! Applies published values to the node's state.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use briarbank_core::flow::{
-    Delta, RemovalNote, RemovalRecord, RouteTable, ValueKind, Values, era_of,
+    Change, Delta, Instance, RemovalNote, RemovalRecord, RouteTable, ValueKind, Values, era_of,
 };
 
 use crate::dialect::Published;
+use crate::error::DecodeError;
+use crate::log_lines::LineKind;
 use crate::shared::SharedState;
 
 /// Time for which a server whose removed entry came back with an earlier copy gets no calls.
@@ -33,7 +36,7 @@
 }
 
 impl Source<'_> {
-    fn name(&self) -> &'static str {
+    pub(crate) fn name(&self) -> &'static str {
         match self {
             Self::Store => "store",
             Self::Peer(_) => "peer",
@@ -41,6 +44,17 @@
     }
 }
 
+/// How changes arrived.
+#[derive(Clone, Copy, Debug)]
+struct Arrival<'a> {
+    now: Instant,
+    source: Source<'a>,
+    /// Whether the store came back from an earlier copy.
+    is_restored: bool,
+    /// Whether the changes have just been made, so that all nodes see them about now.
+    is_as_it_happens: bool,
+}
+
 impl SharedState {
     /// Applies published values that are newer than those in force.
     ///
@@ -48,65 +62,137 @@
     pub(crate) fn apply(&self, delta: &Delta, kind: Option<ValueKind>, source: Source<'_>) {
         let now = Instant::now();
         let mut values = self.values.borrow_mut();
-        let era_of_entries = |values: &Values| era_of(values.mirror(ValueKind::Entry).revision());
-        let (is_known, era_before) = (values.revision() > 0, era_of_entries(&values));
+        let entry_revision = |values: &Values| values.mirror(ValueKind::Entry).revision();
+        let (is_known, revision_before) = (values.revision() > 0, entry_revision(&values));
         let changed = match kind {
-            Some(kind) => values.apply_kind(kind, delta),
+            Some(kind) => values.apply_kind(kind, &self.without_other_kinds(kind, delta)),
             None => values.apply(delta, |key| self.kind_of(key)),
         };
-        let era = era_of_entries(&values);
+        let era = era_of(entry_revision(&values));
         drop(values);
-        let is_restored = is_known && era > era_before;
+        let is_restored = is_known && era > era_of(revision_before);
         if is_restored {
             tracing::warn!(era, "values: store came back from an earlier copy");
             self.store.restored_at.set(Some(now));
         }
+        if revision_before == 0 {
+            self.freshness.record_gap(now);
+        }
+        let arrival = Arrival {
+            now,
+            source,
+            is_restored,
+            is_as_it_happens: !delta.is_whole && !is_restored && self.freshness.is_following(now),
+        };
         for key in changed {
             let change = self.values.borrow().get(&key).cloned();
-            let Some(change) = change else {
-                let removal = self.removal(now, &key, source);
-                self.removals.borrow_mut().record(&key, removal);
-                self.remove_server_entry(now, &key, removal, source);
-                continue;
-            };
-            let removal = self.removals.borrow_mut().forget(&key);
-            let is_from_before_removal =
-                is_restored && removal.is_some_and(|removal| !removal.may_have_lapsed);
-            match self.dialect.decode_value(&change) {
-                Ok(Published::Config(config)) => self.set_config(RouteTable::new(config), source),
-                Ok(Published::Server(instance)) => {
-                    tracing::info!(
-                        server = %instance.id, service = %instance.service,
-                        software = &*instance.version,
-                        address = %instance.address, born_ms = instance.born_ms,
-                        draining = instance.is_draining, revision = change.revision,
-                        source = source.name(),
-                        "values: server listed"
-                    );
-                    let server = instance.id.clone();
-                    let mut dispatcher = self.dispatcher.borrow_mut();
-                    dispatcher.add_server(now, instance);
-                    if is_from_before_removal {
-                        dispatcher.record_refusal(now, &server, RESTORED_PAUSE);
-                    }
-                }
-                Ok(Published::Evacuation(_) | Published::Other) => {}
-                Err(error) => {
-                    tracing::warn!(%key, revision = change.revision, %error, "values: decoding an entry failed");
-                    let removal = RemovalRecord {
-                        read_at: now,
-                        may_have_lapsed: false,
-                    };
-                    self.remove_server_entry(now, &key, removal, source);
-                }
+            match change {
+                Some(change) => self.apply_change(&change, &arrival),
+                None => self.apply_removal(&key, &arrival),
             }
         }
     }
 
+    fn apply_removal(&self, key: &Arc<str>, arrival: &Arrival<'_>) {
+        if let Some(zone) = self.dialect.evacuated_zone_of_key(key) {
+            self.end_evacuation(arrival.now, &zone.into(), arrival.source);
+            return;
+        }
+        let removal = self.removal(arrival.now, key, arrival.source);
+        self.removals.borrow_mut().record(key, removal);
+        self.remove_server_entry(arrival.now, key, removal, arrival.source);
+    }
+
+    fn apply_change(&self, change: &Change, arrival: &Arrival<'_>) {
+        let &Arrival { now, source, .. } = arrival;
+        let removal = self.removals.borrow_mut().forget(&change.key);
+        match self.dialect.decode_value(change) {
+            Ok(Published::Config(config)) => self.set_config(RouteTable::new(config), source),
+            Ok(Published::Server(instance)) => {
+                let is_from_before_removal =
+                    arrival.is_restored && removal.is_some_and(|removal| !removal.may_have_lapsed);
+                self.list_server(instance, change, is_from_before_removal, arrival);
+            }
+            Ok(Published::Evacuation(zone)) => {
+                self.begin_evacuation(now, &zone, change, arrival.is_as_it_happens, source);
+            }
+            Ok(Published::Other) => {}
+            Err(error) => {
+                self.log_invalid(change, &error);
+                let removal = RemovalRecord {
+                    read_at: now,
+                    may_have_lapsed: false,
+                };
+                self.remove_server_entry(now, &change.key, removal, source);
+            }
+        }
+    }
+
+    fn list_server(
+        &self,
+        instance: Instance,
+        change: &Change,
+        is_from_before_removal: bool,
+        arrival: &Arrival<'_>,
+    ) {
+        let &Arrival { now, source, .. } = arrival;
+        tracing::info!(
+            server = %instance.id, service = %instance.service,
+            software = &*instance.version,
+            address = %instance.address, born_ms = instance.born_ms,
+            draining = instance.is_draining, revision = change.revision,
+            source = source.name(),
+            "values: server listed"
+        );
+        let table = self.table();
+        let is_unknown = table.is_some_and(|t| t.service(&instance.service).is_none());
+        if is_unknown && self.log_lines.take(LineKind::Entry) {
+            tracing::warn!(
+                key = %change.key, service = %instance.service, revision = change.revision,
+                "values: entry names an unknown service"
+            );
+        }
+        let (server, zone) = (instance.id.clone(), instance.zone.clone());
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.add_server(now, instance);
+        if is_from_before_removal {
+            dispatcher.record_refusal(now, &server, RESTORED_PAUSE);
+        }
+        drop(dispatcher);
+        self.restore_omitted_evacuation(now, &zone, source);
+    }
+
+    /// Logs a value that cannot be decoded, once as it is read once per revision.
+    ///
+    /// Other writers may write many entries, but not the documents of the operator.
+    fn log_invalid(&self, change: &Change, error: &DecodeError) {
+        let is_document = self.kind_of(&change.key) == ValueKind::Document;
+        if is_document || self.log_lines.take(LineKind::Entry) {
+            tracing::warn!(
+                key = %change.key, revision = change.revision, %error,
+                "values: decoding an entry failed"
+            );
+        }
+    }
+
+    /// Returns a delta of a kind without values of the other kind.
+    ///
+    /// Nodes of earlier builds send evacuations with the documents, where their removals,
+    /// read from the store as those of entries, would not be found.
+    fn without_other_kinds(&self, kind: ValueKind, delta: &Delta) -> Delta {
+        let mut delta = delta.clone();
+        delta.changes.retain(|c| self.kind_of(&c.key) == kind);
+        delta.removals.retain(|r| self.kind_of(&r.key) == kind);
+        delta
+    }
+
     fn kind_of(&self, key: &str) -> ValueKind {
-        match self.dialect.server_of_key(key) {
-            Some(_) => ValueKind::Entry,
-            None => ValueKind::Document,
+        let is_entry = self.dialect.server_of_key(key).is_some()
+            || self.dialect.evacuated_zone_of_key(key).is_some();
+        if is_entry {
+            ValueKind::Entry
+        } else {
+            ValueKind::Document
         }
     }
 
@@ -160,6 +246,12 @@
         let Some(server) = self.dialect.server_of_key(key) else {
             return;
         };
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let server = server.into();
+        if dispatcher.server_key(&server).is_none() {
+            // Its entry was never valid, or is gone already.
+            return;
+        }
         let age = now.saturating_duration_since(removal.read_at);
         let lapse = self.settings().drain_timeout.saturating_sub(DRAIN_MARGIN);
         let lapse = removal
@@ -167,14 +259,13 @@
             .then(|| lapse.saturating_sub(age))
             .filter(|lapse| !lapse.is_zero());
         tracing::info!(
-            server,
+            %server,
             may_have_lapsed = removal.may_have_lapsed,
             age_ms = age.as_millis(),
             use_for_ms = lapse.map(|lapse| lapse.as_millis()),
             source = source.name(),
             "values: server entry removed"
         );
-        let mut dispatcher = self.dispatcher.borrow_mut();
-        dispatcher.remove_server(now, &server.into(), lapse);
+        dispatcher.remove_server(now, &server, lapse);
     }
 }
--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -21,6 +21,10 @@
         let fault = match error {
             SendError::Connect(_) => Fault::Unreachable,
             SendError::Full => Fault::Full,
+            SendError::Evacuated => {
+                metrics::counter!("briarbank_sends_withdrawn_total").increment(1);
+                Fault::Cancelled
+            }
             SendError::Broken(error) => break_fault(error),
         };
         let execution = if error.is_not_sent() {
--- a/crates/gateway/src/caller/pending.rs
+++ b/crates/gateway/src/caller/pending.rs
@@ -141,8 +141,18 @@
         let (connections_max, sharing_nodes) = self.connection_limit();
         let (shared, instance) = (Rc::clone(&self.shared), Arc::clone(&placement.instance));
         let sending = async move {
+            let is_evacuated = || {
+                let dispatcher = shared.dispatcher.borrow();
+                dispatcher.is_evacuated(std::time::Instant::now(), &instance)
+            };
             let pool = &shared.pool;
-            let sending = pool.send(&instance, request, connections_max, sharing_nodes);
+            let sending = pool.send(
+                &instance,
+                request,
+                connections_max,
+                sharing_nodes,
+                is_evacuated,
+            );
             sending.await
         };
         let (sent_at, silence_max) = (Instant::now(), self.silence_max(placement));
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -154,8 +154,14 @@
     fn tick(&mut self, shared: &Rc<SharedState>) {
         let kind = self.kind;
         let revision = shared.values.borrow().mirror(kind).revision();
+        let is_watching = shared.store.is_watching.get() && !shared.store.is_failing.get();
+        let now = Instant::now();
         let mut peers = shared.peers.borrow_mut();
-        let source = peers.newer_source(Instant::now(), kind, revision);
+        let source = peers.newer_source(now, kind, revision);
+        if kind == ValueKind::Entry {
+            let is_current = source.is_none() && (is_watching || peers.hears_watcher(now));
+            shared.freshness.record_check(now, is_current);
+        }
         drop(peers);
         let Some(source) = source else {
             self.newer_heartbeats = 0;
@@ -166,7 +172,6 @@
         if is_late {
             shared.store.peers_are_newer.notify_waiters();
         }
-        let is_watching = shared.store.is_watching.get() && !shared.store.is_failing.get();
         let may_fetch = is_late || revision == 0 || !is_watching;
         if !may_fetch || self.is_fetching.replace(true) {
             return;
@@ -188,6 +193,7 @@
     shared.peers.borrow_mut().discard_loads();
     shared.directory.borrow_mut().clear();
     let now = Instant::now();
+    shared.freshness.record_gap(now);
     let mut dispatcher = shared.dispatcher.borrow_mut();
     dispatcher.record_missed_changes(now);
     dispatcher.record_pause(now);
--- a/crates/gateway/src/log_lines.rs
+++ b/crates/gateway/src/log_lines.rs
@@ -22,6 +22,10 @@
     Notice,
     /// A part of prompts that may crash servers.
     Parts,
+    /// An entry that names no usable server.
+    Entry,
+    /// Begin or end of the evacuation of a zone.
+    Evacuation,
 }
 
 impl LineKind {
@@ -34,7 +38,7 @@
             Self::Served => 100,
             Self::Unserved => 400,
             Self::Attempt | Self::NotAdmitted | Self::Continued => 200,
-            Self::Notice | Self::Parts => 20,
+            Self::Notice | Self::Parts | Self::Entry | Self::Evacuation => 20,
         }
     }
 }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -63,6 +63,12 @@
     metrics::gauge!("briarbank_calls_in_flight").set(shared.in_flight.get() as f64);
     let blamed = shared.blamed_parts.borrow().len();
     metrics::gauge!("briarbank_blamed_parts").set(blamed as f64);
+    let dispatcher = shared.dispatcher.borrow();
+    let zones = dispatcher.evacuated_zones().count();
+    metrics::gauge!("briarbank_evacuated_zones").set(zones as f64);
+    let servers = dispatcher.evacuated_servers(now);
+    metrics::gauge!("briarbank_evacuated_servers").set(servers as f64);
+    drop(dispatcher);
     let version = shared.table().map_or(0, |t| t.version());
     metrics::gauge!("briarbank_config_version").set(version as f64);
     let age = shared
@@ -85,6 +91,7 @@
                 "address": instance.address.to_string(), "draining": instance.is_draining,
                 "running": load.running, "light": load.short_prompts,
                 "pending_tokens": load.pending_tokens, "sound": is_healthy,
+                "evacuated": dispatcher.is_evacuated(now, instance),
             })
         })
         .collect();
@@ -98,6 +105,13 @@
             })
         })
         .collect();
+    let zones: Vec<_> = dispatcher
+        .evacuated_zones()
+        .map(|(zone, since)| {
+            let age = now.saturating_duration_since(since);
+            json!({"zone": zone.as_str(), "age_ms": age.as_millis() as u64})
+        })
+        .collect();
     let blamed = dispatcher.blamed_parts(now);
     let blamed: Vec<_> = blamed
         .iter()
@@ -108,7 +122,7 @@
         "config_version": shared.table().map(|t| t.version()),
         "revision": shared.values.borrow().revision(), "store_lost": shared.store.is_failing.get(),
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
-        "blamed_parts": blamed,
+        "blamed_parts": blamed, "evacuated_zones": zones,
     })
     .to_string()
 }
--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -37,6 +37,8 @@
         Connect(error: io::Error) { display("connecting to the server failed: {error}") }
         /// Nothing was sent: this node uses its whole share of the server's connections.
         Full { display("all connections allowed to the server are in use") }
+        /// Nothing was sent: the server's zone was evacuated meanwhile.
+        Evacuated { display("zone of the server is evacuated") }
         /// The connection broke; the call may have run.
         Broken(error: hyper::Error) { display("connection to the server broke: {error}") }
     }
@@ -79,12 +81,15 @@
     }
 
     /// Sends a call to a server that admits `connections_max` from `sharing_nodes` nodes.
+    ///
+    /// Nothing is sent if the server may have no calls any more when a connection is open.
     pub(crate) async fn send(
         &self,
         instance: &Instance,
         mut request: Request<Full<Bytes>>,
         connections_max: u32,
         sharing_nodes: usize,
+        is_evacuated: impl Fn() -> bool,
     ) -> Result<Sent, SendError> {
         let share = f64::from(connections_max) * CONNECTIONS_RATIO / sharing_nodes.max(1) as f64;
         loop {
@@ -94,6 +99,9 @@
                 Some(connection) => connection,
                 None => self.connect(instance, share.max(1.0) as u32).await?,
             };
+            if is_evacuated() {
+                return Err(SendError::Evacuated);
+            }
             connection.head_limit.expect_head();
             let error = match connection.sender.try_send_request(request).await {
                 Ok(response) => {
@@ -200,3 +208,60 @@
         servers.retain(|_, server| server.open.get() > 0);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::cell::Cell;
+    use std::time::Duration;
+
+    use briarbank_core::flow::Instance;
+    use bytes::Bytes;
+    use http::Request;
+    use http_body_util::Full;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+    use tokio::time::timeout;
+    use tokio_util::task::TaskTracker;
+
+    use super::{Pool, SendError};
+
+    /// Guards against a call that reaches a server after its zone's evacuation has begun: it
+    /// was placed before, and waited for its connection meanwhile.
+    #[tokio::test(flavor = "current_thread")]
+    async fn nothing_is_sent_when_the_zone_is_evacuated_during_the_connect() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let instance = Instance {
+            id: "a".into(),
+            born_ms: 0,
+            service: "desk".into(),
+            version: "v1".into(),
+            address: listener.local_addr().unwrap(),
+            zone: "recife".into(),
+            slots: 8,
+            is_draining: false,
+            cold_ms: 0,
+        };
+        let pool = Pool::new(TaskTracker::new());
+        let is_connected = Cell::new(false);
+        LocalSet::new()
+            .run_until(async {
+                let request = Request::new(Full::new(Bytes::from_static(b"body")));
+                let sending = pool.send(&instance, request, 8, 1, || is_connected.get());
+                let receiving = async {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    is_connected.set(true);
+                    let mut received = Vec::new();
+                    let read = stream.read_to_end(&mut received);
+                    let _ = timeout(Duration::from_millis(500), read).await;
+                    received
+                };
+                // The server accepts before the router learns that it is connected.
+                let (received, sent) = tokio::join!(biased; receiving, sending);
+                assert!(matches!(sent, Err(SendError::Evacuated)), "{sent:?}");
+                assert!(sent.unwrap_err().is_not_sent());
+                assert_eq!(received, b"");
+            })
+            .await;
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 
 use crate::caller::{AnswerMemory, CallCount};
 use crate::dialect::Dialect;
+use crate::freshness::Freshness;
 use crate::harmful_prompts::BlamedParts;
 use crate::loads::Queries;
 use crate::log_lines::LogLines;
@@ -38,6 +39,8 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) values: RefCell<Values>,
     pub(crate) removals: RefCell<RemovalLog>,
+    /// Whether changes of entries are seen as they happen.
+    pub(crate) freshness: Freshness,
     pub(crate) peers: RefCell<Peers>,
     /// Loads of the servers that this node is the home of.
     pub(crate) directory: RefCell<LoadDirectory>,
@@ -129,6 +132,7 @@
             table: RefCell::new(None),
             values: RefCell::default(),
             removals: RefCell::default(),
+            freshness: Freshness::default(),
             peers: RefCell::new(peers),
             directory: RefCell::default(),
             limits: RefCell::default(),
