--- a/crates/core/src/flow/call.rs
+++ b/crates/core/src/flow/call.rs
@@ -109,6 +109,8 @@
     NoServerOfVersion,
     /// Servers may be sent calls, but none in a region that the call may reach.
     NoServerInRegion,
+    /// All servers that the call could go to are in evacuated zones.
+    ZonesEvacuated,
     /// No server would answer in time.
     Busy {
         /// Time until capacity is expected.
