Bound the calls to cold servers by slots of the nodes

Cause: a server that is cold tolerates a low rate of calls and crashes well above it, but nodes sent it as many as a warm one.

Change: a service's cold servers get calls only for tokens of slots, which nodes hold by the rendezvous order of each slot (flow::ColdShare). The slots together admit half of the bound, so that two halves of a fleet stay within it. The gateway renews shares with each heartbeat, records X-Cold-Ms of answers, and logs, counts and dumps cold servers.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::flow::attempt::Attempt;
 use crate::flow::call::{AttemptId, Call, Fault, Placement, Prompt, Refusal};
 use crate::flow::choice::{Candidate, Choice, Pool};
+use crate::flow::cold_servers::ColdServers;
 use crate::flow::departed::DepartedServers;
 use crate::flow::harmful_prompts::SeenCrash;
 use crate::flow::instance::Instance;
@@ -41,6 +42,7 @@
     pub(crate) version_log: VersionLog,
     pub(crate) part_records: PartRecords,
     pub(crate) seen_crashes: Vec<SeenCrash>,
+    pub(crate) cold: ColdServers,
     /// When this node last stood still.
     pub(crate) paused_at: Option<Instant>,
 }
@@ -60,6 +62,7 @@
     pub fn new(zone: ZoneName, options: Options) -> Self {
         Self {
             zone,
+            cold: ColdServers::new(options.cold),
             options,
             servers: BTreeMap::new(),
             services: HashMap::new(),
@@ -76,6 +79,7 @@
 
     /// Applies a version of the configuration.
     pub fn configure(&mut self, table: &RouteTable) {
+        self.cold.configure(table);
         let names: Vec<&ServiceName> = table.services().iter().map(|s| &s.name).collect();
         self.services.retain(|name, _| names.contains(&name));
         for spec in table.services() {
@@ -120,6 +124,7 @@
             Entry::Vacant(vacant) => vacant.insert(ServerEntry::new(instance)),
         };
         entry.is_leaving = is_leaving;
+        entry.cold.record_entry(now, entry.instance.cold_ms);
     }
 
     /// Removes a server whose published entry is gone.
@@ -269,6 +274,7 @@
         if self.is_harmful(now, call, avoid) {
             return Err(Refusal::HarmfulPrompt);
         }
+        self.count_held_back(now, call);
         let pool = self.pool(now, call).ok_or(Refusal::NoServer)?;
         if pool.candidates.is_empty() {
             return Err(self.closed_refusal(now, call));
@@ -279,7 +285,8 @@
 
     fn pool(&self, now: Instant, call: &Call) -> Option<Pool<'_>> {
         let service = self.services.get(&call.service)?;
-        let is_usable = |e: &&ServerEntry| e.fits(call) && e.accepts_calls(now);
+        let fits = |e: &ServerEntry| e.fits(call) && !self.cold.holds_back(now, e);
+        let is_usable = |e: &&ServerEntry| fits(e) && e.accepts_calls(now);
         let mut candidates: Vec<Candidate<'_>> = self
             .servers
             .values()
@@ -287,7 +294,7 @@
             .map(|e| Candidate::new(e, now))
             .collect();
         if candidates.is_empty() && call.version.is_some() {
-            let is_left = |e: &&ServerEntry| e.fits(call) && e.accepts_rest(now, &self.options);
+            let is_left = |e: &&ServerEntry| fits(e) && e.accepts_rest(now, &self.options);
             let leaving = self.servers.values().filter(is_left);
             candidates.extend(leaving.map(|e| Candidate::new(e, now)));
         }
@@ -311,6 +318,7 @@
         let mut process_key = 0;
         if let Some(entry) = self.servers.get_mut(&choice.instance.id) {
             process_key = entry.process_key();
+            self.cold.record_send(now, entry);
             entry.record_send(now, choice.tokens, choice.memory_tokens, choice.is_short);
             let parts = call.prompt.iter().flat_map(|p| &p.parts);
             for (part, _) in parts {
--- a/crates/core/src/flow/homes.rs
+++ b/crates/core/src/flow/homes.rs
@@ -78,6 +78,10 @@
 
 /// Returns the weight of a node in the rendezvous order of a key.
 fn order_weight(key: u64, address: SocketAddrV4) -> u64 {
-    let name_key = rendezvous::key(address.to_string().as_bytes());
-    rendezvous::weight_of(key, name_key)
+    rendezvous::weight_of(key, address_key(address))
+}
+
+/// Returns the hash of a node's address, by which orders of nodes are computed.
+pub(crate) fn address_key(address: SocketAddrV4) -> u64 {
+    rendezvous::key(address.to_string().as_bytes())
 }
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -11,6 +11,8 @@
 mod attempt;
 mod call;
 mod choice;
+mod cold_servers;
+mod cold_share;
 mod crash_record;
 mod decaying_sum;
 mod departed;
@@ -49,6 +51,8 @@
 mod version_log;
 
 pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
+pub use cold_servers::{ColdChange, ColdCounts, ColdServer};
+pub use cold_share::{ColdShare, ColdStanding, ColdUsers};
 pub use dispatch::Dispatcher;
 pub use era::{era_of, revision_in_era, stored_revision};
 pub use harmful_prompts::SeenCrash;
--- a/crates/core/src/flow/notices.rs
+++ b/crates/core/src/flow/notices.rs
@@ -5,6 +5,7 @@
 use crate::flow::call::{Call, Refusal};
 use crate::flow::choice::RETRY_AFTER_RANGE;
 use crate::flow::dispatch::Dispatcher;
+use crate::flow::server::ServerEntry;
 use crate::ids::ServerName;
 
 impl Dispatcher {
@@ -44,11 +45,13 @@
 
     /// Returns the refusal of a call whose service has no server that accepts calls now.
     ///
-    /// It holds the time until the first one does by its limit or its own refusal.
+    /// It holds the time until the first one does by its limit, its own refusal or, if it is
+    /// cold, this node's share.
     pub(crate) fn closed_refusal(&self, now: Instant, call: &Call) -> Refusal {
         let fitting = self.servers.values().filter(|e| e.fits(call));
         let fitting = fitting.filter(|e| e.may_accept_calls(now));
-        let waits: Vec<Duration> = fitting.filter_map(|e| e.admission_wait(now)).collect();
+        let wait = |e: &ServerEntry| Some(e.admission_wait(now)?.max(self.cold.wait(now, e)));
+        let waits: Vec<Duration> = fitting.filter_map(wait).collect();
         let no_server = match call.version {
             Some(_) => Refusal::NoServerOfVersion,
             None => Refusal::NoServer,
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -99,6 +99,10 @@
     seeds: Vec<SocketAddrV4>,
     pub(crate) others: BTreeMap<SocketAddrV4, Peer>,
     peak: (usize, Option<Instant>),
+    /// Largest number of live nodes ever seen.
+    pub(crate) nodes_max: usize,
+    /// Time of the first heartbeat, `None` before it.
+    pub(crate) started_at: Option<Instant>,
     /// Homes of servers by the hash of their names, until the next heartbeat.
     pub(crate) homes: HashMap<u32, SocketAddrV4>,
     /// Hash of the live nodes, and when it last changed.
@@ -130,6 +134,8 @@
             seeds,
             others: BTreeMap::new(),
             peak: (1, None),
+            nodes_max: 1,
+            started_at: None,
             homes: HashMap::new(),
             membership: (0, None),
             link_mbps: 0,
@@ -164,6 +170,7 @@
     ) -> (Heartbeat, Vec<SocketAddrV4>) {
         self.expire_peers(now);
         self.homes.clear();
+        self.started_at.get_or_insert(now);
         self.local.count = self.local.count.wrapping_add(1);
         let entries = self.others.values().map(|p| p.entry);
         let entries = entries.choose_multiple(&mut self.rng, self.options.entries_max);
@@ -256,6 +263,7 @@
             self.membership = (membership, Some(now));
         }
         let live = self.live_count(now);
+        self.nodes_max = self.nodes_max.max(live);
         let is_outdated = |at: Instant| now.saturating_duration_since(at) > self.options.peak_ttl;
         if live >= self.peak.0 || self.peak.1.is_none_or(is_outdated) {
             self.peak = (live, Some(now));
@@ -286,6 +294,11 @@
         self.peak.0.max(self.live_count(now))
     }
 
+    /// Returns whether other nodes are among the seeds.
+    pub(crate) fn has_other_seeds(&self) -> bool {
+        self.seeds.iter().any(|seed| *seed != self.local.address)
+    }
+
     /// Returns since when the live nodes are the same; `now` before the first heartbeat.
     #[must_use]
     pub fn stable_since(&self, now: Instant) -> Instant {
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::flow::call::{Call, Fault};
+use crate::flow::cold_servers::ColdState;
 use crate::flow::crash_record::process_of;
 use crate::flow::decaying_sum::DecayingSum;
 use crate::flow::instance::Instance;
@@ -71,6 +72,7 @@
     refused_until: Option<Instant>,
     /// Set while the server names a limit.
     limit: Option<TokenBucket>,
+    pub(crate) cold: ColdState,
 }
 
 impl ServerEntry {
@@ -102,6 +104,7 @@
             leaving_since: None,
             refused_until: None,
             limit: None,
+            cold: ColdState::default(),
         }
     }
 
--- a/crates/core/src/flow/token_bucket.rs
+++ b/crates/core/src/flow/token_bucket.rs
@@ -31,6 +31,11 @@
         self.per_s = per_s;
     }
 
+    /// Returns the rate in requests per second.
+    pub(crate) fn per_s(&self) -> f64 {
+        self.per_s
+    }
+
     fn tokens(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.updated_at);
         (self.tokens + elapsed.as_secs_f64() * self.per_s).min(1.0)
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -101,6 +101,8 @@
                 }
             }
         }
+        // Servers that turned cold get no calls before this node has its shares in them.
+        self.divide_cold(now);
     }
 
     fn kind_of(&self, key: &str) -> ValueKind {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -91,6 +91,7 @@
         }
     }
     shared.divide_limits(now);
+    shared.divide_cold(now);
     shared.log_harmful_parts(now);
     let peers = shared.peers.borrow();
     let mut dispatcher = shared.dispatcher.borrow_mut();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod apply;
 mod caller;
 mod codec;
+mod cold_servers;
 mod datagram;
 mod dialect;
 mod error;
--- a/crates/gateway/src/log_lines.rs
+++ b/crates/gateway/src/log_lines.rs
@@ -20,6 +20,8 @@
     Continued,
     /// What a server said of itself.
     Notice,
+    /// A server that turned cold or warm.
+    Cold,
     /// A part of prompts that may crash servers.
     Parts,
 }
@@ -31,7 +33,7 @@
     /// were not served may exceed this tenfold.
     fn lines_max(self) -> u32 {
         match self {
-            Self::Served => 100,
+            Self::Served | Self::Cold => 100,
             Self::Unserved => 400,
             Self::Attempt | Self::NotAdmitted | Self::Continued => 200,
             Self::Notice | Self::Parts => 20,
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -26,6 +26,15 @@
                 .borrow_mut()
                 .record_leaving(now, &instance.id);
         }
+        if let Some(time) = notice.cold {
+            let turned_cold = self
+                .dispatcher
+                .borrow_mut()
+                .record_cold(now, &instance.id, time);
+            if turned_cold {
+                self.divide_cold(now);
+            }
+        }
         if let Some(time) = notice.refusal {
             self.dispatcher
                 .borrow_mut()
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -63,6 +63,7 @@
     metrics::gauge!("briarbank_calls_in_flight").set(shared.in_flight.get() as f64);
     let blamed = shared.blamed_parts.borrow().len();
     metrics::gauge!("briarbank_blamed_parts").set(blamed as f64);
+    shared.update_cold_metrics(now);
     let version = shared.table().map_or(0, |t| t.version());
     metrics::gauge!("briarbank_config_version").set(version as f64);
     let age = shared
@@ -108,7 +109,7 @@
         "config_version": shared.table().map(|t| t.version()),
         "revision": shared.values.borrow().revision(), "store_lost": shared.store.is_failing.get(),
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
-        "blamed_parts": blamed,
+        "blamed_parts": blamed, "cold_servers": shared.dump_cold_servers(now),
     })
     .to_string()
 }
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -61,10 +61,10 @@
     peers.set_seeds(settings.seeds.clone());
     peers.set_link(settings.link_mbps);
     drop(peers);
-    shared
-        .dispatcher
-        .borrow_mut()
-        .set_retry_options(settings.retries);
+    let mut dispatcher = shared.dispatcher.borrow_mut();
+    dispatcher.set_retry_options(settings.retries);
+    dispatcher.set_cold_limit(settings.cold);
+    drop(dispatcher);
     tracing::info!(seeds = settings.seeds.len(), store = %settings.store_address, is_asked, "settings: changed");
     shared.set_settings(settings);
 }
