--- a/crates/core/src/flow/cold_servers.rs
+++ b/crates/core/src/flow/cold_servers.rs
@@ -322,8 +322,8 @@
         if !self.cold.specs.contains_key(&call.service) {
             return;
         }
-        let mut usable = self.servers.values().filter(|e| e.fits(call));
-        if usable.any(|e| e.may_accept_calls(now) && !e.cold.admits(now)) {
+        let mut closed = self.servers.values().filter(|e| !e.cold.admits(now));
+        if closed.any(|e| e.fits(call) && e.may_accept_calls(now)) {
             self.cold.counts.held_back += 1;
         }
     }
--- a/crates/core/tests/flow/cold_fleet.rs
+++ b/crates/core/tests/flow/cold_fleet.rs
@@ -26,6 +26,9 @@
 /// Time for which a node remembers the largest number of nodes that it saw.
 const PEAK_TTL_MS: u64 = 10_000;
 
+/// Time that a node takes to send a call, in microseconds.
+const SEND_TIME_US: u64 = 1_000;
+
 /// Most slots of the rates in use.
 const SLOTS: usize = 17;
 
@@ -303,8 +306,11 @@
                 Ok(placement) => {
                     dispatcher.record_success(time, placement.attempt);
                     sends.push(at);
+                    at += SEND_TIME_US;
+                }
+                Err(Refusal::Busy { wait, .. }) => {
+                    at += (wait.as_micros() as u64 + 1).max(SEND_TIME_US);
                 }
-                Err(Refusal::Busy { wait, .. }) => at += wait.as_micros() as u64 + 1,
                 Err(refusal) => panic!("{refusal:?}"),
             }
         }
