--- a/crates/core/src/flow/notices.rs
+++ b/crates/core/src/flow/notices.rs
@@ -45,11 +45,13 @@
 
     /// Returns the refusal of a call whose service has no server that accepts calls now.
     ///
-    /// It holds the time until the first one does by its limit or its own refusal.
+    /// It holds the time until the first one does by its limit, its own refusal or, if it is
+    /// cold, this node's share.
     pub(crate) fn closed_refusal(&self, now: Instant, call: &Call) -> Refusal {
         let fitting = self.servers.values().filter(|e| self.may_get(e, call));
         let accepting = fitting.clone().filter(|e| e.may_accept_calls(now));
-        let waits: Vec<Duration> = accepting.filter_map(|e| e.admission_wait(now)).collect();
+        let wait = |e: &ServerEntry| Some(e.admission_wait(now)?.max(self.cold.wait(now, e)));
+        let waits: Vec<Duration> = accepting.filter_map(wait).collect();
         let is_stopped = |e: &ServerEntry| e.is_in_service(now) && e.is_evacuated(now);
         let no_server = match call.version {
             _ if fitting.clone().any(is_stopped) => Refusal::ZonesEvacuated,
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -91,6 +91,8 @@
                 None => self.apply_removal(&key, &arrival),
             }
         }
+        // Servers that turned cold get no calls before this node has its shares in them.
+        self.divide_cold(now);
     }
 
     fn apply_removal(&self, key: &Arc<str>, arrival: &Arrival<'_>) {
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -36,10 +36,15 @@
 
     /// Sends calls to the servers of a zone again.
     pub(crate) fn end_evacuation(&self, now: Instant, zone: &ZoneName, source: Source<'_>) {
-        let age = self.dispatcher.borrow_mut().end_evacuation(now, zone);
-        if let Some(age) = age
-            && self.log_lines.take(LineKind::Evacuation)
-        {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let Some(age) = dispatcher.end_evacuation(now, zone) else {
+            return;
+        };
+        // Servers that had no calls are cold until they or their entries say otherwise.
+        dispatcher.record_cold_zone(now, zone);
+        drop(dispatcher);
+        self.divide_cold(now);
+        if self.log_lines.take(LineKind::Evacuation) {
             let age_ms = age.as_millis();
             tracing::warn!(%zone, age_ms, source = source.name(), "values: evacuation of a zone ended");
         }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -64,6 +64,7 @@
     metrics::gauge!("briarbank_calls_in_flight").set(shared.in_flight.get() as f64);
     let blamed = shared.blamed_parts.borrow().len();
     metrics::gauge!("briarbank_blamed_parts").set(blamed as f64);
+    shared.update_cold_metrics(now);
     let dispatcher = shared.dispatcher.borrow();
     let zones = dispatcher.evacuated_zones().count();
     metrics::gauge!("briarbank_evacuated_zones").set(zones as f64);
@@ -130,6 +131,7 @@
         "revision": shared.values.borrow().revision(), "store_lost": shared.store.is_failing.get(),
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
         "blamed_parts": blamed, "zone_regions": regions, "evacuated_zones": zones,
+        "cold_servers": shared.dump_cold_servers(now),
     })
     .to_string()
 }
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -64,6 +64,7 @@
     let mut dispatcher = shared.dispatcher.borrow_mut();
     dispatcher.set_retry_options(settings.retries);
     dispatcher.set_zone_regions(settings.zone_regions.clone());
+    dispatcher.set_cold_limit(settings.cold);
     drop(dispatcher);
     tracing::info!(seeds = settings.seeds.len(), store = %settings.store_address, is_asked, "settings: changed");
     shared.set_settings(settings);
