Hedge slow calls that may be repeated

Cause: a call that may be repeated waited for a slow server until it counted as silent.

The first whole plain answer, or the first stream with an event, wins; the connection of the other attempt is dropped at once and its work is recorded as cancelled. For this, the body of a plain answer and the first events of a stream are read before an attempt counts as answered, only if hedges are on. A server error does not win over an open attempt. A hedge counts as an attempt; one that ends without winning leaves the first attempt as if alone. Metrics, a log line for each hedge and a part of the state dump tell what was decided.

--- a/crates/briarbank/src/error.rs
+++ b/crates/briarbank/src/error.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use briarbank_core::flow::HEDGE_RATIO_MAX;
 use http::StatusCode;
 use quick_error::quick_error;
 
@@ -55,6 +56,10 @@
         UnknownRequest(id: String) {
             display("request {id} is in none of the logs; is a log of each node given?")
         }
+        /// The ratio of hedges is out of its range.
+        HedgeRatio(ratio: f64) {
+            display("--hedge-ratio {ratio}: must be from 0 to {HEDGE_RATIO_MAX}")
+        }
         /// A gateway can't run.
         Gateway(error: briarbank_gateway::Error) {
             source(error)
@@ -147,7 +152,9 @@
     #[must_use]
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::NoCommand | Self::NothingToCheck | Self::LogFilter(_) => EXIT_USAGE,
+            Self::NoCommand | Self::NothingToCheck | Self::LogFilter(_) | Self::HedgeRatio(_) => {
+                EXIT_USAGE
+            }
             Self::Config(_)
             | Self::Platform(_)
             | Self::Invalid(_)
--- a/crates/briarbank/src/flags.rs
+++ b/crates/briarbank/src/flags.rs
@@ -47,6 +47,8 @@
         cmd gateway {
             /// Port for metrics and the state dump, at the address for callers.
             optional --operator-port port: u16
+            /// Largest ratio of hedges to calls that may be repeated, 0 to 0.5; 0 for no hedges.
+            optional --hedge-ratio ratio: f64
         }
 
         /// Validate settings and published documents, offline and together.
@@ -192,6 +194,7 @@
 #[derive(Debug)]
 pub struct Gateway {
     pub operator_port: Option<u16>,
+    pub hedge_ratio: Option<f64>,
 }
 
 #[derive(Debug)]
--- a/crates/briarbank/src/lib.rs
+++ b/crates/briarbank/src/lib.rs
@@ -22,7 +22,7 @@
 pub use dump::{ProcessKind, drain, dump};
 pub use error::{EXIT_FAILED, EXIT_INVALID, EXIT_UNREACHABLE, EXIT_USAGE, Error};
 pub use explain::explain;
-pub use gateway::gateway;
+pub use gateway::{GatewayOptions, gateway};
 pub use load::{compare, load};
 pub use logs::init_logs;
 pub use operator::OperatorPort;
--- a/crates/briarbank/src/main.rs
+++ b/crates/briarbank/src/main.rs
@@ -5,7 +5,7 @@
 use std::io::Write;
 use std::process::ExitCode;
 
-use briarbank::Error;
+use briarbank::{Error, GatewayOptions};
 
 use crate::flags::{Briarbank, BriarbankCmd, LoadCmd, StandinCmd};
 
@@ -37,7 +37,11 @@
         _ => "warn",
     });
     if let BriarbankCmd::Gateway(gateway) = &flags.subcommand {
-        return briarbank::gateway(gateway.operator_port, log, flags.log_json);
+        let options = GatewayOptions {
+            operator_port: gateway.operator_port,
+            hedge_ratio: gateway.hedge_ratio.unwrap_or_default(),
+        };
+        return briarbank::gateway(&options, log, flags.log_json);
     }
     briarbank::init_logs(log, flags.log_json)?;
     match flags.subcommand {
--- a/crates/gateway/src/caller/answer_buffer.rs
+++ b/crates/gateway/src/caller/answer_buffer.rs
@@ -88,7 +88,7 @@
 
 impl AnswerMemory {
     /// Reads an answer to its end.
-    pub(crate) async fn collect(&self, mut body: Incoming) -> Result<BufferedAnswer, BufferError> {
+    pub(crate) async fn collect(&self, body: &mut Incoming) -> Result<BufferedAnswer, BufferError> {
         let mut reservation = Reservation {
             memory: self.clone(),
             bytes: 0,
--- a/crates/gateway/src/caller/attempt_guard.rs
+++ b/crates/gateway/src/caller/attempt_guard.rs
@@ -9,6 +9,7 @@
 use http::response;
 use hyper::body::Incoming;
 
+use crate::caller::received::Received;
 use crate::dialect::AnswerHead;
 use crate::loads;
 use crate::server::Connection;
@@ -68,6 +69,16 @@
         self.report_failure(fault);
     }
 
+    /// Records that another attempt of the call was answered first.
+    pub(crate) fn record_overtaken(mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            let mut dispatcher = self.shared.dispatcher.borrow_mut();
+            dispatcher.record_overtaken(Instant::now(), attempt);
+            drop(dispatcher);
+            loads::report_changes(&self.shared);
+        }
+    }
+
     fn report_failure(&mut self, fault: Fault) {
         if let Some(attempt) = self.attempt.take() {
             let now = Instant::now();
@@ -96,6 +107,8 @@
     pub(crate) head: response::Parts,
     pub(crate) answer_head: AnswerHead,
     pub(crate) body: Incoming,
+    /// What was read of the body already.
+    pub(crate) received: Received,
 }
 
 impl StartedAnswer {
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -5,18 +5,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarbank_core::flow::{Call, Fault, Instance, Refusal, TierRank, VersionKey};
+use briarbank_core::flow::{Call, CallKind, Fault, Instance, Refusal, TierRank, VersionKey};
 use briarbank_core::ids::{ServerName, ServiceName};
 use briarbank_core::rendezvous;
 use bytes::Bytes;
 use http::{Response, Version, request};
 use tokio::time::{Instant, timeout_at};
 
+use crate::caller::answer_buffer::{BufferError, BufferedAnswer};
 use crate::caller::attempt_guard::{Execution, StartedAnswer, keep_connection};
 use crate::caller::body::AnswerBody;
 use crate::caller::call_record::CallRecord;
 use crate::caller::in_flight::InFlight;
 use crate::caller::outcome::Outcome;
+use crate::caller::received::Received;
 use crate::caller::request::{Admitted, time_left};
 use crate::caller::stream::EventStream;
 use crate::dialect::AnswerKind;
@@ -55,9 +57,12 @@
     pub(crate) urgency: u8,
     tier_rank: TierRank,
     pub(crate) body: Bytes,
+    /// Kind by which the call is hedged, `None` if it is not.
+    pub(crate) hedge_kind: Option<CallKind>,
+    pub(crate) has_hedged: bool,
     /// Hash by which a call that comes again is known, once its body is.
     identity: Option<u64>,
-    began_at: Instant,
+    pub(crate) began_at: Instant,
     pub(crate) deadline: Instant,
     pub(crate) tried: Vec<ServerName>,
     /// When the call was last sent to a server.
@@ -109,6 +114,8 @@
             urgency,
             tier_rank,
             body: Bytes::new(),
+            hedge_kind: None,
+            has_hedged: false,
             identity: None,
             began_at,
             tried: Vec::new(),
@@ -134,6 +141,7 @@
         self.identity = Some(identity(&self.head, &self.admitted, &body));
         self.body = body;
         self.record_arrival();
+        self.record_hedgeable();
         if self.admitted.route.is_stream() {
             if let Err(outcome) = self.bind_taken_up().await {
                 return self.refuse(outcome);
@@ -194,11 +202,10 @@
     /// Reads a plain answer to its end; an error holds whether to retry.
     async fn collect_answer(
         &mut self,
-        started: StartedAnswer,
+        mut started: StartedAnswer,
     ) -> Result<Response<AnswerBody>, bool> {
         let is_whole = started.has_own_end();
-        let collected = self.shared.answer_memory.collect(started.body);
-        let failure_reason = match timeout_at(self.deadline, collected).await {
+        let failure_reason = match timeout_at(self.deadline, self.read_whole(&mut started)).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(error)) => Err((error.fault(), error.to_string())),
             Err(_) => Err((Fault::Silent, "answer did not end in time".to_owned())),
@@ -240,6 +247,14 @@
         ))
     }
 
+    /// Reads a plain answer to its end, unless that was done before it was chosen.
+    async fn read_whole(&self, started: &mut StartedAnswer) -> Result<BufferedAnswer, BufferError> {
+        match std::mem::replace(&mut started.received, Received::Nothing) {
+            Received::Whole(answer) => Ok(answer),
+            _ => self.shared.answer_memory.collect(&mut started.body).await,
+        }
+    }
+
     pub(crate) fn call_to_dispatch(&self, now: Instant) -> Call {
         let target = Duration::from_millis(u64::from(self.admitted.route.target_ms));
         Call {
--- a/crates/gateway/src/caller/pending.rs
+++ b/crates/gateway/src/caller/pending.rs
@@ -5,35 +5,45 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarbank_core::flow::{Fault, Instance, Placement};
+use briarbank_core::flow::{Fault, Placement};
 use futures_util::future::select_all;
 use tokio::time::{Instant, timeout_at};
 
 use crate::caller::attempt_guard::{AttemptGuard, Execution, StartedAnswer};
 use crate::caller::exchange::Exchange;
+use crate::caller::hedge::OpenHedge;
 use crate::caller::outcome::Outcome;
+use crate::caller::received::{Received, read_ahead};
 use crate::caller::silence::OVERLAP_MAX;
 use crate::loads;
-use crate::log_lines::LineKind;
 use crate::server::{SendError, Sent};
 
-/// An attempt that waits for the head of its answer.
-struct PendingAttempt {
-    guard: AttemptGuard,
-    sending: Pin<Box<dyn Future<Output = Result<Sent, SendError>>>>,
-    sent_at: Instant,
+/// What comes of a request: its answer, and what was read of the body.
+type Sending = Pin<Box<dyn Future<Output = Result<(Sent, Received), SendError>>>>;
+
+/// An attempt that waits for its answer.
+pub(crate) struct PendingAttempt {
+    pub(crate) guard: AttemptGuard,
+    sending: Sending,
+    pub(crate) sent_at: Instant,
     /// Time without a head after which the server counts as silent.
     silence_max: Duration,
     /// When to look for another server next.
     check_at: Instant,
     /// Whether another server was asked since; the attempt counts as used then.
-    is_left: bool,
+    pub(crate) is_left: bool,
+    /// Set if the attempt is a hedge.
+    pub(crate) hedge: Option<OpenHedge>,
 }
 
 impl PendingAttempt {
+    pub(crate) fn is_silent(&self) -> bool {
+        self.sent_at.elapsed() >= self.silence_max
+    }
+
     /// Returns the fault of a server that has not answered until now.
-    fn unanswered_fault(&self) -> Fault {
-        if self.sent_at.elapsed() >= self.silence_max {
+    pub(crate) fn unanswered_fault(&self) -> Fault {
+        if self.is_silent() {
             Fault::Silent
         } else {
             Fault::Cancelled
@@ -43,18 +53,24 @@
 
 /// Attempts of one call that have not led to an answer.
 #[derive(Default)]
-struct Attempts {
+pub(crate) struct Attempts {
     /// In the order of their sends.
-    pending: Vec<PendingAttempt>,
+    pub(crate) pending: Vec<PendingAttempt>,
+    /// When the first of them was sent.
+    pub(crate) first_sent_at: Option<Instant>,
+    /// When to consider a hedge.
+    pub(crate) hedge_at: Option<Instant>,
     /// Error of a server, to be forwarded if no silent server answers.
-    error: Option<Box<StartedAnswer>>,
+    pub(crate) error: Option<Box<StartedAnswer>>,
 }
 
 /// What follows when attempts have been waited for.
-enum Step {
+pub(crate) enum Step {
     Started(Box<StartedAnswer>),
     /// Another server is to be asked.
     Send,
+    /// A hedge is to be considered.
+    Hedge,
     /// No attempt is left.
     End,
 }
@@ -66,22 +82,19 @@
     /// or has a stream for a moment without refusing it.
     pub(crate) async fn start_answer(&mut self) -> Result<StartedAnswer, Outcome> {
         let mut attempts = Attempts::default();
+        let mut next = Step::Send;
         loop {
-            if let Err(outcome) = self.send_next(&mut attempts).await
+            if let Step::Hedge = next {
+                self.hedge(&mut attempts).await;
+            } else if let Err(outcome) = self.send_next(&mut attempts).await
                 && attempts.pending.is_empty()
             {
                 return attempts.error.take().map(|e| *e).ok_or(outcome);
             }
-            match self.wait_for_answer(&mut attempts).await {
-                Step::Started(started) => {
-                    self.give_up(attempts.pending);
-                    if let Some(error) = attempts.error {
-                        error.guard.record_failure(Fault::Failed);
-                    }
-                    self.record.server = Some(started.guard.instance.id.clone());
-                    return Ok(*started);
-                }
-                Step::Send => {}
+            next = self.wait_for_answer(&mut attempts).await;
+            match next {
+                Step::Started(started) => return Ok(self.end_search_with(attempts, started)),
+                Step::Send | Step::Hedge => {}
                 Step::End => {
                     self.give_up(attempts.pending);
                     let error = attempts.error.take().map(|e| *e);
@@ -107,12 +120,18 @@
         self.record.server = Some(placement.instance.id.clone());
         self.record.expected_ms = Some(placement.expected_latency.as_millis() as u64);
         let attempt = self.begin_attempt(guard, &placement);
+        attempts.first_sent_at.get_or_insert(attempt.sent_at);
+        attempts.hedge_at = if attempts.pending.is_empty() {
+            self.hedge_time(attempt.sent_at)
+        } else {
+            None
+        };
         attempts.pending.push(attempt);
         Ok(())
     }
 
     /// Chooses the server for the next attempt, not one that has the call already.
-    async fn place(&mut self, pending: &[PendingAttempt]) -> Result<Placement, Outcome> {
+    pub(crate) async fn place(&mut self, pending: &[PendingAttempt]) -> Result<Placement, Outcome> {
         let now = Instant::now();
         if now >= self.deadline {
             return Err(self.final_outcome());
@@ -136,14 +155,21 @@
     }
 
     /// Sends the call to the chosen server.
-    fn begin_attempt(&self, guard: AttemptGuard, placement: &Placement) -> PendingAttempt {
+    pub(crate) fn begin_attempt(
+        &self,
+        guard: AttemptGuard,
+        placement: &Placement,
+    ) -> PendingAttempt {
         let request = self.build_request(&placement.instance);
         let (connections_max, sharing_nodes) = self.connection_limit();
         let (shared, instance) = (Rc::clone(&self.shared), Arc::clone(&placement.instance));
+        let ahead = self.read_ahead();
         let sending = async move {
             let pool = &shared.pool;
             let sending = pool.send(&instance, request, connections_max, sharing_nodes);
-            sending.await
+            let mut sent = sending.await?;
+            let received = read_ahead(&mut sent, ahead, &shared.answer_memory).await;
+            Ok((sent, received))
         };
         let (sent_at, silence_max) = (Instant::now(), self.silence_max(placement));
         self.sent_at.set(sent_at);
@@ -154,6 +180,7 @@
             silence_max,
             check_at: sent_at + silence_max,
             is_left: false,
+            hedge: None,
         }
     }
 
@@ -163,6 +190,8 @@
             let overlap_end = self.overlap_end(&attempts.pending);
             let until = newest.check_at.min(self.deadline);
             let until = overlap_end.map_or(until, |end| end.min(until));
+            let hedge_at = attempts.hedge_at;
+            let until = hedge_at.map_or(until, |at| at.min(until));
             let pending = attempts.pending.iter_mut();
             let sending = select_all(pending.map(|a| a.sending.as_mut()));
             let waited = timeout_at(until, sending).await;
@@ -170,6 +199,7 @@
             let step = match waited {
                 Ok((sent, index, _)) => self.end_attempt(attempts, index, sent),
                 Err(_) if now >= self.deadline => Some(Step::End),
+                Err(_) if hedge_at.is_some_and(|at| now >= at) => Some(Step::Hedge),
                 Err(_) if overlap_end.is_some_and(|end| now >= end) => {
                     let newest = attempts.pending.pop();
                     self.give_up(std::mem::take(&mut attempts.pending));
@@ -188,61 +218,12 @@
     /// Returns when silent servers of a stream are given up, as another one has it.
     fn overlap_end(&self, pending: &[PendingAttempt]) -> Option<Instant> {
         let newest = pending.last()?;
-        let has_others = pending.len() > 1 && !newest.is_left;
+        // Both attempts of a hedged stream go on until one of them has its first event.
+        let has_others = pending.len() > 1 && !newest.is_left && newest.hedge.is_none();
         let is_bounded = self.admitted.route.is_stream() && has_others;
         is_bounded.then(|| newest.sent_at + OVERLAP_MAX)
     }
 
-    /// Ends an attempt; returns `None` if other attempts decide what follows.
-    fn end_attempt(
-        &mut self,
-        attempts: &mut Attempts,
-        index: usize,
-        sent: Result<Sent, SendError>,
-    ) -> Option<Step> {
-        let attempt = attempts.pending.remove(index);
-        let (guard, is_left) = (attempt.guard, attempt.is_left);
-        let instance = Arc::clone(&guard.instance);
-        let checked = match sent {
-            Ok(sent) => self.check_answer(&instance, sent),
-            Err(error) => Err(self.classify_send_error(&error)),
-        };
-        let failed = match checked {
-            Ok((head, answer_head, body, connection)) => {
-                guard.record_connection(&connection);
-                let started = Box::new(StartedAnswer {
-                    guard,
-                    connection,
-                    head,
-                    answer_head,
-                    body,
-                });
-                let is_error = started.head.status.is_server_error();
-                if is_error && !attempts.pending.is_empty() {
-                    attempts.error.get_or_insert(started);
-                    return None;
-                }
-                return Some(Step::Started(started));
-            }
-            Err(failed) => failed,
-        };
-        guard.record_failure(failed.fault);
-        self.log_failed_attempt(&instance, failed.fault);
-        let may_send = !is_left && self.may_retry(failed.execution, &instance);
-        may_send.then_some(Step::Send)
-    }
-
-    /// Ends attempts that have not been answered.
-    fn give_up(&mut self, pending: Vec<PendingAttempt>) {
-        for attempt in pending {
-            self.may_have_run = true;
-            let fault = attempt.unanswered_fault();
-            self.set_failure_reason("server was silent");
-            self.log_failed_attempt(&attempt.guard.instance, fault);
-            attempt.guard.record_failure(fault);
-        }
-    }
-
     /// Looks for another server to ask beside one that is silent.
     fn look_for_another(&mut self, attempts: &mut Attempts) -> Option<Step> {
         let newest = attempts.pending.last_mut()?;
@@ -255,13 +236,4 @@
         self.uncounted = Some(instance);
         Some(Step::Send)
     }
-
-    fn log_failed_attempt(&self, instance: &Instance, fault: Fault) {
-        if self.shared.log_lines.take(LineKind::Attempt) {
-            tracing::info!(
-                id = %self.record.id, server = %instance.id, ?fault,
-                trouble = self.record.failure_reason.as_deref(), "call: attempt failed"
-            );
-        }
-    }
 }
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -17,6 +17,7 @@
 use crate::caller::body::{AnswerBody, Cut};
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
+use crate::caller::received::Received;
 use crate::caller::silence::overlap_end;
 use crate::events::EventSplitter;
 use crate::log_lines::LineKind;
@@ -32,6 +33,8 @@
     /// Head of the server that brings the first event.
     head: response::Parts,
     splitter: EventSplitter,
+    /// First events, if they were read before the answer was chosen.
+    read_ahead: Option<Next>,
     /// Whether an event has been passed on.
     has_event: bool,
     /// Since when the next events of the current server are waited for.
@@ -39,7 +42,7 @@
 }
 
 /// Result of a read from the server.
-enum Next {
+pub(crate) enum Next {
     Events(Bytes),
     End,
     Broken(&'static str, Fault),
@@ -51,23 +54,24 @@
 
 impl EventStream {
     /// Returns the answer once the first event has arrived.
-    pub(crate) async fn answer(exchange: Exchange, started: StartedAnswer) -> Response<AnswerBody> {
-        if let Some(stream) = &exchange.admitted.head.taken_up {
-            metrics::counter!("briarbank_streams_taken_up_total").increment(1);
-            if exchange.shared.log_lines.take(LineKind::Continued) {
-                let instance = &started.guard.instance;
-                tracing::info!(
-                    id = %exchange.record.id, first_call = stream.first_call.as_deref(),
-                    event = stream.last_event.as_deref(), server = %instance.id,
-                    software = &*instance.version, "call: stream taken up"
-                );
-            }
-        }
+    pub(crate) async fn answer(
+        mut exchange: Exchange,
+        mut started: StartedAnswer,
+    ) -> Response<AnswerBody> {
+        // Hedges end with the first event, as events of two runs must not be joined.
+        exchange.hedge_kind = None;
+        log_taken_up(&exchange, &started.guard.instance);
+        let received = std::mem::replace(&mut started.received, Received::Nothing);
+        let (splitter, read_ahead) = match received {
+            Received::Events(splitter, next) => (splitter, Some(next)),
+            _ => (EventSplitter::default(), None),
+        };
         let mut stream = Self {
             exchange,
             head: started.head.clone(),
             started: Some(started),
-            splitter: EventSplitter::default(),
+            splitter,
+            read_ahead,
             has_event: false,
             waiting_since: Instant::now(),
         };
@@ -114,7 +118,7 @@
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
         self.waiting_since = Instant::now();
         loop {
-            let next = match self.read().await {
+            let next = match self.take_next().await {
                 Next::Silent => self.read_or_move().await,
                 next => next,
             };
@@ -133,6 +137,13 @@
         }
     }
 
+    async fn take_next(&mut self) -> Next {
+        match self.read_ahead.take() {
+            Some(next) => next,
+            None => self.read().await,
+        }
+    }
+
     /// Reads until events are complete or another server should be asked for them.
     async fn read(&mut self) -> Next {
         let stall_max = self.exchange.stall_max();
@@ -286,8 +297,23 @@
     }
 }
 
+/// Logs that a server goes on with a stream which another call of its caller began.
+fn log_taken_up(exchange: &Exchange, instance: &Instance) {
+    let Some(stream) = &exchange.admitted.head.taken_up else {
+        return;
+    };
+    metrics::counter!("briarbank_streams_taken_up_total").increment(1);
+    if exchange.shared.log_lines.take(LineKind::Continued) {
+        tracing::info!(
+            id = %exchange.record.id, first_call = stream.first_call.as_deref(),
+            event = stream.last_event.as_deref(), server = %instance.id,
+            software = &*instance.version, "call: stream taken up"
+        );
+    }
+}
+
 /// Reads until events are complete; no bytes are lost when it is dropped.
-async fn read_events(body: &mut Incoming, splitter: &mut EventSplitter) -> Next {
+pub(crate) async fn read_events(body: &mut Incoming, splitter: &mut EventSplitter) -> Next {
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame,
--- a/crates/gateway/src/log_lines.rs
+++ b/crates/gateway/src/log_lines.rs
@@ -16,6 +16,8 @@
     Attempt,
     /// A call whose head was not accepted.
     NotAdmitted,
+    /// A call that is sent to a second server as well.
+    Hedge,
     /// A stream that goes on after it broke off.
     Continued,
     /// What a server said of itself.
@@ -33,7 +35,7 @@
         match self {
             Self::Served => 100,
             Self::Unserved => 400,
-            Self::Attempt | Self::NotAdmitted | Self::Continued => 200,
+            Self::Attempt | Self::NotAdmitted | Self::Hedge | Self::Continued => 200,
             Self::Notice | Self::Parts => 20,
         }
     }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -108,7 +108,23 @@
         "config_version": shared.table().map(|t| t.version()),
         "revision": shared.values.borrow().revision(), "store_lost": shared.store.is_failing.get(),
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
-        "blamed_parts": blamed,
+        "blamed_parts": blamed, "hedging": hedging_state(shared, now),
     })
     .to_string()
 }
+
+/// Returns the ratio of hedges, the used part of the window and the triggers in force.
+fn hedging_state(shared: &SharedState, now: Instant) -> serde_json::Value {
+    let hedging = shared.hedging.borrow();
+    let (calls, hedges) = hedging.used(now);
+    let triggers: Vec<_> = hedging
+        .triggers(now)
+        .map(|(kind, trigger)| {
+            json!({
+                "route": &*kind.route, "size_class": kind.size_class,
+                "trigger_ms": trigger.as_millis() as u64,
+            })
+        })
+        .collect();
+    json!({"ratio": hedging.ratio(), "calls": calls, "hedges": hedges, "triggers": triggers})
+}
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -49,6 +49,7 @@
     let before = shared.settings();
     let settings = Settings {
         addresses: before.addresses,
+        hedge_ratio: before.hedge_ratio,
         ..settings
     };
     if *before == settings {
@@ -65,6 +66,9 @@
         .dispatcher
         .borrow_mut()
         .set_retry_options(settings.retries);
+    let mut hedging = shared.hedging.borrow_mut();
+    hedging.set_window(settings.retries.window);
+    drop(hedging);
     tracing::info!(seeds = settings.seeds.len(), store = %settings.store_address, is_asked, "settings: changed");
     shared.set_settings(settings);
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -59,6 +59,8 @@
     pub report_interval: Duration,
     /// Limits on retries, for all nodes together.
     pub retries: RetryOptions,
+    /// Largest ratio of hedges to calls that may be repeated, 0 for none.
+    pub hedge_ratio: f64,
     /// Bound on calls to cold servers, for all nodes together.
     pub cold: ColdLimit,
     /// Region of each availability zone.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use briarbank_core::flow::{
-    Dispatcher, LoadDirectory, Options, PeerOptions, Peers, RemovalLog, RouteTable, ServerLimits,
-    StreamDirectory, Values,
+    Dispatcher, Hedging, LoadDirectory, Options, PeerOptions, Peers, RemovalLog, RouteTable,
+    ServerLimits, StreamDirectory, Values,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -36,6 +36,7 @@
     /// The configuration in force, `None` before the first one.
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(crate) hedging: RefCell<Hedging>,
     pub(crate) values: RefCell<Values>,
     pub(crate) removals: RefCell<RemovalLog>,
     pub(crate) peers: RefCell<Peers>,
@@ -121,9 +122,11 @@
         if settings.is_first_start {
             dispatcher.record_first_start();
         }
+        let hedging = Hedging::new(settings.hedge_ratio, settings.retries.window);
         let tasks = TaskTracker::new();
         Rc::new(Self {
             dispatcher: RefCell::new(dispatcher),
+            hedging: RefCell::new(hedging),
             settings: RefCell::new(Rc::new(settings)),
             dialect,
             table: RefCell::new(None),
