--- a/crates/briarbank/tests/cli.rs
+++ b/crates/briarbank/tests/cli.rs
@@ -68,6 +68,10 @@
     assert_refused(&["node", "a", "b"], EXIT_USAGE, "b");
     assert_refused(&["dump", "localhost"], EXIT_USAGE, "address");
     assert_refused(&["check"], EXIT_USAGE, "check");
+    for ratio in ["0.51", "NaN", "often"] {
+        let arguments = ["gateway", "--hedge-ratio", ratio];
+        assert_refused(&arguments, EXIT_USAGE, "ratio");
+    }
     assert_refused(&["standin"], EXIT_USAGE, "subcommand");
     assert_refused(&["--log", "briarbank=loud", "demo"], EXIT_USAGE, "--log");
 }
