--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -10,6 +10,7 @@
 
 mod attempt;
 mod call;
+mod call_times;
 mod choice;
 mod cold_servers;
 mod cold_share;
@@ -20,6 +21,9 @@
 mod era;
 mod evacuation;
 mod harmful_prompts;
+mod hedge_limit;
+mod hedge_offer;
+mod hedging;
 mod homes;
 mod insights;
 mod instance;
@@ -56,11 +60,14 @@
 mod version_log;
 
 pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
+pub use call_times::CallKind;
 pub use cold_servers::{ColdChange, ColdCounts, ColdServer};
 pub use cold_share::{ColdShare, ColdStanding, ColdUsers};
 pub use dispatch::Dispatcher;
 pub use era::{era_of, revision_in_era, stored_revision};
 pub use harmful_prompts::SeenCrash;
+pub use hedge_offer::HedgeOffer;
+pub use hedging::{HEDGE_RATIO_MAX, HedgeReason, HedgeRefusal, Hedging, WaitingCall};
 pub use instance::Instance;
 pub use load::Load;
 pub use load_directory::{LoadDirectory, REPORT_INTERVAL};
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -9,6 +9,8 @@
 mod evacuation;
 mod fleet;
 mod harmful_calls;
+mod hedged_fleet;
+mod hedging;
 mod limits;
 mod load;
 mod mirror;
--- a/crates/gateway/src/log_lines.rs
+++ b/crates/gateway/src/log_lines.rs
@@ -16,6 +16,8 @@
     Attempt,
     /// A call whose head was not accepted.
     NotAdmitted,
+    /// A call that is sent to a second server as well.
+    Hedge,
     /// A stream that goes on after it broke off.
     Continued,
     /// What a server said of itself.
@@ -39,7 +41,7 @@
         match self {
             Self::Served | Self::Cold => 100,
             Self::Unserved => 400,
-            Self::Attempt | Self::NotAdmitted | Self::Continued => 200,
+            Self::Attempt | Self::NotAdmitted | Self::Hedge | Self::Continued => 200,
             Self::Notice | Self::Parts | Self::Entry | Self::Evacuation => 20,
         }
     }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -132,6 +132,23 @@
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
         "blamed_parts": blamed, "zone_regions": regions, "evacuated_zones": zones,
         "cold_servers": shared.dump_cold_servers(now),
+        "hedging": hedging_state(shared, now),
     })
     .to_string()
 }
+
+/// Returns the ratio of hedges, the used part of the window and the triggers in force.
+fn hedging_state(shared: &SharedState, now: Instant) -> serde_json::Value {
+    let hedging = shared.hedging.borrow();
+    let (calls, hedges) = hedging.used(now);
+    let triggers: Vec<_> = hedging
+        .triggers(now)
+        .map(|(kind, trigger)| {
+            json!({
+                "route": &*kind.route, "size_class": kind.size_class,
+                "trigger_ms": trigger.as_millis() as u64,
+            })
+        })
+        .collect();
+    json!({"ratio": hedging.ratio(), "calls": calls, "hedges": hedges, "triggers": triggers})
+}
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -49,6 +49,7 @@
     let before = shared.settings();
     let settings = Settings {
         addresses: before.addresses,
+        hedge_ratio: before.hedge_ratio,
         ..settings
     };
     if *before == settings {
@@ -66,6 +67,9 @@
     dispatcher.set_zone_regions(settings.zone_regions.clone());
     dispatcher.set_cold_limit(settings.cold);
     drop(dispatcher);
+    let mut hedging = shared.hedging.borrow_mut();
+    hedging.set_window(settings.retries.window);
+    drop(hedging);
     tracing::info!(seeds = settings.seeds.len(), store = %settings.store_address, is_asked, "settings: changed");
     shared.set_settings(settings);
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use briarbank_core::flow::{
-    Dispatcher, LoadDirectory, Options, PeerOptions, Peers, PrefillDirectory, RemovalLog,
+    Dispatcher, Hedging, LoadDirectory, Options, PeerOptions, Peers, PrefillDirectory, RemovalLog,
     RouteTable, ServerLimits, StreamDirectory, Values,
 };
 use tokio::net::UdpSocket;
@@ -40,6 +40,7 @@
     /// The configuration in force, `None` before the first one.
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(crate) hedging: RefCell<Hedging>,
     pub(crate) values: RefCell<Values>,
     pub(crate) removals: RefCell<RemovalLog>,
     /// Whether changes of entries are seen as they happen.
@@ -130,9 +131,11 @@
         if settings.is_first_start {
             dispatcher.record_first_start();
         }
+        let hedging = Hedging::new(settings.hedge_ratio, settings.retries.window);
         let tasks = TaskTracker::new();
         Rc::new(Self {
             dispatcher: RefCell::new(dispatcher),
+            hedging: RefCell::new(hedging),
             settings: RefCell::new(Rc::new(settings)),
             dialect,
             table: RefCell::new(None),
