--- a/crates/config/src/field.rs
+++ b/crates/config/src/field.rs
@@ -58,6 +58,14 @@
         self.steps.iter().any(is_named)
     }
 
+    /// Shortens the path to the first field of that name, if it leads through one.
+    pub fn truncate_at(&mut self, name: &str) {
+        let is_named = |step: &Step| matches!(step, Step::Field(field) if *field == *name);
+        if let Some(position) = self.steps.iter().position(is_named) {
+            self.steps.truncate(position + 1);
+        }
+    }
+
     /// Returns whether the last step is the named field.
     pub(crate) fn ends_with(&self, name: &str) -> bool {
         matches!(self.steps.last(), Some(Step::Field(field)) if *field == *name)
--- a/crates/core/src/flow/attempt.rs
+++ b/crates/core/src/flow/attempt.rs
@@ -30,6 +30,8 @@
     pub(crate) queued_tokens: f64,
     pub(crate) memory_tokens: f64,
     pub(crate) expected_ms: f64,
+    /// Response time as a multiple of the mean that was expected, if homes told it.
+    pub(crate) slowness: Option<f64>,
     pub(crate) is_model: bool,
     pub(crate) is_short: bool,
     /// What may crash the server: the call itself and its prompt's shared parts.
@@ -51,6 +53,7 @@
             queued_tokens: choice.queued_tokens,
             memory_tokens: choice.memory_tokens,
             expected_ms: choice.expected_ms,
+            slowness: choice.slowness,
             is_model: call.prompt.is_some(),
             is_short: choice.is_short,
             suspects: call.suspects().take(CALL_SUSPECTS_MAX).collect(),
--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -5,15 +5,16 @@
 use std::time::{Duration, Instant};
 
 use crate::flow::call::{Call, Prompt, Refusal, TierRank};
-use crate::flow::insights;
+use crate::flow::estimates;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
-use crate::flow::message::ServerInsight;
+use crate::flow::message::{PrefillSample, ServerEstimate};
 use crate::flow::options::Options;
+use crate::flow::prefill_directory::SLOWNESS_TTL;
 use crate::flow::prompt_sizes::PromptSizes;
 use crate::flow::prompt_time::PromptTime;
 use crate::flow::route::EngineSpec;
-use crate::flow::server::ServerEntry;
+use crate::flow::server::{NAMED_PARTS_MAX, ServerEntry};
 use crate::ids::{ServerName, ZoneName};
 use crate::rendezvous;
 
@@ -33,9 +34,6 @@
 /// That server holds them only if the first one was too busy before.
 const SECOND_UNCACHED_RATIO: f64 = 0.5;
 
-/// Time for which a server that shares its host is typically slower or faster.
-const MOMENT_MS: f64 = 600.0;
-
 /// Servers whose exact load is asked for before a choice.
 const PREFERRED_MAX: usize = 4;
 
@@ -64,34 +62,37 @@
     /// Whether the load was told by the server's home just now.
     pub(crate) is_exact: bool,
     /// What the server's home told of it just now.
-    pub(crate) insight: Option<&'a ServerInsight>,
+    pub(crate) estimate: Option<ServerEstimate>,
+    /// Recent times to first events that the server's home told.
+    pub(crate) samples: Option<PrefillSample>,
 }
 
 impl Candidate<'_> {
     /// Returns how many of the call's first shared parts the server holds, if it is known.
     fn held_parts(&self) -> Option<usize> {
-        self.insight?.held_parts.map(usize::from)
+        self.estimate?.held_parts.map(usize::from)
     }
 
     /// Returns how long work takes at this moment as a multiple of the usual time.
     ///
     /// The older the figure, the more likely the moment is over.
-    fn moment_slowness(&self) -> f64 {
-        let Some((percent, age_ms)) = self.insight.and_then(|i| i.moment) else {
+    fn momentary_slowness(&self) -> f64 {
+        let Some((percent, age_ms)) = self.estimate.and_then(|i| i.momentary_slowness) else {
             return 1.0;
         };
-        let left_ratio = (1.0 - f64::from(age_ms) / MOMENT_MS).max(0.0);
+        let left_ratio = (1.0 - f64::from(age_ms) / SLOWNESS_TTL.as_millis() as f64).max(0.0);
         1.0 + (f64::from(percent) / 100.0 - 1.0) * left_ratio
     }
 }
 
 impl<'a> Candidate<'a> {
-    pub(crate) fn new(entry: &'a ServerEntry, now: Instant) -> Self {
+    pub(crate) fn new(entry: &'a ServerEntry, now: Instant, prefix: Option<u64>) -> Self {
         Self {
             entry,
             load: entry.load(now),
             is_exact: entry.exact_load(now).is_some(),
-            insight: entry.insight(now),
+            estimate: entry.estimate(now, prefix),
+            samples: entry.samples(now),
         }
     }
 }
@@ -107,6 +108,8 @@
     pub(crate) expected_ms: f64,
     /// Whether the prompt is short.
     pub(crate) is_short: bool,
+    /// Response time as a multiple of the mean that was expected, if homes told it.
+    pub(crate) slowness: Option<f64>,
 }
 
 /// Cost of a call at a server, in milliseconds of delay.
@@ -119,6 +122,8 @@
     tokens: f64,
     queued_tokens: f64,
     expected_ms: f64,
+    /// Response time as a multiple of the mean, if homes told it.
+    slowness: Option<f64>,
 }
 
 impl Pool<'_> {
@@ -162,6 +167,7 @@
             queued_tokens: chosen.queued_tokens,
             memory_tokens: call.prompt.as_ref().map_or(0.0, memory_tokens),
             expected_ms: chosen.expected_ms,
+            slowness: chosen.slowness,
             is_short: call.prompt.as_ref().is_some_and(|p| self.is_short(p)),
         })
     }
@@ -292,13 +298,16 @@
         self.prompt_time.base_ms_at(self.ms_per_token())
     }
 
-    /// Returns how long work takes at a server as a multiple of the mean.
+    /// Returns how long work takes at a server as a multiple of the mean, if homes told it.
+    fn told_slowness(&self, candidate: &Candidate<'_>) -> Option<f64> {
+        let (samples, mean) = (candidate.samples?, self.shared_ms_per_token?);
+        Some(estimates::slowness(&samples, self.base_ms(), mean))
+    }
+
+    /// Returns how long work takes at a server now as a multiple of the mean.
     fn slowness(&self, candidate: &Candidate<'_>) -> f64 {
-        let general = match (candidate.entry.samples(), self.shared_ms_per_token) {
-            (Some(samples), Some(mean)) => insights::slowness(&samples, self.base_ms(), mean),
-            _ => candidate.entry.slowness,
-        };
-        general * candidate.moment_slowness()
+        let usual = self.told_slowness(candidate);
+        usual.unwrap_or(candidate.entry.slowness) * candidate.momentary_slowness()
     }
 
     fn is_short(&self, prompt: &Prompt) -> bool {
@@ -317,10 +326,12 @@
         let ratio =
             self.options.short_ratio_min + self.busy_ratio() * self.options.short_ratio_slope;
         let most = self.slots() * self.options.short_ratio_max;
-        (self.slots() * ratio)
-            .max(self.options.short_prompts_min)
-            .min(most)
-            .max(1.0)
+        // Without the homes' knowledge of loads, so many would meet at one server.
+        let least = match self.shared_ms_per_token {
+            Some(_) => self.options.short_prompts_min,
+            None => 1.0,
+        };
+        (self.slots() * ratio).max(least).min(most).max(1.0)
     }
 
     fn slots(&self) -> f64 {
@@ -384,6 +395,7 @@
             tokens,
             queued_tokens: load.pending_tokens,
             expected_ms,
+            slowness: self.told_slowness(candidate),
         }
     }
 
@@ -392,7 +404,7 @@
         let Some(held) = candidate.held_parts() else {
             return (tokens - f64::from(prompt.unshared_tokens())).max(0.0);
         };
-        let shared = prompt.parts.len().saturating_sub(1);
+        let shared = prompt.parts.len().saturating_sub(1).min(NAMED_PARTS_MAX);
         let mut known = self.candidates.iter().filter_map(Candidate::held_parts);
         if !known.any(|held| held >= shared) {
             // A part that many prefixes begin with is worth less than an idle server.
@@ -427,6 +439,7 @@
                     tokens: 0.0,
                     queued_tokens: 0.0,
                     expected_ms: PLAIN_CALL_MS + busy_ms,
+                    slowness: None,
                 }
             })
             .collect()
@@ -474,7 +487,8 @@
 
 /// Returns how many tokens of a prompt a server is expected to prefill.
 fn uncached_tokens(now: Instant, prompt: &Prompt, candidate: &Candidate<'_>, rank: usize) -> f64 {
-    let (entry, shared) = (candidate.entry, prompt.parts.len().saturating_sub(1));
+    let entry = candidate.entry;
+    let shared = prompt.parts.len().saturating_sub(1);
     if let Some(held) = candidate.held_parts() {
         let is_own_held = held >= shared
             && (prompt.parts.last()).is_some_and(|(own, _)| entry.prefix_cache.contains(now, *own));
@@ -483,8 +497,9 @@
         } else {
             held
         };
-        let held_tokens: u32 = prompt.parts.iter().take(held).map(|(_, t)| *t).sum();
-        return f64::from(prompt.tokens.saturating_sub(held_tokens));
+        let held = prompt.parts.iter().take(held);
+        let held_tokens: f64 = held.map(|(_, tokens)| f64::from(*tokens)).sum();
+        return (f64::from(prompt.tokens) - held_tokens).max(0.0);
     }
     let uncached_ratio = match rank {
         0 => 0.0,
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -10,9 +10,9 @@
 use crate::flow::choice::{Candidate, Choice, Pool};
 use crate::flow::cold_servers::ColdServers;
 use crate::flow::departed::DepartedServers;
+use crate::flow::estimates;
 use crate::flow::evacuation::Evacuations;
 use crate::flow::harmful_prompts::SeenCrash;
-use crate::flow::insights;
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
 use crate::flow::message::ServerLoad;
@@ -318,25 +318,25 @@
 
     pub(crate) fn pool(&self, now: Instant, call: &Call) -> Option<Pool<'_>> {
         let service = self.services.get(&call.service)?;
+        let prefix = call.prompt.as_ref().and_then(Prompt::prefix_key);
         let may_get = |e: &ServerEntry| self.may_get(e, call) && !self.cold.holds_back(now, e);
         let is_usable = |e: &&ServerEntry| may_get(e) && e.accepts_calls(now);
         let mut candidates: Vec<Candidate<'_>> = self
             .servers
             .values()
             .filter(is_usable)
-            .map(|e| Candidate::new(e, now))
+            .map(|e| Candidate::new(e, now, prefix))
             .collect();
         if candidates.is_empty() && call.version.is_some() {
             let is_left = |e: &&ServerEntry| may_get(e) && e.accepts_rest(now, &self.options);
             let leaving = self.servers.values().filter(is_left);
-            candidates.extend(leaving.map(|e| Candidate::new(e, now)));
+            candidates.extend(leaving.map(|e| Candidate::new(e, now, prefix)));
         }
-        let prefix = call.prompt.as_ref().and_then(Prompt::prefix_key);
         let own_calls_per_s =
             prefix.map_or(0.0, |prefix| service.prefix_rates.calls_per_s(now, prefix));
-        let samples = candidates.iter().filter_map(|c| c.entry.samples());
+        let samples = candidates.iter().filter_map(|c| c.entry.samples(now));
         let base_ms = service.prompt_time.base_ms();
-        let shared_ms_per_token = insights::mean_ms_per_token(samples, base_ms);
+        let shared_ms_per_token = estimates::mean_ms_per_token(samples, base_ms);
         Some(Pool {
             candidates,
             zone: &self.zone,
@@ -362,7 +362,7 @@
                 entry.prefix_cache.touch(now, *part);
             }
             if !choice.is_short {
-                entry.sight_parts(call.prompt.iter().flat_map(Prompt::shared_parts));
+                entry.observe_parts(call.prompt.iter().flat_map(Prompt::shared_parts));
             }
         }
         let entry = Attempt::new(now, call, &choice, process_key);
@@ -394,16 +394,17 @@
         };
         let time_ms = now.saturating_duration_since(attempt.sent).as_secs_f64() * 1_000.0;
         entry.record_prefill(attempt.tokens);
+        let slowness = attempt.slowness.unwrap_or(entry.slowness);
         if attempt.is_model
             && let Some(service) = self.services.get_mut(&entry.instance.service)
         {
             let tokens = attempt.tokens + attempt.queued_tokens;
-            service.prompt_time.record(tokens, time_ms / entry.slowness);
+            service.prompt_time.record(tokens, time_ms / slowness);
             if !attempt.is_short {
-                entry.sight_sample(tokens, time_ms);
+                entry.observe_first_event(tokens, time_ms);
             }
         }
-        entry.record_response_time(time_ms / attempt.expected_ms.max(1.0) * entry.slowness);
+        entry.record_response_time(time_ms / attempt.expected_ms.max(1.0) * slowness);
     }
 
     /// Records a complete answer.
--- a/crates/core/src/flow/insights.rs
+++ b/crates/core/src/flow/estimates.rs
@@ -4,8 +4,9 @@
 
 use crate::flow::call::{Call, Prompt};
 use crate::flow::dispatch::Dispatcher;
-use crate::flow::message::{PrefillSample, ServerInsight, ServerSighting};
-use crate::flow::server::{ServerEntry, part_key};
+use crate::flow::message::{PrefillSample, ServerEstimate, ServerLoad, ServerObservation};
+use crate::flow::prompt_time::MS_PER_TOKEN_RANGE;
+use crate::flow::server::{NAMED_PARTS_MAX, ServerEntry, part_key};
 use crate::ids::ServerName;
 
 /// Tokens of prefill at the mean speed that a server's own samples are weighed against.
@@ -18,10 +19,13 @@
 const SLOWNESS_RANGE: (f64, f64) = (0.33, 4.0);
 
 impl Dispatcher {
-    /// Returns what this node has seen of servers since it was last taken.
-    pub fn take_sightings(&mut self) -> Vec<ServerSighting> {
-        let entries = self.servers.values_mut();
-        entries.filter_map(ServerEntry::take_sighting).collect()
+    /// Returns what this node has seen of these servers since it was last taken.
+    ///
+    /// What it has seen of others is kept for the next report to their homes.
+    pub fn take_observations(&mut self, servers: &[ServerLoad]) -> Vec<ServerObservation> {
+        let is_named = |e: &&mut ServerEntry| servers.iter().any(|s| s.server_key == e.key);
+        let entries = self.servers.values_mut().filter(is_named);
+        entries.filter_map(ServerEntry::take_observation).collect()
     }
 
     /// Returns the parts that the homes of servers are asked about before a call is placed.
@@ -31,22 +35,27 @@
     pub fn parts_to_ask(&self, call: &Call) -> Vec<u32> {
         let prompt = call.prompt.as_ref().filter(|p| !self.is_short(call, p));
         let parts = prompt.into_iter().flat_map(Prompt::shared_parts);
-        parts.map(part_key).collect()
+        parts.map(part_key).take(NAMED_PARTS_MAX).collect()
     }
 
-    /// Sets what the homes of servers told of them.
-    pub fn set_insights(&mut self, now: Instant, insights: &[ServerInsight]) {
-        for entry in self.servers.values_mut() {
-            if let Some(insight) = insights.iter().find(|i| i.server_key == entry.key) {
-                entry.set_insight(now, *insight);
+    /// Sets what the homes of servers told of them for a call.
+    ///
+    /// Answers with figures that are no numbers are ignored.
+    pub fn set_estimates(&mut self, now: Instant, call: &Call, estimates: &[ServerEstimate]) {
+        let prefix = call.prompt.as_ref().and_then(Prompt::prefix_key);
+        let estimates = estimates.iter().filter_map(ServerEstimate::within_bounds);
+        for estimate in estimates {
+            let mut entries = self.servers.values_mut();
+            if let Some(entry) = entries.find(|e| e.key == estimate.server_key) {
+                entry.set_estimate(now, estimate, prefix);
             }
         }
     }
 
     /// Records how long work takes at a server at this moment, as a multiple of the usual.
-    pub fn record_moment(&mut self, server: &ServerName, slowness: f64) {
+    pub fn record_slowness(&mut self, server: &ServerName, slowness: f64) {
         if let Some(entry) = self.servers.get_mut(server) {
-            entry.sight_moment(slowness);
+            entry.observe_slowness(slowness);
         }
     }
 
@@ -68,8 +77,9 @@
 ) -> Option<f64> {
     let sum = samples.fold(PrefillSample::default(), |sum, s| sum.sum(&s));
     let (tokens, prefill_ms) = (f64::from(sum.tokens), prefill_ms(&sum, base_ms));
-    let is_enough = f64::from(sum.calls) >= MEAN_CALLS_MIN && tokens > 0.0 && prefill_ms > 0.0;
-    is_enough.then(|| prefill_ms / tokens)
+    let is_enough = f64::from(sum.calls) >= MEAN_CALLS_MIN && tokens >= PRIOR_TOKENS;
+    let (least, most) = MS_PER_TOKEN_RANGE;
+    is_enough.then(|| (prefill_ms / tokens).clamp(least, most))
 }
 
 /// Returns a server's prefill time as a multiple of the mean.
--- a/crates/core/src/flow/hedge_offer.rs
+++ b/crates/core/src/flow/hedge_offer.rs
@@ -66,10 +66,11 @@
     pub fn record_overtaken(&mut self, now: Instant, id: AttemptId) {
         if let Some(attempt) = self.attempts.get(&id)
             && attempt.first_event_at.is_none()
-            && let Some(entry) = self.servers.get_mut(&attempt.server)
+            && let Some(entry) = attempt.entry(&mut self.servers)
         {
             let time_ms = now.saturating_duration_since(attempt.sent).as_secs_f64() * 1_000.0;
-            let ratio = time_ms / attempt.expected_ms.max(1.0) * entry.slowness;
+            let ratio =
+                time_ms / attempt.expected_ms.max(1.0) * attempt.slowness.unwrap_or(entry.slowness);
             record_slower(entry, ratio);
         }
         self.record_failure(now, id, Fault::Cancelled);
--- a/crates/core/src/flow/message.rs
+++ b/crates/core/src/flow/message.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::flow::prefill_directory::SLOWNESS_PERCENT_RANGE;
+
 /// Load that one node has put on a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
@@ -114,7 +116,7 @@
 
 /// What a node has seen of a server since its last report.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ServerSighting {
+pub struct ServerObservation {
     /// Hash of the server's name.
     pub server_key: u32,
     /// Hash of its name and of the start of its process.
@@ -124,12 +126,12 @@
     /// Time to the first event of a call.
     pub sample: Option<PrefillSample>,
     /// How long work takes there at this moment, in percent of the usual time.
-    pub moment_percent: Option<u16>,
+    pub slowness_percent: Option<u16>,
 }
 
 /// What the home of a server knows of it, for a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ServerInsight {
+pub struct ServerEstimate {
     /// Hash of the server's name.
     pub server_key: u32,
     /// Recent times to first events.
@@ -138,18 +140,40 @@
     pub held_parts: Option<u8>,
     /// Time that work takes in percent of the usual, and the age of this figure in
     /// milliseconds.
-    pub moment: Option<(u16, u16)>,
+    pub momentary_slowness: Option<(u16, u16)>,
+}
+
+impl ServerEstimate {
+    /// Largest sum of calls, tokens or milliseconds that counts.
+    const SUM_MAX: f32 = 1e9;
+
+    /// Returns the figures within bounds, `None` if one is no number.
+    pub(crate) fn within_bounds(&self) -> Option<Self> {
+        let PrefillSample {
+            calls,
+            tokens,
+            time_ms,
+        } = self.samples;
+        let figures = [calls, tokens, time_ms];
+        let is_valid = figures.iter().all(|f| (0.0..=Self::SUM_MAX).contains(f));
+        let (least, most) = SLOWNESS_PERCENT_RANGE;
+        let clamped = |(percent, age_ms): (u16, u16)| (percent.clamp(least, most), age_ms);
+        is_valid.then(|| Self {
+            momentary_slowness: self.momentary_slowness.map(clamped),
+            ..*self
+        })
+    }
 }
 
 /// Details that nodes append to a [`LoadMessage`], at most once; older nodes ignore them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadDetails {
     /// Of a report: what the sender has seen of the servers.
-    pub sightings: Vec<ServerSighting>,
+    pub observations: Vec<ServerObservation>,
     /// Of a query: hashes of the prompt's shared parts, in order.
     pub parts: Vec<u32>,
     /// Of an answer: what the home knows of the servers.
-    pub insights: Vec<ServerInsight>,
+    pub estimates: Vec<ServerEstimate>,
 }
 
 /// Message between a node and the home of servers, sent after [`Self::PREFIX`].
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -19,13 +19,13 @@
 mod departed;
 mod dispatch;
 mod era;
+mod estimates;
 mod evacuation;
 mod harmful_prompts;
 mod hedge_limit;
 mod hedge_offer;
 mod hedging;
 mod homes;
-mod insights;
 mod instance;
 mod load;
 mod load_directory;
@@ -72,8 +72,8 @@
 pub use load::Load;
 pub use load_directory::{LoadDirectory, REPORT_INTERVAL};
 pub use message::{
-    Heartbeat, HeartbeatEntry, LoadDetails, LoadMessage, LoadReport, PrefillSample, ServerInsight,
-    ServerLoad, ServerSighting,
+    Heartbeat, HeartbeatEntry, LoadDetails, LoadMessage, LoadReport, PrefillSample, ServerEstimate,
+    ServerLoad, ServerObservation,
 };
 pub use mirror::{Change, Delta, Mirror, Removal};
 pub use options::{ColdLimit, Options};
--- a/crates/core/src/flow/prefill_directory.rs
+++ b/crates/core/src/flow/prefill_directory.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use crate::flow::decaying_sum::decay_factor;
-use crate::flow::message::{PrefillSample, ServerInsight, ServerSighting};
+use crate::flow::message::{PrefillSample, ServerEstimate, ServerObservation};
 
 /// Time for which a part counts as cached after its last use.
 ///
@@ -23,10 +23,10 @@
 const COMPLETE_AFTER: Duration = Duration::from_secs(20);
 
 /// Time over which samples of the prefill time lose weight.
-const SAMPLE_LIFETIME: Duration = Duration::from_secs(10);
+pub(crate) const SAMPLE_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Time after which a stated momentary slowness no longer counts.
-const MOMENT_TTL: Duration = Duration::from_millis(600);
+pub(crate) const SLOWNESS_TTL: Duration = Duration::from_millis(600);
 
 /// Time without reports and queries after which a server is forgotten.
 const SERVER_TTL: Duration = Duration::from_mins(1);
@@ -38,7 +38,7 @@
 const PARTS_MAX: usize = 2_048;
 
 /// Bounds of a stated momentary slowness, in percent of the usual time of work.
-const MOMENT_PERCENT_RANGE: (u16, u16) = (25, 1_000);
+pub(crate) const SLOWNESS_PERCENT_RANGE: (u16, u16) = (25, 1_000);
 
 /// Speed and cached parts of the servers that this node is the home of.
 #[derive(Debug, Default)]
@@ -56,7 +56,7 @@
     parts: HashMap<u32, Instant>,
     samples: PrefillSample,
     sampled_at: Instant,
-    moment: Option<(u16, Instant)>,
+    momentary_slowness: Option<(u16, Instant)>,
 }
 
 impl Entry {
@@ -69,7 +69,7 @@
             parts: HashMap::new(),
             samples: PrefillSample::default(),
             sampled_at: now,
-            moment: None,
+            momentary_slowness: None,
         }
     }
 
@@ -93,12 +93,12 @@
     /// Records what a node has seen of a server's present process.
     ///
     /// `was_empty` tells whether the cache of a server that is not known yet is empty.
-    pub fn record(&mut self, now: Instant, sighting: &ServerSighting, was_empty: bool) {
-        let key = sighting.server_key;
-        let Some(entry) = self.entry(now, key, sighting.process_key, was_empty) else {
+    pub fn record(&mut self, now: Instant, observation: &ServerObservation, was_empty: bool) {
+        let key = observation.server_key;
+        let Some(entry) = self.entry(now, key, observation.process_key, was_empty) else {
             return;
         };
-        for part in &sighting.parts {
+        for part in &observation.parts {
             if entry.parts.len() >= PARTS_MAX && !entry.parts.contains_key(part) {
                 let is_fresh = |at: &Instant| now.saturating_duration_since(*at) < PART_TTL;
                 entry.parts.retain(|_, at| is_fresh(at));
@@ -107,41 +107,41 @@
                 entry.parts.insert(*part, now);
             }
         }
-        if let Some(sample) = sighting.sample {
+        if let Some(sample) = observation.sample {
             entry.samples = entry.samples(now).sum(&sample.clamped());
             entry.sampled_at = now;
         }
-        if let Some(percent) = sighting.moment_percent {
-            let (least, most) = MOMENT_PERCENT_RANGE;
-            entry.moment = Some((percent.clamp(least, most), now));
+        if let Some(percent) = observation.slowness_percent {
+            let (least, most) = SLOWNESS_PERCENT_RANGE;
+            entry.momentary_slowness = Some((percent.clamp(least, most), now));
         }
     }
 
     /// Returns what is known of a server's present process, for a prompt with these parts.
     ///
     /// `None` if nothing is known.
-    pub fn insight(
+    pub fn estimate(
         &mut self,
         now: Instant,
         server_key: u32,
         process_key: u32,
         parts: &[u32],
         was_empty: bool,
-    ) -> Option<ServerInsight> {
+    ) -> Option<ServerEstimate> {
         let entry = self.entry(now, server_key, process_key, was_empty)?;
         let held = parts.iter().take_while(|part| entry.is_cached(now, **part));
         let held = u8::try_from(held.count()).unwrap_or(u8::MAX);
         let is_known = held > 0 || entry.is_complete(now);
-        let moment = entry.moment.map(|(percent, at)| {
+        let momentary = entry.momentary_slowness.map(|(percent, at)| {
             let age = now.saturating_duration_since(at);
             (percent, age)
         });
-        Some(ServerInsight {
+        Some(ServerEstimate {
             server_key,
             samples: entry.samples(now),
             held_parts: is_known.then_some(held),
-            moment: moment
-                .filter(|(_, age)| *age < MOMENT_TTL)
+            momentary_slowness: momentary
+                .filter(|(_, age)| *age < SLOWNESS_TTL)
                 .map(|(percent, age)| (percent, age.as_millis() as u16)),
         })
     }
--- a/crates/core/src/flow/prompt_time.rs
+++ b/crates/core/src/flow/prompt_time.rs
@@ -4,7 +4,7 @@
 const DECAY: f64 = 0.99;
 
 /// Bounds of the time per token, in milliseconds.
-const MS_PER_TOKEN_RANGE: (f64, f64) = (0.001, 0.2);
+pub(crate) const MS_PER_TOKEN_RANGE: (f64, f64) = (0.001, 0.2);
 
 /// Initial estimate of the time to the first event of an empty prompt, in milliseconds.
 const INITIAL_BASE_MS: f64 = 40.0;
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -6,11 +6,12 @@
 use crate::flow::call::{Call, Fault};
 use crate::flow::cold_servers::ColdState;
 use crate::flow::crash_record::process_of;
-use crate::flow::decaying_sum::DecayingSum;
+use crate::flow::decaying_sum::{DecayingSum, decay_factor};
 use crate::flow::instance::Instance;
 use crate::flow::load::Load;
-use crate::flow::message::{PrefillSample, ServerInsight, ServerLoad, ServerSighting};
+use crate::flow::message::{PrefillSample, ServerEstimate, ServerLoad, ServerObservation};
 use crate::flow::options::Options;
+use crate::flow::prefill_directory::SAMPLE_LIFETIME;
 use crate::flow::prefix_cache::PrefixCache;
 use crate::flow::token_bucket::TokenBucket;
 use crate::flow::version::VersionKey;
@@ -38,8 +39,8 @@
 /// Bounds of one sample of the slowness.
 const SLOWNESS_RANGE: (f64, f64) = (0.5, 4.0);
 
-/// Prompt parts that one report to a server's home names.
-const SIGHTED_PARTS_MAX: usize = 32;
+/// Shared parts of a prompt that a server's home is told of and asked about.
+pub(crate) const NAMED_PARTS_MAX: usize = 32;
 
 /// Returns the hash by which nodes name a prompt part to each other.
 pub(crate) fn part_key(part: u64) -> u32 {
@@ -57,12 +58,12 @@
     pub(crate) peer_load: Load,
     /// Load of other nodes as the server's home told it, and when.
     exact_load: Option<(Load, Instant)>,
-    /// What the server's home told of it, and when.
-    insight: Option<(ServerInsight, Instant)>,
-    /// Times to first events that its home last told.
-    samples: Option<PrefillSample>,
+    /// What the server's home told of it, when, and for which prefix.
+    estimate: Option<(ServerEstimate, Instant, Option<u64>)>,
+    /// Times to first events that its home last told, and when.
+    samples: Option<(PrefillSample, Instant)>,
     /// What this node has seen of the server and not reported to its home.
-    sighting: ServerSighting,
+    observation: ServerObservation,
     /// Whether the node's load changed since it was last reported.
     pub(crate) is_load_changed: bool,
     pub(crate) prefix_cache: PrefixCache,
@@ -101,9 +102,9 @@
             own_load: Load::default(),
             peer_load: Load::default(),
             exact_load: None,
-            insight: None,
+            estimate: None,
             samples: None,
-            sighting: ServerSighting::default(),
+            observation: ServerObservation::default(),
             is_load_changed: false,
             prefix_cache: PrefixCache::default(),
             health: Health::default(),
@@ -258,31 +259,49 @@
     }
 
     /// Returns what the server's home told of it just now.
-    pub(crate) fn insight(&self, now: Instant) -> Option<&ServerInsight> {
-        let (insight, at) = self.insight.as_ref()?;
-        (now.saturating_duration_since(*at) < EXACT_LOAD_TTL).then_some(insight)
+    ///
+    /// What it told of cached parts holds for prompts with that prefix only.
+    pub(crate) fn estimate(&self, now: Instant, prefix: Option<u64>) -> Option<ServerEstimate> {
+        let (estimate, at, told_prefix) = self.estimate?;
+        let is_fresh = now.saturating_duration_since(at) < EXACT_LOAD_TTL;
+        let held_parts = estimate.held_parts.filter(|_| told_prefix == prefix);
+        is_fresh.then_some(ServerEstimate {
+            held_parts,
+            ..estimate
+        })
     }
 
-    /// Sets what the server's home told of it.
-    pub(crate) fn set_insight(&mut self, now: Instant, insight: ServerInsight) {
-        self.insight = Some((insight, now));
-        self.samples = Some(insight.samples);
+    /// Sets what the server's home told of it for a prompt with that prefix.
+    pub(crate) fn set_estimate(
+        &mut self,
+        now: Instant,
+        estimate: ServerEstimate,
+        prefix: Option<u64>,
+    ) {
+        self.estimate = Some((estimate, now, prefix));
+        self.samples = Some((estimate.samples, now));
     }
 
     /// Returns recent times to first events at the server, as its home last told them.
-    pub(crate) fn samples(&self) -> Option<PrefillSample> {
-        self.samples
+    ///
+    /// They lose weight, so that a node whose homes are silent goes by its own answers.
+    pub(crate) fn samples(&self, now: Instant) -> Option<PrefillSample> {
+        let (samples, at) = self.samples?;
+        let age = now.saturating_duration_since(at);
+        Some(samples.scaled(decay_factor(age, SAMPLE_LIFETIME)))
     }
 
     /// Records shared parts of a prompt that is sent, for the server's home.
-    pub(crate) fn sight_parts(&mut self, parts: impl Iterator<Item = u64>) {
-        let room = SIGHTED_PARTS_MAX.saturating_sub(self.sighting.parts.len());
-        self.sighting.parts.extend(parts.map(part_key).take(room));
+    pub(crate) fn observe_parts(&mut self, parts: impl Iterator<Item = u64>) {
+        let room = NAMED_PARTS_MAX.saturating_sub(self.observation.parts.len());
+        self.observation
+            .parts
+            .extend(parts.map(part_key).take(room));
     }
 
     /// Records the first event of a call with a long prompt, for the server's home.
-    pub(crate) fn sight_sample(&mut self, tokens: f64, time_ms: f64) {
-        self.sighting.sample = Some(PrefillSample {
+    pub(crate) fn observe_first_event(&mut self, tokens: f64, time_ms: f64) {
+        self.observation.sample = Some(PrefillSample {
             calls: 1.0,
             tokens: tokens as f32,
             time_ms: time_ms as f32,
@@ -290,23 +309,23 @@
     }
 
     /// Records how long work takes at this moment as a multiple of the usual time.
-    pub(crate) fn sight_moment(&mut self, slowness: f64) {
-        self.sighting.moment_percent = Some((slowness * 100.0) as u16);
+    pub(crate) fn observe_slowness(&mut self, slowness: f64) {
+        self.observation.slowness_percent = Some((slowness * 100.0) as u16);
     }
 
     /// Returns what was seen since the last report, `None` if that is nothing.
-    pub(crate) fn take_sighting(&mut self) -> Option<ServerSighting> {
-        let is_empty = self.sighting.parts.is_empty()
-            && self.sighting.sample.is_none()
-            && self.sighting.moment_percent.is_none();
+    pub(crate) fn take_observation(&mut self) -> Option<ServerObservation> {
+        let is_empty = self.observation.parts.is_empty()
+            && self.observation.sample.is_none()
+            && self.observation.slowness_percent.is_none();
         if is_empty {
             return None;
         }
-        let sighting = std::mem::take(&mut self.sighting);
-        Some(ServerSighting {
+        let observation = std::mem::take(&mut self.observation);
+        Some(ServerObservation {
             server_key: self.key,
             process_key: self.process_key(),
-            ..sighting
+            ..observation
         })
     }
 
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -56,7 +56,7 @@
         peers: PeerOptions::default(),
         knows_all: false,
         has_homes: true,
-        has_insights: false,
+        has_estimates: false,
         speeds: &[],
     }
 }
@@ -114,7 +114,7 @@
         seconds: 14,
         timing,
         kinds: vec![long_prompts, chats],
-        has_insights: true,
+        has_estimates: true,
         speeds: &[0.55, 1.2, 1.2, 1.2],
         ..scenario
     }
@@ -497,7 +497,7 @@
 #[test]
 fn prompts_without_a_cached_prefix_go_where_their_prefill_ends_first() {
     let without = Scenario {
-        has_insights: false,
+        has_estimates: false,
         ..order_desk()
     };
     let (with, without) = (order_desk().run(), without.run());
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -76,7 +76,7 @@
     /// Whether nodes ask the homes of servers for loads.
     pub(crate) has_homes: bool,
     /// Whether the homes also tell prefill speeds and cached parts.
-    pub(crate) has_insights: bool,
+    pub(crate) has_estimates: bool,
     /// Speeds of the servers as multiples of the usual one, in turn.
     pub(crate) speeds: &'static [f64],
 }
@@ -393,9 +393,9 @@
         if !self.scenario.has_homes || !self.nodes[node].peers.has_homes() {
             return;
         }
-        for sighting in self.nodes[node].dispatcher.take_sightings() {
-            let home = node_index(self.nodes[node].peers.home(now, sighting.server_key));
-            self.nodes[home].prefills.record(now, &sighting, true);
+        for observation in self.nodes[node].dispatcher.take_observations(&loads) {
+            let home = node_index(self.nodes[node].peers.home(now, observation.server_key));
+            self.nodes[home].prefills.record(now, &observation, true);
         }
         for load in loads {
             let sender = &mut self.nodes[node];
@@ -434,16 +434,16 @@
             let loads: Vec<ServerLoad> = load.into_iter().collect();
             let parts = self.nodes[node].dispatcher.parts_to_ask(call);
             let process = self.nodes[node].dispatcher.process_key(server);
-            let insight = process
-                .filter(|_| self.scenario.has_insights && !parts.is_empty())
+            let estimate = process
+                .filter(|_| self.scenario.has_estimates && !parts.is_empty())
                 .and_then(|process| {
                     let home = node_index(self.nodes[node].peers.home(now, server));
                     let prefills = &mut self.nodes[home].prefills;
-                    prefills.insight(now, server, process, &parts, true)
+                    prefills.estimate(now, server, process, &parts, true)
                 });
             let dispatcher = &mut self.nodes[node].dispatcher;
             dispatcher.set_exact_loads(now, &loads);
-            dispatcher.set_insights(now, insight.as_slice());
+            dispatcher.set_estimates(now, call, estimate.as_slice());
         }
     }
 
--- a/crates/gateway/src/caller/attempt_end.rs
+++ b/crates/gateway/src/caller/attempt_end.rs
@@ -7,6 +7,7 @@
 use crate::caller::attempt::AcceptedAnswer;
 use crate::caller::attempt_guard::{Execution, FailedAttempt, StartedAnswer};
 use crate::caller::exchange::Exchange;
+use crate::caller::outcome::means_not_run;
 use crate::caller::pending::{Attempts, PendingAttempt, Step};
 use crate::caller::received::Received;
 use crate::log_lines::LineKind;
@@ -58,7 +59,11 @@
             Ok((accepted, received)) => {
                 let (head, answer_head, body, connection) = accepted;
                 attempt.guard.record_connection(&connection);
-                let is_error = head.status.is_server_error();
+                // A refusal must not replace the answer of the other attempt of a hedged call.
+                let is_hedged =
+                    attempt.hedge.is_some() || attempts.pending.iter().any(|a| a.hedge.is_some());
+                let is_refusal = is_hedged && means_not_run(head.status);
+                let is_error = head.status.is_server_error() || is_refusal;
                 let is_beside = is_error && !attempts.pending.is_empty();
                 let hedge = attempt.hedge.take();
                 if is_beside && hedge.is_some() && !attempt.is_left {
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use briarbank_core::flow::{
-    Call, LoadDetails, LoadMessage, LoadReport, ServerLoad, ServerSighting,
+    Call, LoadDetails, LoadMessage, LoadReport, ServerLoad, ServerObservation,
 };
 use briarbank_core::ids::ServerName;
 use tokio::sync::Notify;
@@ -21,7 +21,7 @@
 /// Then the node decides by what it knows from heartbeats.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(8);
 
-/// Most servers that a query may name.
+/// Most servers that a query or the details of a report may name.
 const QUERY_SERVERS_MAX: usize = 64;
 
 /// Queries in flight, by their number.
@@ -48,6 +48,8 @@
 struct Waiting {
     answers_left: usize,
     answered: Rc<Notify>,
+    /// The call that is to be placed.
+    call: Call,
 }
 
 /// Returns the load message in a datagram, `None` for other datagrams.
@@ -67,8 +69,8 @@
     if loads.is_empty() || !shared.peers.borrow().has_homes() {
         return;
     }
-    let sightings = shared.dispatcher.borrow_mut().take_sightings();
-    let mut sightings = by_home(shared, now, sightings.into_iter(), |s| s.server_key);
+    let observations = shared.dispatcher.borrow_mut().take_observations(loads);
+    let mut observations = by_home(shared, now, observations.into_iter(), |s| s.server_key);
     for (home, loads) in by_home(shared, now, loads.iter().copied(), |load| load.server_key) {
         let sequence = shared.next_report();
         let local = shared.peers.borrow().local();
@@ -79,26 +81,26 @@
             loads,
         };
         let details = LoadDetails {
-            sightings: sightings.remove(&home).unwrap_or_default(),
+            observations: observations.remove(&home).unwrap_or_default(),
             ..LoadDetails::default()
         };
         if home == local.address {
             shared.directory.borrow_mut().record(now, &report);
-            record_sightings(shared, now, &details.sightings);
+            record_observations(shared, now, &details.observations);
         } else {
             send(shared, home, &LoadMessage::Report(report), details);
         }
     }
 }
 
-fn record_sightings(shared: &SharedState, now: Instant, sightings: &[ServerSighting]) {
+fn record_observations(shared: &SharedState, now: Instant, observations: &[ServerObservation]) {
     let dispatcher = shared.dispatcher.borrow();
-    let is_unused = shared.caches_began_empty(now);
+    let was_empty = shared.caches_began_empty(now);
     let mut prefills = shared.prefills.borrow_mut();
-    for sighting in sightings {
+    for observation in observations.iter().take(QUERY_SERVERS_MAX) {
         // A report about another process than the present one is out of date.
-        if dispatcher.process_key(sighting.server_key) == Some(sighting.process_key) {
-            prefills.record(now, sighting, is_unused);
+        if dispatcher.process_key(observation.server_key) == Some(observation.process_key) {
+            prefills.record(now, observation, was_empty);
         }
     }
 }
@@ -123,12 +125,12 @@
         let details = known_details(shared, now, &servers, &parts);
         let mut dispatcher = shared.dispatcher.borrow_mut();
         dispatcher.set_exact_loads(now, &loads);
-        dispatcher.set_insights(now, &details.insights);
+        dispatcher.set_estimates(now, call, &details.estimates);
     }
     if homes.is_empty() {
         return;
     }
-    let (id, answered) = shared.queries.borrow_mut().start(homes.len());
+    let (id, answered) = shared.queries.borrow_mut().start(homes.len(), call);
     let _pending = PendingQuery { shared, id };
     for (home, servers) in homes {
         let sender = local;
@@ -161,7 +163,7 @@
     match message {
         LoadMessage::Report(report) => {
             shared.directory.borrow_mut().record(now, &report);
-            record_sightings(shared, now, &details.sightings);
+            record_observations(shared, now, &details.observations);
         }
         LoadMessage::Query {
             sender,
@@ -174,37 +176,37 @@
             send(shared, sender, &LoadMessage::Answer { id, loads }, details);
         }
         LoadMessage::Answer { id, loads } => {
-            if shared.queries.borrow_mut().record_answer(id) {
+            let mut queries = shared.queries.borrow_mut();
+            if let Some(call) = queries.record_answer(id) {
                 let mut dispatcher = shared.dispatcher.borrow_mut();
                 dispatcher.set_exact_loads(now, &loads);
-                dispatcher.set_insights(now, &details.insights);
+                dispatcher.set_estimates(now, call, &details.estimates);
             }
         }
     }
 }
 
 impl Queries {
-    fn start(&mut self, answers: usize) -> (u32, Rc<Notify>) {
+    fn start(&mut self, answers: usize, call: &Call) -> (u32, Rc<Notify>) {
         self.next_id = self.next_id.wrapping_add(1);
         let answered = Rc::new(Notify::new());
         let waiting = Waiting {
             answers_left: answers,
             answered: Rc::clone(&answered),
+            call: call.clone(),
         };
         self.waiting.insert(self.next_id, waiting);
         (self.next_id, answered)
     }
 
-    /// Records an answer; returns whether its query is still waiting.
-    fn record_answer(&mut self, id: u32) -> bool {
-        let Some(waiting) = self.waiting.get_mut(&id) else {
-            return false;
-        };
+    /// Records an answer; returns the call of its query while that is waiting.
+    fn record_answer(&mut self, id: u32) -> Option<&Call> {
+        let waiting = self.waiting.get_mut(&id)?;
         waiting.answers_left = waiting.answers_left.saturating_sub(1);
         if waiting.answers_left == 0 {
             waiting.answered.notify_one();
         }
-        true
+        Some(&waiting.call)
     }
 }
 
@@ -249,14 +251,14 @@
         return LoadDetails::default();
     }
     let dispatcher = shared.dispatcher.borrow();
-    let is_unused = shared.caches_began_empty(now);
+    let was_empty = shared.caches_began_empty(now);
     let mut prefills = shared.prefills.borrow_mut();
-    let insights = servers.iter().filter_map(|server| {
+    let estimates = servers.iter().filter_map(|server| {
         let process_key = dispatcher.process_key(*server)?;
-        prefills.insight(now, *server, process_key, parts, is_unused)
+        prefills.estimate(now, *server, process_key, parts, was_empty)
     });
     LoadDetails {
-        insights: insights.collect(),
+        estimates: estimates.collect(),
         ..LoadDetails::default()
     }
 }
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -23,7 +23,7 @@
         }
         if let Some(slowness) = notice.load.and_then(|load| load.slowness) {
             let mut dispatcher = self.dispatcher.borrow_mut();
-            dispatcher.record_moment(&instance.id, slowness);
+            dispatcher.record_slowness(&instance.id, slowness);
         }
         if notice.is_leaving {
             if self.log_lines.take(LineKind::Notice) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -33,6 +33,9 @@
 /// Time after a change of the live nodes for which homes of servers may be new.
 const STABLE_TIME: Duration = Duration::from_secs(5);
 
+/// Time after its start within which a node meets the others of its fleet.
+const START_TIME: Duration = Duration::from_secs(10);
+
 /// State of a node; no borrow lives across an await.
 pub(crate) struct SharedState {
     settings: RefCell<Rc<Settings>>,
@@ -65,6 +68,8 @@
     pub(crate) pool: Pool,
     pub(crate) answer_memory: AnswerMemory,
     pub(crate) stop: Stop,
+    /// When the process started.
+    started_at: Instant,
     pub(crate) tasks: TaskTracker,
     pub(crate) store: StoreState,
     /// Number of large answers with values that are being sent to peers.
@@ -155,6 +160,7 @@
             pool: Pool::new(tasks.clone()),
             answer_memory: AnswerMemory::default(),
             stop: Stop::default(),
+            started_at: Instant::now(),
             tasks,
             store: StoreState::default(),
             transfers: Cell::new(0),
@@ -175,11 +181,12 @@
     /// Returns whether servers that no call was reported of have empty caches.
     ///
     /// That is known while the whole fleet has started for the first time and the homes of
-    /// the servers have not changed since.
+    /// the servers are the same since.
     pub(crate) fn caches_began_empty(&self, now: Instant) -> bool {
         let stable_since = self.peers.borrow().stable_since(now);
-        let is_stable = now.saturating_duration_since(stable_since) >= STABLE_TIME;
-        is_stable && self.settings.borrow().is_first_start
+        let has_settled = now.saturating_duration_since(stable_since) >= STABLE_TIME;
+        let is_first = stable_since < self.started_at + START_TIME;
+        has_settled && is_first && self.settings.borrow().is_first_start
     }
 
     /// Returns the settings in force.
