Pack chats denser when they press on long prompts

Cause: in a burst of chats two thirds of the servers were half full with them, and long prompts were refused for want of servers without chats.

Change: chats are packed up to 0.85 of the slots when they would take a half of the servers, in proportion from a quarter on; only where homes tell loads.

The new test fails without the change.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -326,12 +326,29 @@
         let ratio =
             self.options.short_ratio_min + self.busy_ratio() * self.options.short_ratio_slope;
         let most = self.slots() * self.options.short_ratio_max;
-        // Without the homes' knowledge of loads, so many would meet at one server.
-        let least = match self.shared_ms_per_token {
-            Some(_) => self.options.short_prompts_min,
-            None => 1.0,
-        };
-        (self.slots() * ratio).max(least).min(most).max(1.0)
+        let usual = self.slots() * ratio;
+        // Without the homes' knowledge of loads, more would meet at one server.
+        if self.shared_ms_per_token.is_none() {
+            return usual.min(most).max(1.0);
+        }
+        let usual = usual.max(self.options.short_prompts_min).min(most);
+        usual + (self.dense_short_max() - usual).max(0.0) * self.short_pressure(usual)
+    }
+
+    /// Returns how many short prompts a server gets when they press on long ones.
+    fn dense_short_max(&self) -> f64 {
+        self.slots() * self.options.short_ratio_dense
+    }
+
+    /// Returns how much short prompts press on long ones, from 0 to 1.
+    ///
+    /// In a burst of short prompts, servers that are partly filled with them are missing
+    /// for long ones.
+    fn short_pressure(&self, short_max: f64) -> f64 {
+        let short_prompts: f64 = self.candidates.iter().map(|c| c.load.short_prompts).sum();
+        let servers_ratio = short_prompts / short_max / self.candidates.len().max(1) as f64;
+        let (from, to) = self.options.short_server_ratios;
+        ((servers_ratio - from) / (to - from)).clamp(0.0, 1.0)
     }
 
     fn slots(&self) -> f64 {
--- a/crates/core/src/flow/options.rs
+++ b/crates/core/src/flow/options.rs
@@ -80,6 +80,10 @@
     /// With few slots the fraction alone would spread them over servers that long prompts
     /// need; so few of them slow each other little.
     pub short_prompts_min: f64,
+    /// Fraction of a server's slots that they fill while they press on long prompts.
+    pub short_ratio_dense: f64,
+    /// Fractions of the servers, taken by short prompts, between which they are packed denser.
+    pub short_server_ratios: (f64, f64),
     /// Cost to a short prompt of each excess position in the common order, in milliseconds.
     ///
     /// Positions are in excess beyond the servers that the short prompts in flight need.
@@ -135,6 +139,8 @@
             short_ratio_slope: 1.6,
             short_ratio_max: 0.6,
             short_prompts_min: 8.0,
+            short_ratio_dense: 0.85,
+            short_server_ratios: (0.25, 0.5),
             order_cost_ms: 50.0,
             full_cost_ms: 1_000.0,
             inexact_cost_ms: 200.0,
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -516,3 +516,37 @@
         with.kinds[CHAT]
     );
 }
+
+/// Guards against long prompts that are refused while chats take two thirds of the
+/// servers, each filled to a half only.
+///
+/// Load: 1.7 times that of the order desk. Chats must lose little by it.
+#[test]
+fn a_burst_of_chats_leaves_servers_to_long_prompts() {
+    let mut scenario = order_desk();
+    for kind in &mut scenario.kinds {
+        kind.calls_per_s *= 1.7;
+    }
+    let mut sparse = scenario.clone();
+    sparse.options.short_ratio_dense = 0.0;
+    let (dense, sparse) = (scenario.run(), sparse.run());
+    let long = |outcome: &Outcome| outcome.kinds[LONG].in_time_ratio();
+    assert!(
+        long(&dense) > long(&sparse) + 0.1,
+        "{} with dense chats, {} without",
+        long(&dense),
+        long(&sparse)
+    );
+    assert!(
+        dense.kinds[LONG].refused * 2 < sparse.kinds[LONG].refused,
+        "{:?}, {:?} without dense chats",
+        dense.kinds[LONG],
+        sparse.kinds[LONG]
+    );
+    let chats = |outcome: &Outcome| outcome.kinds[CHAT].in_time_ratio();
+    assert!(
+        chats(&dense) > chats(&sparse) - 0.02,
+        "{:?}",
+        dense.kinds[CHAT]
+    );
+}
