Keep a held prefix at few servers

Change: where a server holds the whole prefix, a further one has to be among the first of the rendezvous order, as before, or hold it too.

--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -251,12 +251,15 @@
             // Less urgent calls would start elsewhere while these are refused.
             TierRank::First | TierRank::Middle => usize::MAX,
         };
+        let is_held = self.is_held(prompt);
         let costs = self.candidates.iter().zip(ranks);
         costs
             .map(|(candidate, rank)| {
                 let mut cost = self.model_cost(now, prompt, candidate, rank);
                 cost.cost_ms += candidate.load.running * self.options.in_flight_cost_ms;
-                let is_near = rank < servers_max || candidate.held_parts().is_some();
+                // A prefix that no server holds may go to any that is known not to hold it.
+                let is_asked = |held: usize| !is_held || held >= named_parts(prompt);
+                let is_near = rank < servers_max || candidate.held_parts().is_some_and(is_asked);
                 cost.has_capacity &= is_near && self.accepts_long_prompts(&candidate.load);
                 cost
             })
@@ -421,16 +424,20 @@
         let Some(held) = candidate.held_parts() else {
             return (tokens - f64::from(prompt.unshared_tokens())).max(0.0);
         };
-        let shared = prompt.parts.len().saturating_sub(1).min(NAMED_PARTS_MAX);
-        let mut known = self.candidates.iter().filter_map(Candidate::held_parts);
-        if !known.any(|held| held >= shared) {
+        if !self.is_held(prompt) {
             // A part that many prefixes begin with is worth less than an idle server.
             return 0.0;
         }
-        let parts = prompt.parts.iter().take(shared).skip(held);
+        let parts = prompt.parts.iter().take(named_parts(prompt)).skip(held);
         parts.map(|(_, tokens)| f64::from(*tokens)).sum()
     }
 
+    /// Returns whether a server is known to hold the whole prefix of a prompt.
+    fn is_held(&self, prompt: &Prompt) -> bool {
+        let mut known = self.candidates.iter().filter_map(Candidate::held_parts);
+        known.any(|held| held >= named_parts(prompt))
+    }
+
     fn has_capacity(&self, candidate: &Candidate<'_>) -> bool {
         let Candidate { entry, load, .. } = candidate;
         let Some(engine) = self.engine else {
@@ -502,6 +509,12 @@
     }
 }
 
+/// Returns how many shared parts of a prompt the homes of servers are asked about.
+fn named_parts(prompt: &Prompt) -> usize {
+    let shared = prompt.parts.len().saturating_sub(1);
+    shared.min(NAMED_PARTS_MAX)
+}
+
 /// Returns how many tokens of a prompt a server is expected to prefill.
 fn uncached_tokens(now: Instant, prompt: &Prompt, candidate: &Candidate<'_>, rank: usize) -> f64 {
     let entry = candidate.entry;
--- a/crates/core/tests/flow/load.rs
+++ b/crates/core/tests/flow/load.rs
@@ -510,6 +510,9 @@
     );
     let long = with.kinds[LONG].in_time_ratio();
     assert!(long > 0.9, "{long} of {}", with.kinds[LONG].calls);
+    // A prefix that a server holds must not be read at each server that is asked.
+    let again = (with.prefill_again_ratio, without.prefill_again_ratio);
+    assert!(again.0 < again.1 * 2.0 / 3.0, "{again:?}");
     assert!(
         with.kinds[CHAT].in_time_ratio() > 0.95,
         "{:?}",
