Show how old the published values of a node may be

Each node now keeps the time up to which its values are known to be complete. It is in the metric briarbank_values_age_seconds, in /state and in the lines of failed reads and of configurations in force. No decision uses it yet.

--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -51,6 +51,7 @@
 mod route;
 mod server;
 mod server_limits;
+mod staleness;
 mod stream_directory;
 mod stream_versions;
 mod table;
@@ -92,6 +93,7 @@
     WorkspaceEntry,
 };
 pub use server_limits::{LimitStatement, ServerLimits};
+pub use staleness::{Staleness, StalenessStatement};
 pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage, StreamOrigin};
 pub use table::RouteTable;
 pub use values::{ValueKind, Values, ValuesStatement};
--- a/crates/core/src/flow/values.rs
+++ b/crates/core/src/flow/values.rs
@@ -127,13 +127,19 @@
         self.mirror_mut(kind).apply(delta)
     }
 
-    /// Takes over that nothing has changed up to `revision` beyond what a peer states.
-    pub fn advance(&mut self, revision: u64, statement: &ValuesStatement) {
-        let is_complete = |kind| {
+    /// Returns whether no change is missing that a peer has by its statement.
+    #[must_use]
+    pub fn has_all_of(&self, statement: &ValuesStatement) -> bool {
+        let has_all = |kind| {
             let own = self.mirror(kind).revision();
             own > 0 && own >= statement.revision_of(kind)
         };
-        if ValueKind::ALL.into_iter().all(is_complete) {
+        ValueKind::ALL.into_iter().all(has_all)
+    }
+
+    /// Takes over that nothing has changed up to `revision` beyond what a peer states.
+    pub fn advance(&mut self, revision: u64, statement: &ValuesStatement) {
+        if self.has_all_of(statement) {
             for kind in ValueKind::ALL {
                 self.mirror_mut(kind).advance(revision);
             }
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -26,5 +26,6 @@
 mod routes;
 mod simulation;
 mod spread;
+mod staleness;
 mod streams;
 mod values;
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -204,9 +204,11 @@
         if version.is_some_and(|version| version >= table.version()) {
             return;
         }
+        let age = self.staleness.borrow().age(Instant::now());
         tracing::info!(
             version = table.version(),
             before = version,
+            values_age_ms = age.map(|age| age.as_millis()),
             routes = table.route_count(),
             source = source.name(),
             "values: configuration in force"
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -4,7 +4,9 @@
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use bincode::error::{DecodeError, EncodeError};
-use briarbank_core::flow::{Heartbeat, LimitStatement, PartStatement, ValuesStatement};
+use briarbank_core::flow::{
+    Heartbeat, LimitStatement, PartStatement, StalenessStatement, ValuesStatement,
+};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +49,8 @@
     pub(crate) parts: Vec<PartStatement>,
     /// What the sender says of its values, once.
     pub(crate) values: Vec<ValuesStatement>,
+    /// What the sender says of the age of its values, once.
+    pub(crate) staleness: Vec<StalenessStatement>,
 }
 
 /// Encodes a heartbeat with what is appended to it.
@@ -75,11 +79,14 @@
     let (limits, length) = decode_list(rest)?;
     let rest = rest.get(length..).unwrap_or_default();
     let (parts, length) = decode_list(rest)?;
-    let (values, _) = decode_list(rest.get(length..).unwrap_or_default())?;
+    let rest = rest.get(length..).unwrap_or_default();
+    let (values, length) = decode_list(rest)?;
+    let (staleness, _) = decode_list(rest.get(length..).unwrap_or_default())?;
     let appended = Appended {
         limits,
         parts,
         values,
+        staleness,
     };
     Ok((heartbeat, appended))
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -75,11 +75,17 @@
     let (heartbeat, targets) = peers.next_heartbeat(now, revision, is_watching, loads);
     drop(peers);
     let link_mbps = shared.settings().link_mbps;
+    let mut staleness = shared.staleness.borrow_mut();
+    if shared.store.is_receiving.get() {
+        staleness.record_transfer(now);
+    }
     let appended = Appended {
         limits: shared.limits.borrow_mut().statements(now),
         parts: shared.dispatcher.borrow_mut().part_statements(now),
         values: vec![shared.values.borrow().statement(link_mbps)],
+        staleness: vec![staleness.statement(now)],
     };
+    drop(staleness);
     let Ok(bytes) = codec::encode_heartbeat(&heartbeat, &appended) else {
         tracing::warn!("peer: encoding the heartbeat failed");
         return;
@@ -126,6 +132,11 @@
             if let Some(statement) = appended.values.first() {
                 peers.receive_values(sender, *statement);
                 shared.values.borrow_mut().advance(revision, statement);
+                if let Some(stated) = appended.staleness.first() {
+                    let has_all = shared.values.borrow().has_all_of(statement);
+                    let mut staleness = shared.staleness.borrow_mut();
+                    staleness.receive(now, stated, has_all);
+                }
             }
             drop(peers);
             shared.receive_limits(&appended.limits);
@@ -197,6 +208,7 @@
     shared.prefills.borrow_mut().clear();
     let now = Instant::now();
     shared.freshness.record_gap(now);
+    shared.staleness.borrow_mut().discard();
     let mut dispatcher = shared.dispatcher.borrow_mut();
     dispatcher.record_missed_changes(now);
     dispatcher.record_pause(now);
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -79,6 +79,9 @@
         .get()
         .map_or(f64::INFINITY, |at| at.elapsed().as_secs_f64());
     metrics::gauge!("briarbank_store_age_seconds").set(age);
+    let age = shared.staleness.borrow().age(now);
+    let age = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+    metrics::gauge!("briarbank_values_age_seconds").set(age);
 }
 
 /// Returns the state of the node as JSON.
@@ -128,7 +131,9 @@
     json!({
         "host": shared.settings().host.as_str(), "ready": shared.is_ready(),
         "config_version": shared.table().map(|t| t.version()),
-        "revision": shared.values.borrow().revision(), "store_lost": shared.store.is_failing.get(),
+        "revision": shared.values.borrow().revision(),
+        "values_age_ms": shared.staleness.borrow().age(now).map(|age| age.as_millis() as u64),
+        "store_lost": shared.store.is_failing.get(),
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
         "blamed_parts": blamed, "zone_regions": regions, "evacuated_zones": zones,
         "cold_servers": shared.dump_cold_servers(now),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,7 +6,7 @@
 
 use briarbank_core::flow::{
     Dispatcher, Hedging, LoadDirectory, Options, PeerOptions, Peers, PrefillDirectory, RemovalLog,
-    RouteTable, ServerLimits, StreamDirectory, Values,
+    RouteTable, ServerLimits, Staleness, StreamDirectory, Values,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -45,6 +45,8 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) hedging: RefCell<Hedging>,
     pub(crate) values: RefCell<Values>,
+    /// How old the values may be.
+    pub(crate) staleness: RefCell<Staleness>,
     pub(crate) removals: RefCell<RemovalLog>,
     /// Whether changes of entries are seen as they happen.
     pub(crate) freshness: Freshness,
@@ -97,6 +99,8 @@
     pub(crate) restored_at: Cell<Option<Instant>>,
     /// Time of the last successful request.
     pub(crate) read_at: Cell<Option<Instant>>,
+    /// Whether an answer of the store is being received.
+    pub(crate) is_receiving: Cell<bool>,
     /// Signals that the connection to the store may be dead.
     pub(crate) connection_suspect: Notify,
     /// Signals that peers have had newer values for some heartbeats.
@@ -145,6 +149,7 @@
             dialect,
             table: RefCell::new(None),
             values: RefCell::default(),
+            staleness: RefCell::default(),
             removals: RefCell::default(),
             freshness: Freshness::default(),
             peers: RefCell::new(peers),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,5 +1,6 @@
 //! Reads and watches the store of published values.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -140,13 +141,13 @@
 
 fn record_failure(shared: &SharedState, error: &ReadError, has_values: bool) {
     metrics::counter!("briarbank_store_failures_total").increment(1);
-    let age_ms = shared
-        .store
-        .read_at
-        .get()
-        .map(|at| at.elapsed().as_millis());
+    let now = Instant::now();
+    let read_at = shared.store.read_at.get();
+    let age_ms = read_at.map(|at| now.saturating_duration_since(at).as_millis());
+    let values_age = shared.staleness.borrow().age(now);
+    let values_age_ms = values_age.map(|age| age.as_millis());
     let revision = shared.values.borrow().revision();
-    tracing::warn!(%error, revision, age_ms, is_known = has_values, "store: reading published values failed");
+    tracing::warn!(%error, revision, age_ms, values_age_ms, is_known = has_values, "store: reading published values failed");
     if !matches!(error, ReadError::HistoryLost) {
         shared.store.is_failing.set(true);
         let since = shared.store.failing_since.get();
@@ -155,6 +156,22 @@
     }
 }
 
+/// Sets a flag until dropped, while an answer is being received.
+struct Receiving<'a>(&'a Cell<bool>);
+
+impl<'a> Receiving<'a> {
+    fn start(flag: &'a Cell<bool>) -> Self {
+        flag.set(true);
+        Self(flag)
+    }
+}
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
 /// Client of the store, which reuses its connection.
 struct Reader {
     shared: Rc<SharedState>,
@@ -168,6 +185,7 @@
             is_whole: true,
             ..Delta::default()
         };
+        let sent_at = Instant::now();
         let mut after = None;
         loop {
             let (headers, body) = self
@@ -188,6 +206,8 @@
             after = page.last_key;
         }
         self.shared.apply(&values, None, Source::Store);
+        let mut staleness = self.shared.staleness.borrow_mut();
+        staleness.record_complete(sent_at);
         Ok(true)
     }
 
@@ -206,6 +226,7 @@
         }
         let revision = self.shared.values.borrow().revision();
         let wait = WATCH_WAIT;
+        let sent_at = Instant::now();
         let (headers, body) = self
             .request(&StoreRead::Watch { revision, wait }, wait)
             .await?;
@@ -215,6 +236,12 @@
             return Err(ReadError::HistoryLost);
         }
         self.shared.apply(&delta, None, Source::Store);
+        let is_empty = delta.changes.is_empty() && delta.removals.is_empty();
+        // The store waits that long for changes before it answers that there are none.
+        let waited = if is_empty { wait } else { Duration::ZERO };
+        let complete_at = (sent_at + waited).min(Instant::now());
+        let mut staleness = self.shared.staleness.borrow_mut();
+        staleness.record_complete(complete_at);
         Ok(true)
     }
 
@@ -235,7 +262,9 @@
             () = overdue(&shared) => return Err(ReadError::ConnectionSuspect),
         };
         let (head, body) = response.into_parts();
+        let receiving = Receiving::start(&shared.store.is_receiving);
         let body = briarbank_net::read_body(body, ANSWER_TIMEOUT, ANSWER_BYTES_MAX).await?;
+        drop(receiving);
         self.connection = Some(sender);
         match head.status {
             StatusCode::OK => Ok((head.headers, body)),
