--- a/crates/net/tests/silent_path.rs
+++ b/crates/net/tests/silent_path.rs
@@ -14,6 +14,9 @@
 /// Number of probes that the system sends unless a connection has its own.
 const SYSTEM_PROBES: u32 = 9;
 
+/// Instruction of a socket filter that returns a constant.
+const RETURN_CONSTANT: u16 = 0x06;
+
 /// Opens a connection whose other end no longer receives any packets.
 async fn connect_silent() -> (TcpStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -21,7 +24,6 @@
     let stream = briarbank_net::connect(address, BOUND).await.unwrap();
     let (other_end, _) = listener.accept().await.unwrap();
     // A filter program that returns 0 drops each packet before the system acknowledges it.
-    const RETURN_CONSTANT: u16 = 0x06;
     let drop_all = SockFilter::new(RETURN_CONSTANT, 0, 0, 0);
     SockRef::from(&other_end)
         .attach_filter(&[drop_all])
