Let each node judge the age of its values and act on it

Callers saw 404 for routes that had been added and answers by routes that had been changed, and calls reached servers that had said that they leave, up to 11 s late.

Cause: all connections to the store fell silent together. A silent watch was noticed only by a peer with newer values, and no peer had any, or only one in a planned stop, which is not asked. Class: the news of a node was taken for new as long as nobody contradicted it.

Change: two nodes have the store confirm once a second that they have missed nothing, heartbeats pass that on, and a node whose values have not been confirmed for 1.5 s (2 s in large fleets) gives its read up and opens another connection, whether it watches or not. A second silence in a row counts as a failing store. A node that starts is ready once its values were confirmed or the store did not do so within 0.5 s. An answer without changes but with a later revision makes a node read all values again.

--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -52,6 +52,7 @@
 mod server;
 mod server_limits;
 mod staleness;
+mod store_reads;
 mod stream_directory;
 mod stream_versions;
 mod table;
@@ -94,6 +95,7 @@
 };
 pub use server_limits::{LimitStatement, ServerLimits};
 pub use staleness::{Staleness, StalenessStatement};
+pub use store_reads::{NextRead, StoreReads};
 pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage, StreamOrigin};
 pub use table::RouteTable;
 pub use values::{ValueKind, Values, ValuesStatement};
--- a/crates/core/src/flow/peer_values.rs
+++ b/crates/core/src/flow/peer_values.rs
@@ -18,6 +18,9 @@
 /// It is the same on all nodes.
 const WATCHER_KEY: u64 = 0x7761_7463_6800;
 
+/// Rendezvous key by which nodes differ in the time after which they read the store.
+const DELAY_KEY: u64 = 0x6465_6c61_7900;
+
 /// Age of the last heartbeat up to which a peer is preferred as a source.
 ///
 /// One that stands still counts as live for longer.
@@ -43,6 +46,8 @@
 pub(crate) struct PeerValues {
     /// `None` for nodes of earlier versions.
     statement: Option<ValuesStatement>,
+    /// Whether it states the age of its values.
+    states_age: bool,
     /// When its last heartbeat arrived.
     pub(crate) heard_at: Option<Instant>,
     paused_until: Option<Instant>,
@@ -105,12 +110,35 @@
         }
     }
 
+    /// Records that the sender of a heartbeat states the age of its values.
+    pub fn record_stated_age(&mut self, sender: HeartbeatEntry) {
+        if let Some(peer) = self.others.get_mut(&sender.address) {
+            peer.values.states_age = true;
+        }
+    }
+
     /// Returns whether this node should watch the store itself.
     ///
     /// All nodes compute the same few watchers, those with the widest links, by rendezvous
     /// hashing. A node that knows of too few live watchers becomes one as well.
     #[must_use]
     pub fn should_watch(&self, now: Instant) -> bool {
+        let watching = self.others.values().filter(|p| p.is_watching);
+        let watching = watching.filter(|p| self.is_live(now, p)).count();
+        watching < self.options.watchers_min
+            || self.preceding(now, |_| true) < self.options.watchers
+    }
+
+    /// Returns whether this node has the store confirm its values, for itself and others.
+    ///
+    /// Of the nodes that watch the store, the first ones do; those of earlier versions can't.
+    #[must_use]
+    pub fn should_confirm(&self, now: Instant) -> bool {
+        self.preceding(now, |p| p.values.states_age) < self.options.confirming
+    }
+
+    /// Counts the live nodes of a kind that watch the store sooner than this one.
+    fn preceding(&self, now: Instant, is_counted: impl Fn(&Peer) -> bool) -> usize {
         // A node whose link is unknown ranks as if it were like this one's.
         let rank = |link_mbps: u32, address: &SocketAddrV4| {
             let name_key = rendezvous::key(address.to_string().as_bytes());
@@ -122,10 +150,15 @@
             let known = p.link_mbps().filter(|_| self.link_mbps > 0);
             rank(known.unwrap_or(self.link_mbps), &p.entry.address)
         };
-        let live = || self.others.values().filter(|p| self.is_live(now, p));
-        let preceding = live().filter(|p| peer_rank(p) > own_rank).count();
-        let watching = live().filter(|p| p.is_watching).count();
-        preceding < self.options.watchers || watching < self.options.watchers_min
+        let counted = self.others.values().filter(|p| is_counted(p));
+        let live = counted.filter(|p| self.is_live(now, p));
+        live.filter(|p| peer_rank(p) > own_rank).count()
+    }
+
+    /// Returns a number from 0 to 1 that differs between nodes and stays the same.
+    pub(crate) fn delay_ratio(&self) -> f64 {
+        let name_key = rendezvous::key(self.local.address.to_string().as_bytes());
+        rendezvous::weight_of(DELAY_KEY, name_key) as f64 / u64::MAX as f64
     }
 
     /// Returns whether changes that the store publishes now reach this node by peers.
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -44,6 +44,10 @@
     pub watchers: usize,
     /// Live watchers that a node must know of to rely on them.
     pub watchers_min: usize,
+    /// Number of watchers that have the store confirm the values of the fleet.
+    ///
+    /// Two, so that the others need not look themselves when one of them ends.
+    pub confirming: usize,
     /// Time without a new heartbeat count after which a node counts as failed.
     pub failure_timeout: Duration,
     /// Age beyond which a reported load is ignored.
@@ -60,6 +64,7 @@
             entries_max: 16,
             watchers: 8,
             watchers_min: 2,
+            confirming: 2,
             failure_timeout: Duration::from_millis(2_500),
             load_ttl: Duration::from_millis(1_500),
             peak_ttl: Duration::from_secs(10),
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -27,5 +27,6 @@
 mod simulation;
 mod spread;
 mod staleness;
+mod store_reads;
 mod streams;
 mod values;
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -24,6 +24,9 @@
 /// The store's answer takes a while to arrive, and so does a call to reach the server.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
 
+/// Age of the values before a change up to which it counts as made just now.
+const AS_IT_HAPPENS_AGE_MAX: Duration = Duration::from_millis(1_400);
+
 /// Assumed age of a removal that a peer reports without its time.
 const UNKNOWN_AGE: Duration = Duration::from_secs(1);
 
@@ -78,11 +81,14 @@
         if revision_before == 0 {
             self.freshness.record_gap(now);
         }
+        let values_age = self.staleness.borrow().age(now);
+        let is_recent = values_age.is_some_and(|age| age < AS_IT_HAPPENS_AGE_MAX)
+            && self.freshness.is_following(now);
         let arrival = Arrival {
             now,
             source,
             is_restored,
-            is_as_it_happens: !delta.is_whole && !is_restored && self.freshness.is_following(now),
+            is_as_it_happens: !delta.is_whole && !is_restored && is_recent,
         };
         for key in changed {
             let change = self.values.borrow().get(&key).cloned();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -133,6 +133,7 @@
                 peers.receive_values(sender, *statement);
                 shared.values.borrow_mut().advance(revision, statement);
                 if let Some(stated) = appended.staleness.first() {
+                    peers.record_stated_age(sender);
                     let has_all = shared.values.borrow().has_all_of(statement);
                     let mut staleness = shared.staleness.borrow_mut();
                     staleness.receive(now, stated, has_all);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -99,6 +99,8 @@
     pub(crate) restored_at: Cell<Option<Instant>>,
     /// Time of the last successful request.
     pub(crate) read_at: Cell<Option<Instant>>,
+    /// Whether a request has ended since the start, with an answer or without.
+    pub(crate) was_asked: Cell<bool>,
     /// Whether an answer of the store is being received.
     pub(crate) is_receiving: Cell<bool>,
     /// Signals that the connection to the store may be dead.
@@ -211,7 +213,13 @@
 
     /// Returns whether the balancer should send connections to the node.
     pub(crate) fn is_ready(&self) -> bool {
+        // Values of peers may be old; the node's own read shows that, if it is possible.
+        let is_checked =
+            self.store.was_asked.get() || self.staleness.borrow().age(Instant::now()).is_some();
         let has_config = self.table.borrow().is_some();
-        has_config && self.dispatcher.borrow().has_servers() && !self.stop.is_stopping()
+        has_config
+            && is_checked
+            && self.dispatcher.borrow().has_servers()
+            && !self.stop.is_stopping()
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Delta, era_of};
+use briarbank_core::flow::{Delta, NextRead, StoreReads, era_of};
 use briarbank_net::BodyError;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use rand::Rng;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until};
 
 use crate::apply::Source;
 use crate::dialect::StoreRead;
@@ -29,12 +29,6 @@
 /// A slow store takes up to 0.3 s.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Requested wait of a watch.
-///
-/// Long because every request has a cost; a dead connection is detected earlier,
-/// when a peer has newer values.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
-
 /// Time for an answer after which peers with newer values show that the connection is dead.
 ///
 /// Shorter than this, the answer may be late and still on its way.
@@ -70,6 +64,7 @@
     let mut reader = Reader {
         shared: Rc::clone(&shared),
         connection: None,
+        reads: StoreReads::default(),
     };
     let mut backoff = BACKOFF.0;
     let mut has_values = false;
@@ -90,9 +85,14 @@
                 has_values = true;
                 backoff = BACKOFF.0;
                 if has_read {
+                    reader.reads.record_answer();
                     record_success(&shared);
                 }
             }
+            Err(ReadError::Silent) => {
+                reader.connection = None;
+                record_silence(&shared, &mut reader.reads, has_values);
+            }
             Err(ReadError::ConnectionSuspect) => {
                 // Only the connection may be dead; the store is not known to be failing.
                 reader.connection = None;
@@ -109,20 +109,27 @@
     }
 }
 
-/// Waits until peers have newer values though an answer could have arrived by now.
-async fn overdue(shared: &SharedState) {
-    let sent_at = Instant::now();
-    loop {
-        shared.store.peers_are_newer.notified().await;
-        if sent_at.elapsed() >= OVERDUE_TIMEOUT {
-            return;
-        }
+/// Records that a read was given up, so that the next one uses a new connection.
+///
+/// There is no need for a pause, as the time until then was one.
+fn record_silence(shared: &SharedState, reads: &mut StoreReads, has_values: bool) {
+    shared.store.was_asked.set(true);
+    if reads.record_silence() {
+        record_failure(shared, &ReadError::Silent, has_values);
+        return;
     }
+    let age = shared.staleness.borrow().age(Instant::now());
+    let values_age_ms = age.map(|age| age.as_millis());
+    tracing::warn!(
+        values_age_ms,
+        "store: connection is silent, opening another"
+    );
 }
 
 fn record_success(shared: &SharedState) {
     let now = Instant::now();
     shared.store.read_at.set(Some(now));
+    shared.store.was_asked.set(true);
     if shared.store.is_failing.replace(false) {
         if shared
             .store
@@ -141,6 +148,7 @@
 
 fn record_failure(shared: &SharedState, error: &ReadError, has_values: bool) {
     metrics::counter!("briarbank_store_failures_total").increment(1);
+    shared.store.was_asked.set(true);
     let now = Instant::now();
     let read_at = shared.store.read_at.get();
     let age_ms = read_at.map(|at| now.saturating_duration_since(at).as_millis());
@@ -156,6 +164,32 @@
     }
 }
 
+/// Waits until a request that is sent now is given up; returns the reason.
+async fn overdue(shared: &SharedState, reads: &StoreReads, wait: Duration) -> ReadError {
+    let sent_at = Instant::now();
+    let give_up_at = || {
+        let peers = shared.peers.borrow();
+        let staleness = shared.staleness.borrow();
+        let give_up_at = reads.give_up_at(Instant::now(), sent_at, &peers, &staleness);
+        give_up_at.min(sent_at + wait + ANSWER_TIMEOUT)
+    };
+    loop {
+        tokio::select! {
+            () = shared.store.peers_are_newer.notified() => {
+                if sent_at.elapsed() >= OVERDUE_TIMEOUT {
+                    return ReadError::ConnectionSuspect;
+                }
+            }
+            () = sleep_until(give_up_at().into()) => {
+                // The values may have been confirmed meanwhile.
+                if give_up_at() <= Instant::now() {
+                    return ReadError::Silent;
+                }
+            }
+        }
+    }
+}
+
 /// Sets a flag until dropped, while an answer is being received.
 struct Receiving<'a>(&'a Cell<bool>);
 
@@ -176,6 +210,7 @@
 struct Reader {
     shared: Rc<SharedState>,
     connection: Option<SendRequest<Empty<Bytes>>>,
+    reads: StoreReads,
 }
 
 impl Reader {
@@ -211,21 +246,20 @@
         Ok(true)
     }
 
-    /// Waits for changes; returns false if other nodes watch the store instead.
+    /// Waits for changes; returns false if other nodes read the store instead.
     async fn watch(&mut self) -> Result<bool, ReadError> {
-        let should_watch = self.shared.peers.borrow().should_watch(Instant::now());
-        if self.shared.store.is_watching.replace(should_watch) != should_watch {
-            tracing::info!(should_watch, "store: role in watching the store changed");
-        }
-        if !should_watch {
-            self.connection = None;
-            self.shared.store.is_failing.set(false);
-            self.shared.store.failing_since.set(None);
-            sleep(IDLE_POLL_INTERVAL).await;
-            return Ok(false);
-        }
+        let wait = match self.next_read() {
+            NextRead::Watch(wait) => wait,
+            NextRead::Idle(until) => {
+                self.connection = None;
+                self.shared.store.is_failing.set(false);
+                self.shared.store.failing_since.set(None);
+                let rest = until.saturating_duration_since(Instant::now());
+                sleep(rest.min(IDLE_POLL_INTERVAL)).await;
+                return Ok(false);
+            }
+        };
         let revision = self.shared.values.borrow().revision();
-        let wait = WATCH_WAIT;
         let sent_at = Instant::now();
         let (headers, body) = self
             .request(&StoreRead::Watch { revision, wait }, wait)
@@ -235,8 +269,12 @@
             // The changes do not follow those that are known.
             return Err(ReadError::HistoryLost);
         }
-        self.shared.apply(&delta, None, Source::Store);
         let is_empty = delta.changes.is_empty() && delta.removals.is_empty();
+        if is_empty && delta.revision > revision {
+            // The answer leaves out what has changed.
+            return Err(ReadError::HistoryLost);
+        }
+        self.shared.apply(&delta, None, Source::Store);
         // The store waits that long for changes before it answers that there are none.
         let waited = if is_empty { wait } else { Duration::ZERO };
         let complete_at = (sent_at + waited).min(Instant::now());
@@ -245,7 +283,28 @@
         Ok(true)
     }
 
-    /// Sends a request whose answer begins within [`ANSWER_TIMEOUT`] beyond `wait`.
+    /// Returns how to read next, and records whether this node is one of those that watch.
+    fn next_read(&self) -> NextRead {
+        let now = Instant::now();
+        let store = &self.shared.store;
+        let peers = self.shared.peers.borrow();
+        let should_watch = peers.should_watch(now);
+        if store.is_watching.replace(should_watch) != should_watch {
+            tracing::info!(should_watch, "store: role in watching the store changed");
+        }
+        let staleness = self.shared.staleness.borrow();
+        let next = self.reads.next(now, &peers, &staleness);
+        if !should_watch && matches!(next, NextRead::Watch(_)) {
+            let values_age_ms = staleness.age(now).map(|age| age.as_millis());
+            tracing::info!(
+                values_age_ms,
+                "store: reading, as peers do not confirm the values"
+            );
+        }
+        next
+    }
+
+    /// Sends a request whose answer begins before it is given up.
     ///
     /// Once it has begun, it may take as long as it makes progress.
     async fn request(
@@ -255,11 +314,10 @@
     ) -> Result<(HeaderMap, Bytes), ReadError> {
         metrics::counter!("briarbank_store_calls_total").increment(1);
         let shared = Rc::clone(&self.shared);
+        let reads = self.reads;
         let (sender, response) = tokio::select! {
-            answered = timeout(wait + ANSWER_TIMEOUT, self.send(read)) => {
-                answered.unwrap_or(Err(ReadError::Silent))?
-            }
-            () = overdue(&shared) => return Err(ReadError::ConnectionSuspect),
+            answered = self.send(read) => answered?,
+            error = overdue(&shared, &reads, wait) => return Err(error),
         };
         let (head, body) = response.into_parts();
         let receiving = Receiving::start(&shared.store.is_receiving);
