--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -172,7 +172,10 @@
         }
         metrics::counter!("briarbank_server_connections_total").increment(1);
         let stream = briarbank_net::connect(instance.address, CONNECT_TIMEOUT).await;
-        let stream = stream.map_err(SendError::Connect)?;
+        let stream = stream.map_err(|error| {
+            metrics::counter!("briarbank_server_connects_failed_total").increment(1);
+            SendError::Connect(error)
+        })?;
         let connection = Connection::start(stream, &self.tasks, open).await;
         connection
             .map_err(|error| SendError::Connect(io::Error::new(io::ErrorKind::NotConnected, error)))
