Reach servers through another node when a node's own path is broken

Callers of nodes that had lost their paths to servers got 503 or waited to their deadline: 0 of 178 and 5 of 267 first attempts were served, beside 579 of 582 and 466 of 467 at the other nodes, which were in touch with them all the while.

Cause: a node had no way to a server but its own, and could not tell a server that is down from one that only it does not reach. Class: a local view of the network taken for that of the fleet.

Change: when a connection to a server fails, or is not open after 50 ms, another node is asked to open it and to pass on bytes (an h2 stream on the peer port). The node that has the call keeps all decisions, so that what may be repeated, deadlines, streams and what callers are told stay as they are; a relay only connects directly, so there are no loops. Where the other node succeeds, no fault is counted against the server. A node relays an eighth of its callers' connections at most.

--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -46,11 +46,13 @@
 mod prompt_time;
 mod recent_times;
 mod regions;
+mod relays;
 mod removal_log;
 mod retry_budget;
 mod route;
 mod server;
 mod server_limits;
+mod server_paths;
 mod staleness;
 mod store_reads;
 mod stream_directory;
@@ -94,6 +96,7 @@
     WorkspaceEntry,
 };
 pub use server_limits::{LimitStatement, ServerLimits};
+pub use server_paths::{PathStatement, ServerPaths};
 pub use staleness::{Staleness, StalenessStatement};
 pub use store_reads::{NextRead, StoreReads};
 pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage, StreamOrigin};
--- a/crates/core/src/flow/peer_values.rs
+++ b/crates/core/src/flow/peer_values.rs
@@ -76,7 +76,7 @@
         }
     }
 
-    fn is_fresh(&self, now: Instant) -> bool {
+    pub(crate) fn is_fresh(&self, now: Instant) -> bool {
         let age = |at| now.saturating_duration_since(at);
         self.values.heard_at.is_some_and(|at| age(at) < FRESH_AGE)
     }
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -24,6 +24,7 @@
 use crate::flow::load::Load;
 use crate::flow::message::{Heartbeat, HeartbeatEntry, ServerLoad};
 use crate::flow::peer_values::PeerValues;
+use crate::flow::relays::PeerRelay;
 use crate::rendezvous;
 
 /// Time after which most pending prompts have been prefilled.
@@ -93,6 +94,7 @@
     loads: Vec<ServerLoad>,
     loads_at: Option<Instant>,
     pub(crate) values: PeerValues,
+    pub(crate) relay: PeerRelay,
 }
 
 /// The nodes that this one knows of, with their state and load.
@@ -238,6 +240,7 @@
             loads: Vec::new(),
             loads_at: None,
             values: PeerValues::default(),
+            relay: PeerRelay::default(),
         });
         let is_newer =
             (entry.incarnation, entry.count) > (peer.entry.incarnation, peer.entry.count);
@@ -250,6 +253,7 @@
             peer.loads.clear();
             peer.revision = 0;
             peer.values = PeerValues::default();
+            peer.relay = PeerRelay::default();
         }
         peer.entry = entry;
         peer.updated_at = now;
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -13,6 +13,7 @@
 use crate::flow::options::Options;
 use crate::flow::prefill_directory::SAMPLE_LIFETIME;
 use crate::flow::prefix_cache::PrefixCache;
+use crate::flow::server_paths::server_key;
 use crate::flow::token_bucket::TokenBucket;
 use crate::flow::version::VersionKey;
 use crate::outlier::Health;
@@ -96,7 +97,7 @@
     pub(crate) fn new(instance: Instance) -> Self {
         let name_key = rendezvous::key(instance.id.as_str().as_bytes());
         Self {
-            key: (name_key >> 32) as u32,
+            key: server_key(&instance.id),
             name_key,
             version_key: instance.version_key(),
             own_load: Load::default(),
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -21,6 +21,7 @@
 mod prefills;
 mod processes;
 mod regions;
+mod relays;
 mod removals;
 mod repeats;
 mod routes;
--- a/crates/gateway/src/caller/pending.rs
+++ b/crates/gateway/src/caller/pending.rs
@@ -171,6 +171,7 @@
             };
             let pool = &shared.pool;
             let sending = pool.send(
+                &shared,
                 &instance,
                 request,
                 connections_max,
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -5,7 +5,7 @@
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use bincode::error::{DecodeError, EncodeError};
 use briarbank_core::flow::{
-    Heartbeat, LimitStatement, PartStatement, StalenessStatement, ValuesStatement,
+    Heartbeat, LimitStatement, PartStatement, PathStatement, StalenessStatement, ValuesStatement,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -51,6 +51,8 @@
     pub(crate) values: Vec<ValuesStatement>,
     /// What the sender says of the age of its values, once.
     pub(crate) staleness: Vec<StalenessStatement>,
+    /// What the sender says of its paths to servers, once.
+    pub(crate) paths: Vec<PathStatement>,
 }
 
 /// Encodes a heartbeat with what is appended to it.
@@ -81,12 +83,15 @@
     let (parts, length) = decode_list(rest)?;
     let rest = rest.get(length..).unwrap_or_default();
     let (values, length) = decode_list(rest)?;
-    let (staleness, _) = decode_list(rest.get(length..).unwrap_or_default())?;
+    let rest = rest.get(length..).unwrap_or_default();
+    let (staleness, length) = decode_list(rest)?;
+    let (paths, _) = decode_list(rest.get(length..).unwrap_or_default())?;
     let appended = Appended {
         limits,
         parts,
         values,
         staleness,
+        paths,
     };
     Ok((heartbeat, appended))
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -84,6 +84,7 @@
         parts: shared.dispatcher.borrow_mut().part_statements(now),
         values: vec![shared.values.borrow().statement(link_mbps)],
         staleness: vec![staleness.statement(now)],
+        paths: vec![shared.paths.borrow().statement()],
     };
     drop(staleness);
     let Ok(bytes) = codec::encode_heartbeat(&heartbeat, &appended) else {
@@ -112,6 +113,7 @@
     shared.directory.borrow_mut().expire(now);
     shared.prefills.borrow_mut().expire(now);
     shared.streams.borrow_mut().expire(now);
+    shared.paths.borrow_mut().expire(now);
 }
 
 fn receive(shared: &SharedState, from: SocketAddr, bytes: &[u8]) {
@@ -129,6 +131,9 @@
             let (sender, revision) = (heartbeat.sender, heartbeat.revision);
             let mut peers = shared.peers.borrow_mut();
             peers.receive(now, heartbeat);
+            if let Some(paths) = appended.paths.into_iter().next() {
+                peers.receive_paths(sender, paths);
+            }
             if let Some(statement) = appended.values.first() {
                 peers.receive_values(sender, *statement);
                 shared.values.borrow_mut().advance(revision, statement);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod notices;
 mod operator;
 mod pause;
+mod relay;
 mod reload;
 mod run;
 mod server;
--- a/crates/gateway/src/log_lines.rs
+++ b/crates/gateway/src/log_lines.rs
@@ -30,6 +30,8 @@
     Entry,
     /// Begin or end of the evacuation of a zone.
     Evacuation,
+    /// A path to a server that broke or works again.
+    Path,
 }
 
 impl LineKind {
@@ -42,7 +44,7 @@
             Self::Served | Self::Cold => 100,
             Self::Unserved => 400,
             Self::Attempt | Self::NotAdmitted | Self::Hedge | Self::Continued => 200,
-            Self::Notice | Self::Parts | Self::Entry | Self::Evacuation => 20,
+            Self::Notice | Self::Parts | Self::Entry | Self::Evacuation | Self::Path => 20,
         }
     }
 }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use briarbank_core::ids::ServerName;
 use briarbank_meter::PrometheusHandle;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -66,6 +67,9 @@
     metrics::gauge!("briarbank_blamed_parts").set(blamed as f64);
     shared.update_cold_metrics(now);
     let dispatcher = shared.dispatcher.borrow();
+    metrics::gauge!("briarbank_relays").set(shared.relays.get() as f64);
+    let broken = shared.paths.borrow().broken().count();
+    metrics::gauge!("briarbank_broken_paths").set(broken as f64);
     let zones = dispatcher.evacuated_zones().count();
     metrics::gauge!("briarbank_evacuated_zones").set(zones as f64);
     let servers = dispatcher.evacuated_servers(now);
@@ -122,6 +126,8 @@
         .iter()
         .map(|(part, processes)| json!({"part": hex(*part), "crashes": processes.len()}))
         .collect();
+    let paths = shared.paths.borrow();
+    let broken_paths: Vec<&str> = paths.broken().map(ServerName::as_str).collect();
     let settings = shared.settings();
     let regions: BTreeMap<&str, &str> = settings
         .zone_regions
@@ -135,6 +141,7 @@
         "values_age_ms": shared.staleness.borrow().age(now).map(|age| age.as_millis() as u64),
         "store_lost": shared.store.is_failing.get(),
         "in_flight": shared.in_flight.get(), "servers": servers, "peers": peers,
+        "broken_paths": broken_paths, "relays": shared.relays.get(),
         "blamed_parts": blamed, "zone_regions": regions, "evacuated_zones": zones,
         "cold_servers": shared.dump_cold_servers(now),
         "hedging": hedging_state(shared, now),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -141,7 +141,11 @@
     shared.peers.borrow_mut().leave();
     let finished = async {
         shared.stop.closed().await;
-        while shared.in_flight.get() > 0 || shared.caller_connections.get() > 0 {
+        let is_busy = || {
+            let relays = shared.relays.get();
+            relays > 0 || shared.in_flight.get() > 0 || shared.caller_connections.get() > 0
+        };
+        while is_busy() {
             sleep(STOP_POLL_INTERVAL).await;
         }
         // Lets the last answers leave the process.
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -9,10 +9,12 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio_util::either::Either;
 use tokio_util::task::TaskTracker;
 
+use crate::server::ServerStream;
+
 /// A connection for one call at a time, closed when dropped.
 ///
 /// Closing it also cancels the call in flight: servers stop work when the connection closes.
@@ -22,6 +24,8 @@
     /// Bound on the bytes before the head of an answer.
     pub(crate) head_limit: HeadLimit,
     pub(crate) opened_at: Instant,
+    /// Whether it leads through another node.
+    pub(crate) is_relayed: bool,
     task: AbortHandle,
     open: Rc<Cell<u32>>,
     /// Start of the current idle time.
@@ -33,10 +37,11 @@
 impl Connection {
     /// Performs the handshake; `open` counts the connections to the same server.
     pub(crate) async fn start(
-        stream: TcpStream,
+        stream: ServerStream,
         tasks: &TaskTracker,
         open: Rc<Cell<u32>>,
     ) -> hyper::Result<Self> {
+        let is_relayed = matches!(stream, Either::Right(_));
         let head_limit = HeadLimit::default();
         let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let handshake = Builder::new()
@@ -53,6 +58,7 @@
             sender,
             head_limit,
             opened_at: Instant::now(),
+            is_relayed,
             task: task.abort_handle(),
             open,
             idle_since: Instant::now(),
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -2,8 +2,10 @@
 
 mod break_fault;
 mod connection;
+mod dial;
 mod pool;
 
 pub(crate) use break_fault::break_fault;
 pub(crate) use connection::Connection;
+pub(crate) use dial::{Dial, ServerStream};
 pub(crate) use pool::{Pool, SendError, Sent};
--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -15,10 +15,7 @@
 use quick_error::quick_error;
 use tokio_util::task::TaskTracker;
 
-use crate::server::Connection;
-
-/// Timeout of a connect to a server; the network latency within a region is about 2 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+use crate::server::{Connection, Dial};
 
 /// Idle timeout assumed for servers that announce none.
 const IDLE_DEFAULT: Duration = Duration::from_secs(5);
@@ -90,11 +87,13 @@
         Self { tasks, servers }
     }
 
-    /// Sends a call to a server that admits `connections_max` from `sharing_nodes` nodes.
+    /// Sends a call to a server that admits `connections_max` from `sharing_nodes` nodes,
+    /// on an idle connection or one that is opened by `dial`.
     ///
     /// Nothing is sent if the server may have no calls any more when a connection is open.
     pub(crate) async fn send(
         &self,
+        dial: &dyn Dial,
         instance: &Instance,
         mut request: Request<Full<Bytes>>,
         connections_max: u32,
@@ -107,7 +106,7 @@
             let is_reused = idle.is_some();
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => self.connect(instance, share.max(1.0) as u32).await?,
+                None => self.connect(dial, instance, share.max(1.0) as u32).await?,
             };
             if is_evacuated() {
                 return Err(SendError::Evacuated);
@@ -157,6 +156,7 @@
     /// Opens a connection unless `connections_max` are open.
     async fn connect(
         &self,
+        dial: &dyn Dial,
         instance: &Instance,
         connections_max: u32,
     ) -> Result<Connection, SendError> {
@@ -171,8 +171,7 @@
             return Err(SendError::Full);
         }
         metrics::counter!("briarbank_server_connections_total").increment(1);
-        let stream = briarbank_net::connect(instance.address, CONNECT_TIMEOUT).await;
-        let stream = stream.map_err(|error| {
+        let stream = dial.connect(instance).await.map_err(|error| {
             metrics::counter!("briarbank_server_connects_failed_total").increment(1);
             SendError::Connect(error)
         })?;
@@ -182,12 +181,18 @@
     }
 
     /// Returns a connection to the pool after its answer was read to the end.
+    ///
+    /// One through another node is closed, so that the node can stop, and since the direct
+    /// path may be back.
     pub(crate) fn put_idle(
         &self,
         instance: &Instance,
         mut connection: Connection,
         idle: Option<Duration>,
     ) {
+        if connection.is_relayed {
+            return;
+        }
         connection.idle_since = Instant::now();
         connection.idle_max = idle.map_or(IDLE_DEFAULT, |idle| idle.saturating_sub(IDLE_MARGIN));
         let mut servers = self.servers.borrow_mut();
@@ -205,6 +210,13 @@
         }
     }
 
+    /// Closes the idle connections to a server, whose path is broken.
+    pub(crate) fn close_idle(&self, server: &ServerName) {
+        if let Some(server) = self.servers.borrow_mut().get_mut(server) {
+            server.idle.clear();
+        }
+    }
+
     /// Closes idle connections past their timeout and removes servers without connections.
     pub(crate) fn sweep(&self) {
         let now = Instant::now();
@@ -222,19 +234,36 @@
 #[cfg(test)]
 mod tests {
     use std::cell::Cell;
+    use std::io;
     use std::time::Duration;
 
     use briarbank_core::flow::Instance;
     use bytes::Bytes;
+    use futures_util::future::LocalBoxFuture;
     use http::Request;
     use http_body_util::Full;
     use tokio::io::AsyncReadExt;
-    use tokio::net::TcpListener;
+    use tokio::net::{TcpListener, TcpStream};
     use tokio::task::LocalSet;
     use tokio::time::timeout;
+    use tokio_util::either::Either;
     use tokio_util::task::TaskTracker;
 
     use super::{Pool, SendError};
+    use crate::server::{Dial, ServerStream};
+
+    /// Opens direct connections only.
+    struct Direct;
+
+    impl Dial for Direct {
+        fn connect<'a>(
+            &'a self,
+            instance: &'a Instance,
+        ) -> LocalBoxFuture<'a, io::Result<ServerStream>> {
+            let stream = TcpStream::connect(instance.address);
+            Box::pin(async { Ok(Either::Left(stream.await?)) })
+        }
+    }
 
     /// Guards against a call that reaches a server after its zone's evacuation has begun: it
     /// was placed before, and waited for its connection meanwhile.
@@ -257,7 +286,7 @@
         LocalSet::new()
             .run_until(async {
                 let request = Request::new(Full::new(Bytes::from_static(b"body")));
-                let sending = pool.send(&instance, request, 8, 1, || is_connected.get());
+                let sending = pool.send(&Direct, &instance, request, 8, 1, || is_connected.get());
                 let receiving = async {
                     let (mut stream, _) = listener.accept().await.unwrap();
                     is_connected.set(true);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,7 +6,7 @@
 
 use briarbank_core::flow::{
     Dispatcher, Hedging, LoadDirectory, Options, PeerOptions, Peers, PrefillDirectory, RemovalLog,
-    RouteTable, ServerLimits, Staleness, StreamDirectory, Values,
+    RouteTable, ServerLimits, ServerPaths, Staleness, StreamDirectory, Values,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -68,6 +68,10 @@
     /// Socket of the peer port, once it is served.
     pub(crate) socket: OnceCell<Rc<UdpSocket>>,
     pub(crate) pool: Pool,
+    /// Servers that are reached through other nodes only.
+    pub(crate) paths: RefCell<ServerPaths>,
+    /// Number of connections that are relayed for other nodes.
+    pub(crate) relays: Cell<usize>,
     pub(crate) answer_memory: AnswerMemory,
     pub(crate) stop: Stop,
     /// When the process started.
@@ -165,6 +169,8 @@
             reports: Cell::new(0),
             socket: OnceCell::new(),
             pool: Pool::new(tasks.clone()),
+            paths: RefCell::default(),
+            relays: Cell::new(0),
             answer_memory: AnswerMemory::default(),
             stop: Stop::default(),
             started_at: Instant::now(),
--- a/crates/gateway/src/sync/serve.rs
+++ b/crates/gateway/src/sync/serve.rs
@@ -18,6 +18,7 @@
 use super::fetch::read_body;
 use super::{ENCODING, EXCHANGE_TIMEOUT, Requested, SILENCE_TIMEOUT, SyncError};
 use crate::codec;
+use crate::relay;
 use crate::shared::SharedState;
 
 /// Size, as sent, from which an answer counts as large.
@@ -41,9 +42,8 @@
         let (stream, peer) = briarbank_net::accept(&listener).await;
         let serving = Rc::clone(&shared);
         shared.tasks.spawn_local(async move {
-            let served = timeout(EXCHANGE_TIMEOUT, serve_connection(&serving, stream)).await;
-            if let Err(error) = served.unwrap_or(Err(SyncError::Silent)) {
-                tracing::debug!(%peer, %error, "peer: serving values failed");
+            if let Err(error) = serve_connection(&serving, stream).await {
+                tracing::debug!(%peer, %error, "peer: serving a request failed");
             }
         });
     }
@@ -60,13 +60,27 @@
     let (request, respond) = accepted?;
     // Held until the peer has the whole answer and closes the connection, or stands still.
     let _transfer = tokio::select! {
-        answered = answer(shared, request, respond) => answered?,
+        answered = serve_request(shared, request, respond) => answered?,
         closed = poll_fn(|cx| connection.poll_closed(cx)) => return Ok(closed?),
     };
     let closed = timeout(SILENCE_TIMEOUT, poll_fn(|cx| connection.poll_closed(cx)));
     Ok(closed.await.map_err(|_elapsed| SyncError::Silent)??)
 }
 
+/// Relays a connection to a server, or sends values.
+async fn serve_request(
+    shared: &SharedState,
+    request: Request<RecvStream>,
+    respond: SendResponse<Bytes>,
+) -> Result<Option<Transfer<'_>>, SyncError> {
+    if request.uri().path().starts_with(relay::PATH_PREFIX) {
+        relay::serve(shared, request, respond).await?;
+        return Ok(None);
+    }
+    let answered = timeout(EXCHANGE_TIMEOUT, answer(shared, request, respond)).await;
+    answered.unwrap_or(Err(SyncError::Silent))
+}
+
 /// Sends the answer to a request for as long as the peer reads it.
 async fn answer(
     shared: &SharedState,
--- a/crates/net/src/head_limit.rs
+++ b/crates/net/src/head_limit.rs
@@ -7,7 +7,6 @@
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Read buffer of a connection to a server, and thereby the largest head, in bytes.
 pub const HEAD_BUFFER_BYTES: usize = 32 << 10;
@@ -56,24 +55,24 @@
     }
 }
 
-/// A socket to a server that fails when the head of an answer does not end.
+/// A connection to a server that fails when the head of an answer does not end.
 ///
 /// HTTP libraries skip interim heads, of which a faulty server may send any number.
 #[derive(Debug)]
-pub struct HeadLimitedStream {
-    stream: TcpStream,
+pub struct HeadLimitedStream<S> {
+    stream: S,
     limit: HeadLimit,
 }
 
-impl HeadLimitedStream {
-    /// Creates a socket that keeps to a limit.
+impl<S> HeadLimitedStream<S> {
+    /// Creates a connection that keeps to a limit.
     #[must_use]
-    pub fn new(stream: TcpStream, limit: HeadLimit) -> Self {
+    pub fn new(stream: S, limit: HeadLimit) -> Self {
         Self { stream, limit }
     }
 }
 
-impl AsyncRead for HeadLimitedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for HeadLimitedStream<S> {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -92,7 +91,7 @@
     }
 }
 
-impl AsyncWrite for HeadLimitedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for HeadLimitedStream<S> {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
