Keep brittle servers from falling over

Nothing read the header.

Weighed: a part of N for each node (with 8 nodes and N = 4 each may be rejected once in two seconds, and all at once), and not being rejected at all. Chosen is the latter: each node uses its own part of the slots, in the order of the server's homes, so that the parts add up to the slots and nothing queues; and when a call is rejected all the same, as the server has less room than slots, all nodes leave it alone for a while, the others by the next heartbeat.

all_routers_together_keep_brittle_servers_from_falling_over: five routers, two servers with room for 8, 25 calls at once.

--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -320,7 +320,8 @@
         let service = self.services.get(&call.service)?;
         let prefix = call.prompt.as_ref().and_then(Prompt::prefix_key);
         let may_get = |e: &ServerEntry| self.may_get(e, call) && !self.cold.holds_back(now, e);
-        let is_usable = |e: &&ServerEntry| may_get(e) && e.accepts_calls(now);
+        let accepts = |e: &ServerEntry| e.accepts_calls(now) && e.has_room_if_brittle();
+        let is_usable = |e: &&ServerEntry| may_get(e) && accepts(e);
         let mut candidates: Vec<Candidate<'_>> = self
             .servers
             .values()
--- a/crates/core/src/flow/homes.rs
+++ b/crates/core/src/flow/homes.rs
@@ -42,18 +42,31 @@
     #[must_use]
     pub fn limit_share(&self, now: Instant, server_key: u32, limit_per_s: f64) -> f64 {
         let users = limit_users(limit_per_s, self.sharing_nodes(now));
-        let weight = |address: &SocketAddrV4| home_weight(server_key, *address);
-        let own_weight = weight(&self.local.address);
-        let live = self.others.values().filter(|p| self.is_live(now, p));
-        let preceding = live
-            .filter(|p| weight(&p.entry.address) > own_weight)
-            .count();
-        if self.is_leaving || preceding >= users {
+        if self.is_leaving || self.home_rank(now, server_key) >= users {
             return 0.0;
         }
         limit_per_s / users as f64
     }
 
+    /// Returns the slots of a server that this node may use, of those that all share.
+    ///
+    /// The first few nodes in the order of homes have one more than the others.
+    #[must_use]
+    pub fn slot_share(&self, now: Instant, server_key: u32, slots: u32) -> u32 {
+        let nodes = u32::try_from(self.sharing_nodes(now)).unwrap_or(u32::MAX);
+        let has_one_more = self.home_rank(now, server_key) < (slots % nodes) as usize;
+        slots / nodes + u32::from(has_one_more)
+    }
+
+    /// Counts the live nodes before this one in the order of a server's homes.
+    fn home_rank(&self, now: Instant, server_key: u32) -> usize {
+        let weight = |address: &SocketAddrV4| home_weight(server_key, *address);
+        let own_weight = weight(&self.local.address);
+        let live = self.others.values().filter(|p| self.is_live(now, p));
+        live.filter(|p| weight(&p.entry.address) > own_weight)
+            .count()
+    }
+
     /// Returns the first `count` other live nodes in the order of a stream's holders.
     #[must_use]
     pub fn stream_holders(
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -9,6 +9,7 @@
 //! outcome of each attempt.
 
 mod attempt;
+mod brittle_servers;
 mod call;
 mod call_times;
 mod choice;
@@ -63,6 +64,7 @@
 mod version;
 mod version_log;
 
+pub use brittle_servers::{BrittleServers, BrittleStatement};
 pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
 pub use call_times::CallKind;
 pub use cold_servers::{ColdChange, ColdCounts, ColdServer};
--- a/crates/core/src/flow/notices.rs
+++ b/crates/core/src/flow/notices.rs
@@ -1,5 +1,6 @@
 //! What servers say of themselves, as the dispatcher heeds it.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::flow::call::{Call, Refusal};
@@ -43,6 +44,25 @@
         }
     }
 
+    /// Sets the brittle servers, by the hashes of their names, and the ends of their pauses.
+    ///
+    /// `slot_share` returns how many of a server's slots this node may use.
+    pub fn set_brittle(
+        &mut self,
+        pauses: &BTreeMap<u32, Instant>,
+        slot_share: impl Fn(u32, u32) -> u32,
+    ) {
+        for entry in self.servers.values_mut() {
+            let Some(until) = pauses.get(&entry.key) else {
+                entry.brittle_slots = None;
+                continue;
+            };
+            let slots = slot_share(entry.key, entry.instance.slots.max(1));
+            entry.brittle_slots = Some(slots);
+            entry.refuse_until(*until);
+        }
+    }
+
     /// Returns the refusal of a call whose service has no server that accepts calls now.
     ///
     /// It holds the time until the first one does by its limit, its own refusal or, if it is
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -90,6 +90,8 @@
     refused_until: Option<Instant>,
     /// Set while the server names a limit.
     limit: Option<TokenBucket>,
+    /// Slots that this node may use, if the server falls over when it rejects too many calls.
+    pub(crate) brittle_slots: Option<u32>,
     pub(crate) cold: ColdState,
 }
 
@@ -126,6 +128,7 @@
             stops_at: None,
             refused_until: None,
             limit: None,
+            brittle_slots: None,
             cold: ColdState::default(),
         }
     }
@@ -206,6 +209,12 @@
         self.leaving_since.is_some_and(is_recent) && !has_lapsed && !self.is_evacuated(now)
     }
 
+    /// Returns whether this node has a slot left at the server, if it is brittle.
+    pub(crate) fn has_room_if_brittle(&self) -> bool {
+        let has_room = |slots: u32| self.own_load.running < f64::from(slots);
+        self.brittle_slots.is_none_or(has_room)
+    }
+
     /// Returns the time until the server's limit and refusals admit a call.
     ///
     /// `None` if other nodes use the whole limit.
--- a/crates/core/tests/flow/limits.rs
+++ b/crates/core/tests/flow/limits.rs
@@ -21,7 +21,7 @@
 }
 
 /// Returns the view of each node of a fleet in which all know each other.
-fn views(now: Instant, nodes: usize) -> Vec<Peers> {
+pub(crate) fn views(now: Instant, nodes: usize) -> Vec<Peers> {
     let entries: Vec<HeartbeatEntry> = (0..nodes)
         .map(|index| HeartbeatEntry {
             address: address(index),
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -1,5 +1,6 @@
 //! Tests of routed traffic: routes, published values, peers, retry budgets and dispatch.
 
+mod brittle;
 mod cold_fleet;
 mod cold_gossip;
 mod cold_servers;
--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -78,6 +78,9 @@
         if is_of_instance {
             self.shared.record_notice(instance, answer_head.notice);
         }
+        if answer_head.kind == AnswerKind::NotRun {
+            self.shared.record_rejection(instance);
+        }
         let (fault, execution, failure_reason) = match answer_head.kind {
             AnswerKind::Verified => return Ok((head, answer_head, body, sent.connection)),
             AnswerKind::Unverified if !head.status.is_success() => {
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -5,7 +5,8 @@
 use bincode::config::{Configuration, Limit, LittleEndian, Varint, standard};
 use bincode::error::{DecodeError, EncodeError};
 use briarbank_core::flow::{
-    Heartbeat, LimitStatement, PartStatement, PathStatement, StalenessStatement, ValuesStatement,
+    BrittleStatement, Heartbeat, LimitStatement, PartStatement, PathStatement, StalenessStatement,
+    ValuesStatement,
 };
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -53,6 +54,7 @@
     pub(crate) staleness: Vec<StalenessStatement>,
     /// What the sender says of its paths to servers, once.
     pub(crate) paths: Vec<PathStatement>,
+    pub(crate) brittle: Vec<BrittleStatement>,
 }
 
 /// Encodes a heartbeat with what is appended to it.
@@ -85,13 +87,16 @@
     let (values, length) = decode_list(rest)?;
     let rest = rest.get(length..).unwrap_or_default();
     let (staleness, length) = decode_list(rest)?;
-    let (paths, _) = decode_list(rest.get(length..).unwrap_or_default())?;
+    let rest = rest.get(length..).unwrap_or_default();
+    let (paths, length) = decode_list(rest)?;
+    let (brittle, _) = decode_list(rest.get(length..).unwrap_or_default())?;
     let appended = Appended {
         limits,
         parts,
         values,
         staleness,
         paths,
+        brittle,
     };
     Ok((heartbeat, appended))
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -70,6 +70,8 @@
 pub struct ServerNotice {
     /// Requests per second that it takes from all nodes together, `None` if unlimited.
     pub limit_per_s: Option<f64>,
+    /// Rejections per second that it survives, `None` if any number.
+    pub rejections_per_s: Option<u16>,
     /// Whether it leaves and takes no further calls.
     pub is_leaving: bool,
     /// Time for which it wants no calls from this node.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -85,6 +85,7 @@
         values: vec![shared.values.borrow().statement(link_mbps)],
         staleness: vec![staleness.statement(now)],
         paths: vec![shared.paths.borrow().statement()],
+        brittle: shared.brittle.borrow_mut().statements(now),
     };
     drop(staleness);
     let Ok(bytes) = codec::encode_heartbeat(&heartbeat, &appended) else {
@@ -99,6 +100,7 @@
     }
     shared.divide_limits(now);
     shared.divide_cold(now);
+    shared.apply_brittle(now);
     shared.log_harmful_parts(now);
     let peers = shared.peers.borrow();
     let mut dispatcher = shared.dispatcher.borrow_mut();
@@ -146,6 +148,10 @@
             }
             drop(peers);
             shared.receive_limits(&appended.limits);
+            if !appended.brittle.is_empty() {
+                shared.brittle.borrow_mut().receive(now, &appended.brittle);
+                shared.apply_brittle(now);
+            }
             let mut dispatcher = shared.dispatcher.borrow_mut();
             dispatcher.receive_parts(now, &appended.parts);
         }
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -50,6 +50,7 @@
         let Some(server_key) = self.dispatcher.borrow().server_key(&instance.id) else {
             return;
         };
+        self.record_brittleness(now, instance, server_key, notice.rejections_per_s);
         let mut limits = self.limits.borrow_mut();
         let is_changed = limits.record(now, server_key, notice.limit_per_s);
         drop(limits);
@@ -58,6 +59,49 @@
         }
     }
 
+    fn record_brittleness(
+        &self,
+        now: Instant,
+        instance: &Instance,
+        server_key: u32,
+        rejections_per_s: Option<u16>,
+    ) {
+        let mut brittle = self.brittle.borrow_mut();
+        if !brittle.record(now, server_key, rejections_per_s) {
+            return;
+        }
+        drop(brittle);
+        self.apply_brittle(now);
+        if self.log_lines.take(LineKind::Notice) {
+            tracing::info!(server = %instance.id, rejections_per_s, "server: brittleness changed");
+        }
+    }
+
+    /// Records that a server rejected a call for want of room.
+    pub(crate) fn record_rejection(&self, instance: &Instance) {
+        let now = Instant::now();
+        let Some(server_key) = self.dispatcher.borrow().server_key(&instance.id) else {
+            return;
+        };
+        let mut brittle = self.brittle.borrow_mut();
+        let Some(pause) = brittle.record_rejection(now, server_key) else {
+            return;
+        };
+        drop(brittle);
+        metrics::counter!("briarbank_brittle_rejections_total").increment(1);
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.record_refusal(now, &instance.id, pause);
+    }
+
+    /// Applies what is known of brittle servers to the choice of servers.
+    pub(crate) fn apply_brittle(&self, now: Instant) {
+        let pauses = self.brittle.borrow().pauses(now);
+        let peers = self.peers.borrow();
+        let slot_share = |key, slots| peers.slot_share(now, key, slots);
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.set_brittle(&pauses, slot_share);
+    }
+
     /// Records the limits of servers that a peer passes on.
     pub(crate) fn receive_limits(&self, statements: &[LimitStatement]) {
         let now = Instant::now();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use briarbank_core::flow::{
-    Dispatcher, Hedging, LoadDirectory, Options, PeerOptions, Peers, PrefillDirectory, RemovalLog,
-    RouteTable, ServerLimits, ServerPaths, Staleness, StreamDirectory, Values,
+    BrittleServers, Dispatcher, Hedging, LoadDirectory, Options, PeerOptions, Peers,
+    PrefillDirectory, RemovalLog, RouteTable, ServerLimits, ServerPaths, Staleness,
+    StreamDirectory, Values,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -57,6 +58,8 @@
     pub(crate) prefills: RefCell<PrefillDirectory>,
     /// Limits that servers have named.
     pub(crate) limits: RefCell<ServerLimits>,
+    /// Servers that fall over when they have to reject too many calls.
+    pub(crate) brittle: RefCell<BrittleServers>,
     /// Parts that calls were refused for at the last heartbeat.
     pub(crate) blamed_parts: RefCell<BlamedParts>,
     pub(crate) queries: RefCell<Queries>,
@@ -162,6 +165,7 @@
             directory: RefCell::default(),
             prefills: RefCell::default(),
             limits: RefCell::default(),
+            brittle: RefCell::default(),
             blamed_parts: RefCell::default(),
             queries: RefCell::default(),
             streams: RefCell::default(),
