Tell all nodes of a small fleet the versions of streams

Cause: seven of eight nodes were killed while two versions were in service, and the one that was left was among the four that know a stream for half of the streams. Ruled out: the kills of all eight, after which nobody knows, and refusing is right; servers of the version were there and had room.

Change: in a fleet whose nodes all exchange heartbeats, all nodes are told, in larger ones three as before.

streams_go_on_at_their_versions_though_one_node_of_seven_is_left failed before (503) and passes. Four to five datagrams more for each stream.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -15,9 +15,10 @@
 use crate::datagram;
 use crate::shared::SharedState;
 
-/// Nodes that are told of a stream, besides the one that began it.
+/// Nodes of a large fleet that are told of a stream, besides the one that began it.
 ///
-/// With half of the nodes killed at once, one of them is left for seven streams in eight.
+/// With half of the nodes killed at once, one of them is left for seven streams in eight. In
+/// a small fleet all nodes are told.
 const HOLDERS: usize = 3;
 
 /// Nodes that are asked for a stream; more than hold it, as views of live nodes differ.
@@ -86,7 +87,15 @@
     let mut streams = shared.streams.borrow_mut();
     streams.record(now, stream, version, lifetime);
     drop(streams);
-    let holders = shared.peers.borrow().stream_holders(now, stream, HOLDERS);
+    let holders = {
+        let peers = shared.peers.borrow();
+        let count = if peers.has_homes() {
+            HOLDERS
+        } else {
+            ASKED_NODES
+        };
+        peers.stream_holders(now, stream, count)
+    };
     let lifetime_ms = to_ms(lifetime);
     for holder in holders {
         let message = StreamMessage::Record {
