--- /dev/null
+++ b/crates/gateway/src/store/mod.rs
@@ -0,0 +1,117 @@
+//! Follows the store of published values.
+
+mod reader;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use briarbank_core::flow::StoreReads;
+use rand::Rng;
+use tokio::time::sleep;
+
+use crate::shared::SharedState;
+use reader::{ReadError, Reader};
+
+/// Initial and longest backoff after a failed request.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+
+/// Keeps the node's copy of the published values up to date.
+pub(crate) async fn follow(shared: Rc<SharedState>) {
+    let mut reader = Reader::new(&shared);
+    let mut backoff = BACKOFF.0;
+    let mut has_values = false;
+    loop {
+        let read = async {
+            if has_values {
+                reader.watch().await
+            } else {
+                reader.read_all().await
+            }
+        };
+        let result = tokio::select! {
+            result = read => result,
+            () = shared.store.connection_suspect.notified() => Err(ReadError::ConnectionSuspect),
+        };
+        match result {
+            Ok(has_read) => {
+                has_values = true;
+                backoff = BACKOFF.0;
+                if has_read {
+                    reader.reads.record_answer();
+                    record_success(&shared);
+                }
+            }
+            Err(ReadError::Silent) => {
+                reader.connection = None;
+                record_silence(&shared, &mut reader.reads, has_values);
+            }
+            Err(ReadError::ConnectionSuspect) => {
+                // Only the connection may be dead; the store is not known to be failing.
+                reader.connection = None;
+            }
+            Err(error) => {
+                has_values &= !matches!(error, ReadError::HistoryLost);
+                reader.connection = None;
+                record_failure(&shared, &error, has_values);
+                let jitter = rand::rng().random_range(0.5..1.5);
+                sleep(backoff.mul_f64(jitter)).await;
+                backoff = (backoff * 2).min(BACKOFF.1);
+            }
+        }
+    }
+}
+
+/// Records that a read was given up, so that the next one uses a new connection.
+///
+/// There is no need for a pause, as the time until then was one.
+fn record_silence(shared: &SharedState, reads: &mut StoreReads, has_values: bool) {
+    shared.store.was_asked.set(true);
+    if reads.record_silence() {
+        record_failure(shared, &ReadError::Silent, has_values);
+        return;
+    }
+    let age = shared.staleness.borrow().age(Instant::now());
+    let values_age_ms = age.map(|age| age.as_millis());
+    tracing::warn!(
+        values_age_ms,
+        "store: connection is silent, opening another"
+    );
+}
+
+fn record_success(shared: &SharedState) {
+    let now = Instant::now();
+    shared.store.read_at.set(Some(now));
+    shared.store.was_asked.set(true);
+    if shared.store.is_failing.replace(false) {
+        if shared
+            .store
+            .is_outage(now, shared.settings().report_interval)
+        {
+            shared.store.recovered_at.set(Some(now));
+        }
+        shared.store.failing_since.set(None);
+        shared.dispatcher.borrow_mut().record_missed_changes(now);
+        tracing::info!(
+            revision = shared.values.borrow().revision(),
+            "store: available again"
+        );
+    }
+}
+
+fn record_failure(shared: &SharedState, error: &ReadError, has_values: bool) {
+    metrics::counter!("briarbank_store_failures_total").increment(1);
+    shared.store.was_asked.set(true);
+    let now = Instant::now();
+    let read_at = shared.store.read_at.get();
+    let age_ms = read_at.map(|at| now.saturating_duration_since(at).as_millis());
+    let values_age = shared.staleness.borrow().age(now);
+    let values_age_ms = values_age.map(|age| age.as_millis());
+    let revision = shared.values.borrow().revision();
+    tracing::warn!(%error, revision, age_ms, values_age_ms, is_known = has_values, "store: reading published values failed");
+    if !matches!(error, ReadError::HistoryLost) {
+        shared.store.is_failing.set(true);
+        let since = shared.store.failing_since.get();
+        let since = since.unwrap_or_else(Instant::now);
+        shared.store.failing_since.set(Some(since));
+    }
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store/reader.rs
@@ -13,7 +13,6 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
-use rand::Rng;
 use tokio::time::{sleep, sleep_until};
 
 use crate::apply::Source;
@@ -37,16 +36,13 @@
 /// Time between two checks whether this node has to watch the store.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Initial and longest backoff after a failed request.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
-
 /// Largest answer: the store's largest page with its base64 expansion.
 const ANSWER_BYTES_MAX: usize = 16 << 20;
 
 quick_error! {
     /// Error of a request to the store.
     #[derive(Debug)]
-    enum ReadError {
+    pub enum ReadError {
         Connect(error: std::io::Error) { display("connecting to the store failed: {error}") from() }
         Http(error: hyper::Error) { display("connection to the store broke: {error}") from() }
         Body(error: BodyError) { display("reading the body failed: {error}") from() }
@@ -59,111 +55,6 @@
     }
 }
 
-/// Keeps the node's copy of the published values up to date.
-pub(crate) async fn follow(shared: Rc<SharedState>) {
-    let mut reader = Reader {
-        shared: Rc::clone(&shared),
-        connection: None,
-        reads: StoreReads::default(),
-    };
-    let mut backoff = BACKOFF.0;
-    let mut has_values = false;
-    loop {
-        let read = async {
-            if has_values {
-                reader.watch().await
-            } else {
-                reader.read_all().await
-            }
-        };
-        let result = tokio::select! {
-            result = read => result,
-            () = shared.store.connection_suspect.notified() => Err(ReadError::ConnectionSuspect),
-        };
-        match result {
-            Ok(has_read) => {
-                has_values = true;
-                backoff = BACKOFF.0;
-                if has_read {
-                    reader.reads.record_answer();
-                    record_success(&shared);
-                }
-            }
-            Err(ReadError::Silent) => {
-                reader.connection = None;
-                record_silence(&shared, &mut reader.reads, has_values);
-            }
-            Err(ReadError::ConnectionSuspect) => {
-                // Only the connection may be dead; the store is not known to be failing.
-                reader.connection = None;
-            }
-            Err(error) => {
-                has_values &= !matches!(error, ReadError::HistoryLost);
-                reader.connection = None;
-                record_failure(&shared, &error, has_values);
-                let jitter = rand::rng().random_range(0.5..1.5);
-                sleep(backoff.mul_f64(jitter)).await;
-                backoff = (backoff * 2).min(BACKOFF.1);
-            }
-        }
-    }
-}
-
-/// Records that a read was given up, so that the next one uses a new connection.
-///
-/// There is no need for a pause, as the time until then was one.
-fn record_silence(shared: &SharedState, reads: &mut StoreReads, has_values: bool) {
-    shared.store.was_asked.set(true);
-    if reads.record_silence() {
-        record_failure(shared, &ReadError::Silent, has_values);
-        return;
-    }
-    let age = shared.staleness.borrow().age(Instant::now());
-    let values_age_ms = age.map(|age| age.as_millis());
-    tracing::warn!(
-        values_age_ms,
-        "store: connection is silent, opening another"
-    );
-}
-
-fn record_success(shared: &SharedState) {
-    let now = Instant::now();
-    shared.store.read_at.set(Some(now));
-    shared.store.was_asked.set(true);
-    if shared.store.is_failing.replace(false) {
-        if shared
-            .store
-            .is_outage(now, shared.settings().report_interval)
-        {
-            shared.store.recovered_at.set(Some(now));
-        }
-        shared.store.failing_since.set(None);
-        shared.dispatcher.borrow_mut().record_missed_changes(now);
-        tracing::info!(
-            revision = shared.values.borrow().revision(),
-            "store: available again"
-        );
-    }
-}
-
-fn record_failure(shared: &SharedState, error: &ReadError, has_values: bool) {
-    metrics::counter!("briarbank_store_failures_total").increment(1);
-    shared.store.was_asked.set(true);
-    let now = Instant::now();
-    let read_at = shared.store.read_at.get();
-    let age_ms = read_at.map(|at| now.saturating_duration_since(at).as_millis());
-    let values_age = shared.staleness.borrow().age(now);
-    let values_age_ms = values_age.map(|age| age.as_millis());
-    let revision = shared.values.borrow().revision();
-    tracing::warn!(%error, revision, age_ms, values_age_ms, is_known = has_values, "store: reading published values failed");
-    if !matches!(error, ReadError::HistoryLost) {
-        shared.store.is_failing.set(true);
-        let since = shared.store.failing_since.get();
-        let since = since.unwrap_or_else(Instant::now);
-        shared.store.failing_since.set(Some(since));
-    }
-}
-
 /// Waits until a request that is sent now is given up; returns the reason.
 async fn overdue(shared: &SharedState, reads: &StoreReads, wait: Duration) -> ReadError {
     let sent_at = Instant::now();
@@ -207,15 +98,24 @@
 }
 
 /// Client of the store, which reuses its connection.
-struct Reader {
+pub(super) struct Reader {
     shared: Rc<SharedState>,
-    connection: Option<SendRequest<Empty<Bytes>>>,
-    reads: StoreReads,
+    /// The open connection, dropped when it may be silent.
+    pub(super) connection: Option<SendRequest<Empty<Bytes>>>,
+    pub(super) reads: StoreReads,
 }
 
 impl Reader {
+    pub(super) fn new(shared: &Rc<SharedState>) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            connection: None,
+            reads: StoreReads::default(),
+        }
+    }
+
     /// Reads all values, page by page.
-    async fn read_all(&mut self) -> Result<bool, ReadError> {
+    pub(super) async fn read_all(&mut self) -> Result<bool, ReadError> {
         let mut values = Delta {
             is_whole: true,
             ..Delta::default()
@@ -247,7 +147,7 @@
     }
 
     /// Waits for changes; returns false if other nodes read the store instead.
-    async fn watch(&mut self) -> Result<bool, ReadError> {
+    pub(super) async fn watch(&mut self) -> Result<bool, ReadError> {
         let wait = match self.next_read() {
             NextRead::Watch(wait) => wait,
             NextRead::Idle(until) => {
