Close peer connections that never send a request

Found in reading: since the peer port relays connections, which may last, the time limit of 10 s no longer covered the handshake, so that a peer that connects and says nothing kept its connection for good. The handshake has the limit of a silent peer again.

a_peer_connection_without_a_request_is_closed failed before (kept for 3 s) and passes (closed after 1 s).

--- a/crates/gateway/src/sync/serve.rs
+++ b/crates/gateway/src/sync/serve.rs
@@ -52,7 +52,8 @@
 /// Answers the one request of a connection.
 async fn serve_connection(shared: &SharedState, stream: TcpStream) -> Result<(), SyncError> {
     briarbank_net::set_path_timeouts(&stream)?;
-    let mut connection = h2::server::handshake(stream).await?;
+    let handshake = timeout(SILENCE_TIMEOUT, h2::server::handshake(stream)).await;
+    let mut connection = handshake.map_err(|_elapsed| SyncError::Silent)??;
     let accepted = timeout(SILENCE_TIMEOUT, connection.accept()).await;
     let Some(accepted) = accepted.map_err(|_elapsed| SyncError::Silent)? else {
         return Ok(());
