--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -138,6 +138,10 @@
         for index in 0..size.nodes {
             fleet.start_node(index);
         }
+        // A node is ready with the first answer of the platform; servers may start later.
+        for server in fleet.engines.iter().chain(&fleet.services) {
+            server.wait_listening().await;
+        }
         for node in &fleet.nodes {
             node.wait_ready().await;
         }
