--- a/review/1/scene.py
+++ b/review/1/scene.py
@@ -7,6 +7,9 @@
 from standins import *  # noqa: E402,F403
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# Another way to lose the records: all nodes are killed at once and start again.
+ALL = os.environ.get("ALL", "0") != "0"
+VERSIONS = int(os.environ.get("VERSIONS", "1"))
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 STREAMS = 24
 EVENTS = 65
@@ -111,7 +114,10 @@
     record = Record(FOLDER)
     store = Store()
     await store.start()
-    servers = [Server(record, "models", slots=128, handle=write_stream) for _ in range(3)]
+    servers = [
+        Server(record, "models", slots=128, version="v%d" % (1 + n % VERSIONS), handle=write_stream)
+        for n in range(3 if VERSIONS == 1 else 2 * VERSIONS)
+    ]
     for server in servers:
         await server.start()
         server.publish(store)
@@ -137,6 +143,17 @@
             node.kill()
 
 
+async def kill_all(record, platform, nodes, seeds, at):
+    await asyncio.sleep(max(0, at - time.monotonic()))
+    for node in nodes.values():
+        node.kill()
+    record("platform: all nodes are killed")
+    await asyncio.sleep(0.3)
+    for name, node in nodes.items():
+        node.start(seeds, bootstrap=False)
+        platform.started_at[name] = time.monotonic()
+
+
 async def play(record, nodes, seeds):
     zero = time.monotonic() + 1.5
     cut = asyncio.Event()
@@ -156,13 +173,18 @@
 
     firsts = [asyncio.create_task(begin(client, -1.0 + 4.0 * n / STREAMS)) for n, client in enumerate(clients)]
     stops = []
-    if TROUBLE:
+    if TROUBLE and ALL:
+        stops = [asyncio.create_task(kill_all(record, platform, nodes, seeds, zero + 5))]
+    elif TROUBLE:
         stops = [asyncio.create_task(stop(name, n * ROLL_GAP_S)) for n, name in enumerate("ABC")]
     else:
         await asyncio.sleep(max(0, zero + 2 * ROLL_GAP_S + GRACE_S - 0.3 - time.monotonic()))
         cut.set()
         record("clients close their channels")
     await asyncio.gather(*firsts)
+    if TROUBLE and ALL:
+        # The clients' first retries meet nodes that are not in touch yet, and are left out.
+        await asyncio.sleep(max(0, zero + 5 + 0.3 + CONTACT_S + 0.6 - time.monotonic()))
     broken = [c for c in clients if not c.is_whole and c.ids]
 
     async def take_up(client, number):
