--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -294,6 +294,7 @@
         self.folder, self.store, self.ports, self.zone = folder, store, ports, zone
         self.ip = ip or fresh_ip()
         self.grace_s, self.drain_ms = grace_s, drain_ms
+        self.memory_mb = 260
         self.process = None
         self.store_address = None
 
@@ -311,7 +312,7 @@
             "[zones]"] + ['%s = "nordeste"' % z for z in zones] + [
             "[listen]", 'front = "%s:%d"' % (self.ip, front),
             'readiness = "%s:%d"' % (self.ip, ready), 'control = "%s:%d"' % (self.ip, control),
-            "[limits]", "cpuShare = 0.25", "cores = 1", "memoryMb = 260", "maxFds = 4100",
+            "[limits]", "cpuShare = 0.25", "cores = 1", "memoryMb = %d" % self.memory_mb, "maxFds = 4100",
             "linkMbps = 1000.0", "diskMb = 0",
             "[faultTolerance]", "machines = 1", "zones = 0", "regions = 0",
             "[bounds]", "seedLagS = 3", "reuseAfterS = 2", "contactMs = 3000", "ackMs = 4000",
