Take the end of a connection for no end of a stream without events

Cause: read_events returned the same end for a last chunk, a used up length and a connection that closes in order. Only the record of the server's success looked at which one it was; what the caller got and whether another server was asked did not. A killed process that had read all bytes closes in order, so no error showed it. Ruled out: a reset that is lost in the HTTP library (there is none), and the buffering of plain answers (the answer is not buffered).

Change: Framing tells ends that an answer shows itself from the mere end of a connection. The latter is a fault of the server until its answer has brought an event, since a request starts to run with its first token. This holds for first answers, for those that are read ahead, resumed or taken up; comments are no events, and a transfer coding other than chunked is no framing.

--- a/crates/gateway/src/caller/attempt_end.rs
+++ b/crates/gateway/src/caller/attempt_end.rs
@@ -7,6 +7,7 @@
 use crate::caller::attempt::AcceptedAnswer;
 use crate::caller::attempt_guard::{Execution, FailedAttempt, StartedAnswer};
 use crate::caller::exchange::Exchange;
+use crate::caller::framing::Framing;
 use crate::caller::outcome::means_not_run;
 use crate::caller::pending::{Attempts, PendingAttempt, Step};
 use crate::caller::received::Received;
@@ -75,6 +76,7 @@
                 let started = Box::new(StartedAnswer {
                     guard: attempt.guard,
                     connection,
+                    framing: Framing::of(&self.head.method, head.status, &head.headers),
                     head,
                     answer_head,
                     body,
--- a/crates/gateway/src/caller/attempt_guard.rs
+++ b/crates/gateway/src/caller/attempt_guard.rs
@@ -5,10 +5,10 @@
 use std::time::Instant;
 
 use briarbank_core::flow::{AttemptId, Fault, Instance, Placement};
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response;
 use hyper::body::Incoming;
 
+use crate::caller::framing::Framing;
 use crate::caller::received::Received;
 use crate::dialect::AnswerHead;
 use crate::loads;
@@ -106,6 +106,7 @@
     pub(crate) connection: Connection,
     pub(crate) head: response::Parts,
     pub(crate) answer_head: AnswerHead,
+    pub(crate) framing: Framing,
     pub(crate) body: Incoming,
     /// What was read of the body already.
     pub(crate) received: Received,
@@ -116,10 +117,7 @@
     ///
     /// An answer without a length also ends when the server crashes.
     pub(crate) fn has_own_end(&self) -> bool {
-        let headers = &self.head.headers;
-        let is_framed =
-            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        is_framed && self.head.status.is_success()
+        self.framing == Framing::Explicit && self.head.status.is_success()
     }
 }
 
--- a/crates/gateway/src/caller/mod.rs
+++ b/crates/gateway/src/caller/mod.rs
@@ -9,6 +9,7 @@
 mod call_record;
 mod continuity;
 mod exchange;
+mod framing;
 mod guard;
 mod hedge;
 mod in_flight;
--- a/crates/gateway/src/caller/received.rs
+++ b/crates/gateway/src/caller/received.rs
@@ -1,8 +1,10 @@
 //! What is read of an answer before its attempt counts as answered.
 
 use briarbank_core::flow::Fault;
+use http::Method;
 
 use crate::caller::answer_buffer::{AnswerMemory, BufferedAnswer};
+use crate::caller::framing::Framing;
 use crate::caller::stream::{Next, read_events};
 use crate::events::EventSplitter;
 use crate::server::Sent;
@@ -31,19 +33,21 @@
 /// Reads as much of an answer as is asked for.
 pub(crate) async fn read_ahead(
     sent: &mut Sent,
+    method: &Method,
     read_ahead: ReadAhead,
     memory: &AnswerMemory,
 ) -> Received {
-    let is_success = sent.response.status().is_success();
+    let status = sent.response.status();
+    let framing = Framing::of(method, status, sent.response.headers());
     let body = sent.response.body_mut();
     match read_ahead {
         ReadAhead::Whole => match memory.collect(body).await {
             Ok(answer) => Received::Whole(answer),
             Err(error) => Received::Broken(error.fault(), error.to_string()),
         },
-        ReadAhead::FirstEvents if is_success => {
+        ReadAhead::FirstEvents if status.is_success() => {
             let mut splitter = EventSplitter::default();
-            match read_events(body, &mut splitter).await {
+            match read_events(body, framing, &mut splitter).await {
                 Next::Broken(reason, fault) => Received::Broken(fault, reason.to_owned()),
                 next => Received::Events(splitter, next),
             }
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -16,6 +16,7 @@
 use crate::caller::attempt_guard::{StartedAnswer, keep_connection};
 use crate::caller::body::{AnswerBody, Cut};
 use crate::caller::exchange::Exchange;
+use crate::caller::framing::Framing;
 use crate::caller::outcome::Outcome;
 use crate::caller::received::Received;
 use crate::caller::silence::overlap_end;
@@ -153,7 +154,7 @@
             let Some(started) = &mut self.started else {
                 return Next::Broken("stream was cut", Fault::Cancelled);
             };
-            let reading = read_events(&mut started.body, &mut self.splitter);
+            let reading = read_events(&mut started.body, started.framing, &mut self.splitter);
             let until = stalls_at.min(deadline);
             if let Ok(next) = timeout_at(until, reading).await {
                 return next;
@@ -187,7 +188,7 @@
         let mut moving = Box::pin(self.exchange.start_other(&from, event));
         let (next, moved) = tokio::select! {
             biased;
-            next = read_events(&mut current.body, &mut self.splitter) => (next, None),
+            next = read_events(&mut current.body, current.framing, &mut self.splitter) => (next, None),
             moved = &mut moving => (Next::Silent, moved),
             () = overlap_end(&sent_at) => (Next::Broken(STOOD_STILL, Fault::Silent), None),
         };
@@ -268,13 +269,12 @@
         self.exchange.set_failure_reason(reason);
         let instance = Arc::clone(&started.guard.instance);
         started.guard.record_failure(fault);
-        self.splitter.drop_partial();
         Some(instance)
     }
 
     /// Goes on with the answer of another server.
     fn go_on(&mut self, from: &Instance, started: StartedAnswer) {
-        self.splitter.drop_partial();
+        self.splitter.begin_answer();
         self.log_resumption(from, &started.guard.instance);
         if !self.has_event {
             self.head = started.head.clone();
@@ -313,7 +313,11 @@
 }
 
 /// Reads until events are complete; no bytes are lost when it is dropped.
-pub(crate) async fn read_events(body: &mut Incoming, splitter: &mut EventSplitter) -> Next {
+pub(crate) async fn read_events(
+    body: &mut Incoming,
+    framing: Framing,
+    splitter: &mut EventSplitter,
+) -> Next {
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame,
@@ -321,6 +325,10 @@
             None if splitter.has_partial() => {
                 return Next::Broken("stream ended within an event", Fault::Broken);
             }
+            // A stream without an event has not begun, so its server has not sent it.
+            None if framing == Framing::ConnectionEnd && !splitter.has_event() => {
+                return Next::Broken("stream ended before its first event", Fault::Broken);
+            }
             None => return Next::End,
         };
         let Ok(data) = frame.into_data() else {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -12,19 +12,21 @@
 pub(crate) struct EventSplitter {
     buffer: BytesMut,
     last_id: Option<Arc<str>>,
+    /// Whether the present answer has brought an event.
+    has_event: bool,
 }
 
 impl EventSplitter {
     /// Adds bytes and returns all events that are complete.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
         if self.buffer.is_empty() && bytes.ends_with(b"\n\n") {
-            self.record_last_id(&bytes);
+            self.record(&bytes);
             return Some(bytes);
         }
         self.buffer.extend_from_slice(&bytes);
         let end = find_last_end(&self.buffer)?;
         let complete = self.buffer.split_to(end).freeze();
-        self.record_last_id(&complete);
+        self.record(&complete);
         Some(complete)
     }
 
@@ -38,9 +40,15 @@
         !self.buffer.is_empty()
     }
 
-    /// Discards the buffered incomplete event.
-    pub(crate) fn drop_partial(&mut self) {
+    /// Returns whether the present answer has brought a complete event.
+    pub(crate) fn has_event(&self) -> bool {
+        self.has_event
+    }
+
+    /// Begins another answer with the rest of the stream; discards an incomplete event.
+    pub(crate) fn begin_answer(&mut self) {
         self.buffer.clear();
+        self.has_event = false;
     }
 
     /// Returns the id of the last event that was returned.
@@ -48,7 +56,8 @@
         self.last_id.as_ref()
     }
 
-    fn record_last_id(&mut self, events: &[u8]) {
+    fn record(&mut self, events: &[u8]) {
+        self.has_event |= has_event(events);
         let lines = events.rsplit(|byte| *byte == b'\n');
         let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
         let Some(id) = ids.next().and_then(|id| std::str::from_utf8(id).ok()) else {
@@ -58,6 +67,12 @@
     }
 }
 
+/// Returns whether events are among complete lines, which may all be comments.
+fn has_event(lines: &[u8]) -> bool {
+    let mut lines = lines.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | [b':', ..]))
+}
+
 /// Returns the position after the last empty line.
 fn find_last_end(bytes: &[u8]) -> Option<usize> {
     let start = bytes.windows(2).rposition(|pair| pair == b"\n\n")?;
