Tell nodes that become holders of a stream while it lasts

Cause: the version of a stream was told to its holders once, with its first event. Holders that started or came back later were told nothing, a node that stopped was neither told nor asked, and what it held ended with it, while the node that served the stream knew its version until it was cut. Ruled out: that the proof of one version alone is too slow for callers. It is, but streams that began before a node's start are not its to prove.

Change: the node that serves a stream tells each node that becomes a holder (ServedStreams), in steps of 32 messages a heartbeat, and at its own end. A node that starts asks two others for the records that they hold, as the serving node may be gone or stand still. Nodes that stop are asked too. Messages keep their form; nodes of earlier builds do not know the new path and refuse it.

--- a/crates/core/src/flow/homes.rs
+++ b/crates/core/src/flow/homes.rs
@@ -75,12 +75,59 @@
         stream: StreamKey,
         count: usize,
     ) -> Vec<SocketAddrV4> {
+        let holders = self.in_stream_order(stream, count, |p| self.is_live(now, p));
+        holders.into_iter().map(|p| p.entry.address).collect()
+    }
+
+    /// Returns the first `count` other nodes to ask for a stream.
+    ///
+    /// A node that stops knows the streams that it still serves, so it is asked as well.
+    #[must_use]
+    pub fn stream_sources(
+        &self,
+        now: Instant,
+        stream: StreamKey,
+        count: usize,
+    ) -> Vec<SocketAddrV4> {
+        let sources = self.in_stream_order(stream, count, |p| self.is_running(now, p));
+        sources.into_iter().map(|p| p.entry.address).collect()
+    }
+
+    /// Returns a node that was not tried to ask for all records of streams.
+    ///
+    /// Of those that were heard of lately it is the one that has run longest, preferably one
+    /// that does not stop.
+    #[must_use]
+    pub fn record_source(&self, now: Instant, tried: &[SocketAddrV4]) -> Option<SocketAddrV4> {
+        let may_answer = |p: &&Peer| p.is_fresh(now) && !tried.contains(&p.entry.address);
+        let sources = self.others.values().filter(may_answer);
+        let oldest = sources.min_by_key(|p| (p.is_leaving, p.entry.incarnation))?;
+        Some(oldest.entry.address)
+    }
+
+    /// Returns a hash of the live nodes and of their starts.
+    pub(crate) fn live_runs(&self, now: Instant) -> u64 {
         let live = self.others.values().filter(|p| self.is_live(now, p));
-        let weighted = live.map(|p| (order_weight(stream.order_key(), p.entry.address), p));
-        let mut weighted: Vec<(u64, &Peer)> = weighted.collect();
+        let runs = live.map(|p| rendezvous::weight_of(p.entry.incarnation, p.address_key));
+        runs.fold(0, u64::wrapping_add)
+    }
+
+    /// Returns the first `count` of some other nodes in the order of a stream's holders.
+    pub(crate) fn in_stream_order(
+        &self,
+        stream: StreamKey,
+        count: usize,
+        is_eligible: impl Fn(&Peer) -> bool,
+    ) -> Vec<&Peer> {
+        let weight = |p: &Peer| rendezvous::weight_of(stream.order_key(), p.address_key);
+        let eligible = self.others.values().filter(|p| is_eligible(p));
+        let mut weighted: Vec<(u64, &Peer)> = eligible.map(|p| (weight(p), p)).collect();
+        if weighted.len() > count {
+            weighted.select_nth_unstable_by_key(count, |(weight, _)| Reverse(*weight));
+            weighted.truncate(count);
+        }
         weighted.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
-        let first = weighted.into_iter().take(count);
-        first.map(|(_, p)| p.entry.address).collect()
+        weighted.into_iter().map(|(_, p)| p).collect()
     }
 }
 
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -51,6 +51,7 @@
 mod removal_log;
 mod retry_budget;
 mod route;
+mod served_streams;
 mod server;
 mod server_limits;
 mod server_paths;
@@ -97,11 +98,12 @@
     ColdSpec, EngineSpec, RequestLimits, Route, RouteConfig, RouteKind, ServiceSpec, Split,
     WorkspaceEntry,
 };
+pub use served_streams::ServedStreams;
 pub use server_limits::{LimitStatement, ServerLimits};
 pub use server_paths::{PathStatement, ServerPaths};
 pub use staleness::{Staleness, StalenessStatement};
 pub use store_reads::{NextRead, StoreReads};
-pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage, StreamOrigin};
+pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage, StreamOrigin, StreamRecord};
 pub use table::RouteTable;
 pub use values::{ValueKind, Values, ValuesStatement};
 pub use version::VersionKey;
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -21,11 +21,11 @@
 use rand::{Rng, SeedableRng};
 
 use crate::flow::decaying_sum::decay_factor;
+use crate::flow::homes::address_key;
 use crate::flow::load::Load;
 use crate::flow::message::{Heartbeat, HeartbeatEntry, ServerLoad};
 use crate::flow::peer_values::PeerValues;
 use crate::flow::relays::PeerRelay;
-use crate::rendezvous;
 
 /// Time after which most pending prompts have been prefilled.
 const PENDING_LIFETIME: Duration = Duration::from_millis(300);
@@ -87,9 +87,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
     pub(crate) entry: HeartbeatEntry,
+    /// Hash of its address, by which orders of nodes are computed.
+    pub(crate) address_key: u64,
     updated_at: Instant,
     pub(crate) revision: u64,
-    is_leaving: bool,
+    pub(crate) is_leaving: bool,
     pub(crate) is_watching: bool,
     loads: Vec<ServerLoad>,
     loads_at: Option<Instant>,
@@ -233,6 +235,7 @@
         }
         let peer = self.others.entry(entry.address).or_insert_with(|| Peer {
             entry,
+            address_key: address_key(entry.address),
             updated_at: now,
             revision: 0,
             is_leaving: false,
@@ -266,8 +269,8 @@
         self.others
             .retain(|_, p| now.saturating_duration_since(p.updated_at) < retention);
         let live = self.others.values().filter(|p| self.is_live(now, p));
-        let hashes = live.map(|p| rendezvous::key(p.entry.address.to_string().as_bytes()));
-        let membership = hashes.fold(0, |sum: u64, hash| sum.wrapping_add(hash));
+        let hashes = live.map(|p| p.address_key);
+        let membership = hashes.fold(0, u64::wrapping_add);
         if self.membership.0 != membership || self.membership.1.is_none() {
             self.membership = (membership, Some(now));
         }
@@ -280,8 +283,13 @@
     }
 
     pub(crate) fn is_live(&self, now: Instant, peer: &Peer) -> bool {
+        self.is_running(now, peer) && !peer.is_leaving
+    }
+
+    /// Returns whether a node has not failed; it may be in a graceful shutdown.
+    pub(crate) fn is_running(&self, now: Instant, peer: &Peer) -> bool {
         let age = now.saturating_duration_since(peer.updated_at);
-        age < self.options.failure_timeout && !peer.is_leaving
+        age < self.options.failure_timeout
     }
 
     /// Returns the number of live nodes, this one included.
--- a/crates/core/src/flow/stream_directory.rs
+++ b/crates/core/src/flow/stream_directory.rs
@@ -1,9 +1,11 @@
 //! Versions at which streams began, for callers that take them up at another node.
 //!
 //! The node that passes on the first event of a stream tells a few others, its holders,
-//! which it chooses by rendezvous hashing of the stream's key. Any node can ask them
-//! later. Nothing is agreed upon or stored: a record expires with the time that the
-//! caller has, and a stream whose holders are all gone is unknown.
+//! which it chooses by rendezvous hashing of the stream's key, and those that take their
+//! place while the stream lasts ([`crate::flow::ServedStreams`]). A node that starts asks
+//! others for the records that they hold. Any node can ask the holders later. Nothing is
+//! agreed upon or stored: a record expires with the time that the caller has, and a stream
+//! is unknown when all nodes that knew it are gone.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
@@ -41,18 +43,22 @@
     }
 }
 
+/// What a node knows of a stream, as it tells others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamRecord {
+    /// The stream.
+    pub stream: StreamKey,
+    /// Version of the server that brought its first event.
+    pub version: VersionKey,
+    /// Time that the caller has left, in milliseconds.
+    pub lifetime_ms: u32,
+}
+
 /// Message about streams between nodes, sent after [`Self::PREFIX`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StreamMessage {
     /// A stream began at a version; sent to its holders.
-    Record {
-        /// The stream.
-        stream: StreamKey,
-        /// Version of the server that brought its first event.
-        version: VersionKey,
-        /// Time that the caller has left, in milliseconds.
-        lifetime_ms: u32,
-    },
+    Record(StreamRecord),
     /// Question for the version at which a stream began.
     Query {
         /// Address of the sender's peer port.
@@ -107,6 +113,19 @@
     expires_at: Instant,
 }
 
+impl Entry {
+    /// Returns the record of a stream with the time that is left of it.
+    fn to_record(self, now: Instant, stream: StreamKey) -> Option<StreamRecord> {
+        let lifetime = self.expires_at.checked_duration_since(now)?;
+        let lifetime_ms = u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX);
+        (lifetime_ms > 0).then_some(StreamRecord {
+            stream,
+            version: self.version,
+            lifetime_ms,
+        })
+    }
+}
+
 impl StreamDirectory {
     /// Records the version of a stream for at least `lifetime`.
     ///
@@ -143,6 +162,18 @@
         (now < entry.expires_at).then_some(entry.version)
     }
 
+    /// Returns what to tell others of a stream, `None` if it is unknown.
+    #[must_use]
+    pub fn record_of(&self, now: Instant, stream: StreamKey) -> Option<StreamRecord> {
+        self.streams.get(&stream)?.to_record(now, stream)
+    }
+
+    /// Iterates over what to tell others of all streams.
+    pub fn records(&self, now: Instant) -> impl Iterator<Item = StreamRecord> {
+        let streams = self.streams.iter();
+        streams.filter_map(move |(stream, entry)| entry.to_record(now, *stream))
+    }
+
     /// Drops the records whose time is over.
     pub fn expire(&mut self, now: Instant) {
         while let Some((expires_at, stream)) = self.expiries.first().copied()
--- a/crates/core/tests/flow/streams.rs
+++ b/crates/core/tests/flow/streams.rs
@@ -6,7 +6,7 @@
 
 use briarbank_core::flow::{
     Dispatcher, Heartbeat, HeartbeatEntry, Instance, Options, PeerOptions, Peers, Route, RouteKind,
-    Split, StreamDirectory, StreamKey, ValueKind, VersionKey,
+    ServedStreams, Split, StreamDirectory, StreamKey, StreamMessage, ValueKind, VersionKey,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -153,6 +153,108 @@
     }
 }
 
+/// Begins streams at the node of a view; returns what it keeps of them.
+fn begin_streams(now: Instant, peers: &Peers, count: u64) -> (StreamDirectory, ServedStreams) {
+    let (mut directory, mut served) = (StreamDirectory::default(), ServedStreams::default());
+    for index in 0..count {
+        directory.record(now, stream(index), version("v1"), Duration::from_secs(15));
+        let record = directory
+            .record_of(now, stream(index))
+            .expect("it was just recorded");
+        served.begin(now, record, peers);
+    }
+    (directory, served)
+}
+
+/// Tells the view of a node that another one has started again.
+fn restart(peers: &mut Peers, now: Instant, node: usize) {
+    let sender = HeartbeatEntry {
+        address: address(node),
+        incarnation: 2,
+        count: 1,
+    };
+    peers.receive(now, heartbeat(sender, 0));
+}
+
+/// Guards against holders that know nothing after a restart, and against telling all others
+/// again whenever one node of a large fleet restarts.
+#[test]
+fn a_node_that_restarts_is_told_of_the_streams_that_it_is_to_hold() {
+    const STREAMS: u64 = 200;
+    for (nodes, expected) in [(3, 200..=200), (8, 200..=200), (390, 0..=8)] {
+        let now = Instant::now();
+        let mut peers = peers(0, nodes, now);
+        let (directory, mut served) = begin_streams(now, &peers, STREAMS);
+        assert!(
+            served
+                .untold(now, &directory, &peers, usize::MAX)
+                .is_empty()
+        );
+        restart(&mut peers, now, 1);
+        let messages = served.untold(now, &directory, &peers, usize::MAX);
+        assert!(
+            expected.contains(&messages.len()),
+            "{nodes}: {}",
+            messages.len()
+        );
+        assert!(messages.iter().all(|(node, _)| *node == address(1)));
+        assert!(
+            served
+                .untold(now, &directory, &peers, usize::MAX)
+                .is_empty()
+        );
+    }
+}
+
+/// Guards against a burst of datagrams that overflows the buffer of a node that starts, and
+/// against streams that are left out since they are told in several steps.
+#[test]
+fn many_streams_are_told_in_steps() {
+    let now = Instant::now();
+    let mut peers = peers(0, 3, now);
+    let (directory, mut served) = begin_streams(now, &peers, 100);
+    restart(&mut peers, now, 1);
+    let mut told = HashSet::new();
+    for _ in 0..20 {
+        let messages = served.untold(now, &directory, &peers, 32);
+        assert!(messages.len() <= 32 + peers.live_count(now));
+        for (_, message) in messages {
+            let StreamMessage::Record(record) = message else {
+                panic!("{message:?}");
+            };
+            told.insert(record.stream);
+        }
+    }
+    assert_eq!(told.len(), 100);
+}
+
+/// Guards against a node that was cut off and lacks what others were told meanwhile, and
+/// against telling of streams that have ended.
+#[test]
+fn a_node_that_failed_and_is_back_is_told_of_streams_under_way() {
+    let now = Instant::now();
+    let mut peers = peers(0, 3, now);
+    let (directory, mut served) = begin_streams(now, &peers, 10);
+    let later = now + Duration::from_secs(5);
+    for node in [1, 2] {
+        // The node has seen at a heartbeat that the other one has failed.
+        let before = served.untold(later, &directory, &peers, usize::MAX);
+        assert!(before.is_empty(), "{before:?}");
+        let sender = HeartbeatEntry {
+            address: address(node),
+            incarnation: 1,
+            count: 100,
+        };
+        peers.receive(later, heartbeat(sender, 0));
+        served.end(stream(node as u64));
+        let messages = served.untold(later, &directory, &peers, usize::MAX);
+        assert_eq!(messages.len(), 10 - node);
+        assert!(messages.iter().all(|(to, _)| *to == address(node)));
+    }
+    served.expire(now + Duration::from_secs(20), &directory);
+    assert_eq!(served.stream_count(), 0);
+}
+
 fn route(services: &[&str]) -> Route {
     Route {
         name: "chat".into(),
--- a/crates/gateway/src/caller/continuity.rs
+++ b/crates/gateway/src/caller/continuity.rs
@@ -68,7 +68,13 @@
         }
         let timeout = Duration::from_millis(u64::from(self.admitted.route.timeout_ms));
         let lifetime = self.admitted.head.time_left.unwrap_or(timeout);
-        streams::record(&self.shared, self.stream_key(), version, lifetime);
+        streams::begin(&self.shared, self.stream_key(), version, lifetime);
+    }
+
+    /// Records that the caller has the whole stream.
+    pub(crate) fn complete_stream(&mut self) {
+        self.record.complete();
+        streams::end(&self.shared, self.stream_key());
     }
 
     /// Returns the key of the stream, by the call that brought its first event.
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -96,7 +96,7 @@
         record.status = head.status.as_u16();
         record.first();
         let Some(first) = first else {
-            record.complete();
+            stream.exchange.complete_stream();
             return Response::from_parts(head, AnswerBody::from(Bytes::new()));
         };
         let rest = unfold((Some(first), stream), |(pending, mut stream)| async move {
@@ -106,7 +106,7 @@
             match stream.next().await {
                 Ok(Some(bytes)) => Some((Ok(bytes), (None, stream))),
                 Ok(None) => {
-                    stream.exchange.record.complete();
+                    stream.exchange.complete_stream();
                     None
                 }
                 Err(cut) => Some((Err(cut), (None, stream))),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -35,6 +35,7 @@
         tracing::error!("peer: the port is served already");
         return;
     }
+    shared.tasks.spawn_local(streams::learn(Rc::clone(&shared)));
     let mut reported_at = Instant::now();
     let mut ticks = interval(HEARTBEAT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -48,6 +49,7 @@
                     handle_pause(&shared, pause);
                 }
                 send_heartbeats(&shared, &socket);
+                streams::tell_new_holders(&shared);
                 if reported_at.elapsed() >= REPORT_INTERVAL {
                     reported_at = Instant::now();
                     repeat_reports(&shared, reported_at);
@@ -114,7 +116,7 @@
     loads::report(shared, now, &loads);
     shared.directory.borrow_mut().expire(now);
     shared.prefills.borrow_mut().expire(now);
-    shared.streams.borrow_mut().expire(now);
+    streams::expire(shared, now);
     shared.paths.borrow_mut().expire(now);
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,7 @@
 use crate::error::Error;
 use crate::settings::{Settings, SettingsSource};
 use crate::shared::SharedState;
-use crate::{gossip, operator, reload, store, sync};
+use crate::{gossip, operator, reload, store, streams, sync};
 
 /// Time before the kill at which calls still in flight are cut.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
@@ -88,6 +88,7 @@
             }
         }
         drain_calls(&shared).await;
+        streams::hand_over(&shared);
         tasks.shutdown().await;
         shared.pool.clear();
     });
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,7 +6,7 @@
 
 use briarbank_core::flow::{
     BrittleServers, Dispatcher, Hedging, LoadDirectory, Options, PeerOptions, Peers,
-    PrefillDirectory, RemovalLog, RouteTable, ServerLimits, ServerPaths, Staleness,
+    PrefillDirectory, RemovalLog, RouteTable, ServedStreams, ServerLimits, ServerPaths, Staleness,
     StreamDirectory, Values,
 };
 use tokio::net::UdpSocket;
@@ -65,6 +65,8 @@
     pub(crate) queries: RefCell<Queries>,
     /// Versions of streams that callers may take up.
     pub(crate) streams: RefCell<StreamDirectory>,
+    /// Streams whose holders this node tells of them.
+    pub(crate) served_streams: RefCell<ServedStreams>,
     pub(crate) stream_queries: StreamQueries,
     /// Number of load reports sent so far.
     reports: Cell<u32>,
@@ -169,6 +171,7 @@
             blamed_parts: RefCell::default(),
             queries: RefCell::default(),
             streams: RefCell::default(),
+            served_streams: RefCell::default(),
             stream_queries: StreamQueries::default(),
             reports: Cell::new(0),
             socket: OnceCell::new(),
--- a/crates/gateway/src/sync/fetch.rs
+++ b/crates/gateway/src/sync/fetch.rs
@@ -1,9 +1,11 @@
 //! The node that lags: requests values and applies them.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Instant;
 
-use briarbank_core::flow::{Delta, KnownChunks, PackedDelta, RemovalNote, ValueKind, ValueSource};
+use briarbank_core::flow::{
+    Delta, KnownChunks, PackedDelta, RemovalNote, StreamRecord, ValueKind, ValueSource,
+};
 use bytes::Bytes;
 use h2::RecvStream;
 use h2::client::SendRequest;
@@ -13,8 +15,8 @@
 use tokio::time::timeout;
 
 use super::{
-    CONNECT_TIMEOUT, ENCODING, EXCHANGE_TIMEOUT, Requested, SILENCE_TIMEOUT, SyncError,
-    VALUES_BYTES_MAX,
+    CONNECT_TIMEOUT, ENCODING, EXCHANGE_TIMEOUT, Requested, SILENCE_TIMEOUT, STREAMS_PREFIX,
+    SyncError, VALUES_BYTES_MAX,
 };
 use crate::apply::Source;
 use crate::codec;
@@ -57,15 +59,48 @@
     }
 }
 
+/// Fetches the versions of streams that this node should hold from a peer, `None` if it fails.
+pub(crate) async fn fetch_streams(
+    shared: &SharedState,
+    peer: SocketAddrV4,
+) -> Option<Vec<StreamRecord>> {
+    let local = shared.peers.borrow().local().address;
+    let path = format!("http://{peer}{STREAMS_PREFIX}{local}");
+    let requesting = on_connection(peer.into(), async |sender| {
+        let bytes = send_request(sender, Method::GET, path, Bytes::new()).await?;
+        Ok(codec::decode_message(&bytes)?)
+    });
+    match timeout(EXCHANGE_TIMEOUT, requesting).await {
+        Ok(Ok(records)) => Some(records),
+        failed => {
+            let error = failed.unwrap_or(Err(SyncError::Silent)).err();
+            let error = error.map(|error: SyncError| error.to_string());
+            tracing::debug!(%peer, error, "peer: fetching versions of streams failed");
+            None
+        }
+    }
+}
+
 async fn request_values(
     shared: &SharedState,
     requested: Requested,
     peer: SocketAddr,
 ) -> Result<Fetched, SyncError> {
+    on_connection(peer, async |sender| {
+        exchange(shared, requested, peer, sender).await
+    })
+    .await
+}
+
+/// Makes a request on a connection of its own.
+async fn on_connection<T>(
+    peer: SocketAddr,
+    request: impl AsyncFnOnce(SendRequest<Bytes>) -> Result<T, SyncError>,
+) -> Result<T, SyncError> {
     let stream = briarbank_net::connect(peer, CONNECT_TIMEOUT).await?;
     let (sender, connection) = h2::client::handshake(stream).await?;
     tokio::select! {
-        fetched = exchange(shared, requested, peer, sender) => fetched,
+        requested = request(sender) => requested,
         ended = connection => Err(ended.map_or_else(SyncError::Stream, |()| SyncError::Silent)),
     }
 }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Entries of servers and documents are transferred apart, so that a server's change does
 //! not wait for a large document. Of documents, only what the receiver lacks is sent. A
-//! node of an earlier version is sent all kinds together.
+//! node of an earlier version is sent all kinds together. Records of streams are sent the
+//! same way to nodes that have just started.
 
 mod fetch;
 mod serve;
@@ -14,7 +15,7 @@
 use lz4_flex::block::DecompressError;
 use quick_error::quick_error;
 
-pub(crate) use fetch::fetch;
+pub(crate) use fetch::{fetch, fetch_streams};
 pub(crate) use serve::{AnswerCache, serve};
 
 /// Timeout of a connect to a peer; its kernel accepts, however busy the process is.
@@ -31,6 +32,9 @@
 /// Largest set of values that is accepted from a peer, encoded and not compressed.
 const VALUES_BYTES_MAX: usize = 16 << 20;
 
+/// Start of the path of a request for records of streams; the requesting node follows.
+const STREAMS_PREFIX: &str = "/streams/";
+
 /// Name of the compression: an LZ4 block after its uncompressed size.
 const ENCODING: &str = "x-lz4-block";
 
--- a/crates/gateway/src/sync/serve.rs
+++ b/crates/gateway/src/sync/serve.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::future::poll_fn;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -16,10 +17,11 @@
 use tokio::time::timeout;
 
 use super::fetch::read_body;
-use super::{ENCODING, EXCHANGE_TIMEOUT, Requested, SILENCE_TIMEOUT, SyncError};
+use super::{ENCODING, EXCHANGE_TIMEOUT, Requested, SILENCE_TIMEOUT, STREAMS_PREFIX, SyncError};
 use crate::codec;
 use crate::relay;
 use crate::shared::SharedState;
+use crate::streams;
 
 /// Size, as sent, from which an answer counts as large.
 const LARGE_BYTES_MIN: usize = 64 << 10;
@@ -128,6 +130,15 @@
     known: Bytes,
     is_compressed: bool,
 ) -> Result<Option<(Bytes, Option<Transfer<'a>>)>, SyncError> {
+    if let Some(node) = path.strip_prefix(STREAMS_PREFIX) {
+        let bytes = encode_streams(shared, node)?;
+        let bytes = if is_compressed {
+            block::compress_prepend_size(&bytes)
+        } else {
+            bytes
+        };
+        return Ok(Some((bytes.into(), None)));
+    }
     let (requested, since) = Requested::parse(path)?;
     let revision = shared.values.borrow().revision();
     if let Some(cached) = &*shared.answer_cache.borrow()
@@ -160,6 +171,14 @@
     Ok(Some((bytes, Some(transfer))))
 }
 
+/// Encodes the records of streams that a node should hold.
+fn encode_streams(shared: &SharedState, node: &str) -> Result<Vec<u8>, SyncError> {
+    let node: SocketAddrV4 = node
+        .parse()
+        .map_err(|_error| SyncError::Path(format!("{STREAMS_PREFIX}{node}")))?;
+    Ok(codec::encode_message(&streams::records_for(shared, node))?)
+}
+
 fn encode_values(
     shared: &SharedState,
     requested: Requested,
