Have the store confirm a node's view before it tells a stream's version

Without a record of a stream, a node took its own view for proof that one version alone had served: no gap that it had noticed, no peer known to be newer. A node that is cut off hears of nothing newer; it asked nobody if it saw no live node, and stopped asking after 50 ms else. A node that had lost the store's history read all values anew and counted its view as complete. Ruled out by a test that passed before: a node in step that asks one which is cut off from the store only, as heartbeats tell that one.

Change: nodes answer with the versions that they have seen, the time for which they have missed nothing and the age of their values. The spans must cover the whole time, the last one up to an answer of the store that was asked for after the call had arrived; any second version refuses it. Pauses are looked for when a stream is taken up or asked for. Values read anew, and those of peers after a time without news, end the time in which nothing was missed. The evidence is appended to the answer, which earlier builds ignore; theirs proves nothing.

All tests of core and platform pass.

--- a/crates/core/src/flow/homes.rs
+++ b/crates/core/src/flow/homes.rs
@@ -99,7 +99,9 @@
     /// that does not stop.
     #[must_use]
     pub fn record_source(&self, now: Instant, tried: &[SocketAddrV4]) -> Option<SocketAddrV4> {
-        let may_answer = |p: &&Peer| p.is_fresh(now) && !tried.contains(&p.entry.address);
+        // Builds that are too old to relay connections keep no such records either.
+        let may_answer =
+            |p: &&Peer| p.is_fresh(now) && p.relay.can_relay() && !tried.contains(&p.entry.address);
         let sources = self.others.values().filter(may_answer);
         let oldest = sources.min_by_key(|p| (p.is_leaving, p.entry.incarnation))?;
         Some(oldest.entry.address)
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -63,6 +63,7 @@
 mod token_bucket;
 mod values;
 mod version;
+mod version_evidence;
 mod version_log;
 
 pub use brittle_servers::{BrittleServers, BrittleStatement};
@@ -107,3 +108,4 @@
 pub use table::RouteTable;
 pub use values::{ValueKind, Values, ValuesStatement};
 pub use version::VersionKey;
+pub use version_evidence::{VersionEvidence, VersionProof};
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -312,7 +312,8 @@
     }
 
     /// Returns whether other nodes are among the seeds.
-    pub(crate) fn has_other_seeds(&self) -> bool {
+    #[must_use]
+    pub fn has_other_seeds(&self) -> bool {
         self.seeds.iter().any(|seed| *seed != self.local.address)
     }
 
--- a/crates/core/src/flow/relays.rs
+++ b/crates/core/src/flow/relays.rs
@@ -21,6 +21,13 @@
     paused_until: Option<Instant>,
 }
 
+impl PeerRelay {
+    /// Returns whether the node's build can relay connections.
+    pub(crate) fn can_relay(&self) -> bool {
+        self.statement.is_some()
+    }
+}
+
 impl Peers {
     /// Handles what the sender of a heartbeat says of its paths to servers.
     pub fn receive_paths(&mut self, sender: HeartbeatEntry, statement: PathStatement) {
--- a/crates/core/src/flow/stream_versions.rs
+++ b/crates/core/src/flow/stream_versions.rs
@@ -30,37 +30,53 @@
         services.find(has_version).cloned()
     }
 
-    /// Returns the only version that servers of a service had for that time.
+    /// Returns for how long this node has missed no listed server.
     ///
-    /// All its streams that began in this time began at it. Returns `None` when there
-    /// were several, or when servers may have been missed.
+    /// What was listed since the published values were last confirmed may be missing.
     #[must_use]
-    pub fn sole_version(
+    pub fn complete_time(&self, now: Instant) -> Duration {
+        self.version_log.complete_time(now)
+    }
+
+    /// Returns the versions that this node has seen servers of a service with in that time.
+    #[must_use]
+    pub fn seen_versions(
         &self,
         now: Instant,
         service: &ServiceName,
         time: Duration,
-    ) -> Option<VersionKey> {
-        let is_complete = self.version_log.is_complete(now, time);
-        let seen = self.only_seen_version(now, service, time);
-        seen.filter(|_| is_complete)
+    ) -> Vec<VersionKey> {
+        let listed = self.of_service(service).map(|e| e.version_key);
+        let former = self.version_log.former(now, service, time);
+        let mut versions: Vec<VersionKey> = Vec::new();
+        for version in listed.chain(former) {
+            if !versions.contains(&version) {
+                versions.push(version);
+            }
+        }
+        versions
     }
 
-    /// Returns the only version that this node has seen servers of a service with.
+    /// Returns the only version that servers of a service had for that time.
     ///
-    /// Unlike [`Self::sole_version`] it proves nothing of the time before this node's start.
+    /// All its streams that began in this time began at it. Returns `None` when there
+    /// were several, or when servers may have been missed. Servers that were listed since
+    /// the values were last confirmed are not considered.
     #[must_use]
-    pub fn only_seen_version(
+    pub fn sole_version(
         &self,
         now: Instant,
         service: &ServiceName,
         time: Duration,
     ) -> Option<VersionKey> {
-        let mut servers = self.of_service(service);
-        let version = servers.next()?.version_key;
-        let is_only = servers.all(|e| e.version_key == version)
-            && !self.version_log.has_other(now, service, version, time);
-        is_only.then_some(version)
+        let is_complete = self.complete_time(now) > time;
+        let versions = self.seen_versions(now, service, time);
+        let &[version] = versions.as_slice() else {
+            return None;
+        };
+        // The version of servers that are gone serves no stream.
+        let is_listed = self.of_service(service).next().is_some();
+        (is_complete && is_listed).then_some(version)
     }
 
     fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &ServerEntry> {
--- a/crates/core/src/flow/version_log.rs
+++ b/crates/core/src/flow/version_log.rs
@@ -61,25 +61,24 @@
         }
     }
 
-    /// Returns whether no listed server was missed for that time.
-    pub(crate) fn is_complete(&self, now: Instant, time: Duration) -> bool {
+    /// Returns for how long no listed server was missed.
+    pub(crate) fn complete_time(&self, now: Instant) -> Duration {
         match self.complete_since {
-            Start::Never => false,
-            Start::At(since) => now.saturating_duration_since(since) > time,
-            Start::Always => true,
+            Start::Never => Duration::ZERO,
+            Start::At(since) => now.saturating_duration_since(since),
+            Start::Always => Duration::MAX,
         }
     }
 
-    /// Returns whether another version of the service was seen in that time.
-    pub(crate) fn has_other(
+    /// Iterates over the versions of a service's servers that were listed in that time.
+    pub(crate) fn former(
         &self,
         now: Instant,
         service: &ServiceName,
-        version: VersionKey,
         time: Duration,
-    ) -> bool {
+    ) -> impl Iterator<Item = VersionKey> {
         let former = self.former.get(service).into_iter().flatten();
-        let mut others = former.filter(|(former, _)| **former != version);
-        others.any(|(_, at)| now.saturating_duration_since(*at) <= time)
+        let is_recent = move |at: Instant| now.saturating_duration_since(at) <= time;
+        former.filter_map(move |(version, at)| is_recent(*at).then_some(*version))
     }
 }
--- a/crates/gateway/src/caller/continuity.rs
+++ b/crates/gateway/src/caller/continuity.rs
@@ -1,9 +1,9 @@
 //! Keeps a stream at the version of software that began it.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use briarbank_core::flow::{Instance, StreamKey, VersionKey};
+use briarbank_core::flow::{Instance, StreamKey};
 
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
@@ -33,7 +33,7 @@
         let version = if is_named {
             streams::find(&self.shared, &sought).await
         } else {
-            self.only_seen_version(&sought)
+            streams::find_only_version(&self.shared, &sought).await
         };
         let Some(version) = version else {
             metrics::counter!("briarbank_streams_unknown_total").increment(1);
@@ -50,16 +50,6 @@
         Ok(())
     }
 
-    /// Returns the version of a stream whose caller does not name its first call.
-    ///
-    /// Such callers know nothing of versions; they get the rest while this node has seen
-    /// one version only.
-    fn only_seen_version(&self, sought: &SoughtStream) -> Option<VersionKey> {
-        let service = sought.service.as_ref()?;
-        let dispatcher = self.shared.dispatcher.borrow();
-        dispatcher.only_seen_version(Instant::now(), service, sought.age_max)
-    }
-
     /// Records the server that brought the first event of this answer.
     pub(crate) fn record_first_server(&mut self, instance: &Instance) {
         let version = *self.version.get_or_insert_with(|| instance.version_key());
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,7 +11,6 @@
 
 use crate::codec::{self, Appended};
 use crate::loads;
-use crate::pause::PauseDetector;
 use crate::shared::SharedState;
 use crate::streams;
 use crate::sync;
@@ -40,14 +39,11 @@
     let mut ticks = interval(HEARTBEAT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
-    let mut pause_detector = PauseDetector::new();
     let mut catch_ups = ValueKind::ALL.map(CatchUp::new);
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                if let Some(pause) = pause_detector.take_pause() {
-                    handle_pause(&shared, pause);
-                }
+                notice_pause(&shared);
                 send_heartbeats(&shared, &socket);
                 streams::tell_new_holders(&shared);
                 if reported_at.elapsed() >= REPORT_INTERVAL {
@@ -214,6 +210,17 @@
     }
 }
 
+/// Handles a pause of the process since the last call, if there was one.
+///
+/// What a process does between its waking and the next heartbeat may rest on what was true
+/// before, so whoever depends on the time calls this first.
+pub(crate) fn notice_pause(shared: &SharedState) {
+    let pause = shared.pause_detector.borrow_mut().take_pause();
+    if let Some(pause) = pause {
+        handle_pause(shared, pause);
+    }
+}
+
 /// Discards state that may be stale after the host was suspended.
 fn handle_pause(shared: &SharedState, pause: Duration) {
     tracing::warn!(pause_ms = pause.as_millis(), "node: resumed after a pause");
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,7 +10,7 @@
     StreamDirectory, Values,
 };
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use tokio_util::task::TaskTracker;
 
 use crate::caller::{AnswerMemory, CallCount};
@@ -19,6 +19,7 @@
 use crate::harmful_prompts::BlamedParts;
 use crate::loads::Queries;
 use crate::log_lines::LogLines;
+use crate::pause::PauseDetector;
 use crate::server::Pool;
 use crate::settings::Settings;
 use crate::stop::Stop;
@@ -79,6 +80,7 @@
     pub(crate) relays: Cell<usize>,
     pub(crate) answer_memory: AnswerMemory,
     pub(crate) stop: Stop,
+    pub(crate) pause_detector: RefCell<PauseDetector>,
     /// When the process started.
     started_at: Instant,
     pub(crate) tasks: TaskTracker,
@@ -112,6 +114,8 @@
     pub(crate) was_asked: Cell<bool>,
     /// Whether an answer of the store is being received.
     pub(crate) is_receiving: Cell<bool>,
+    /// Held while the store is asked to confirm the values, so that one answer serves all.
+    pub(crate) confirming: Mutex<()>,
     /// Signals that the connection to the store may be dead.
     pub(crate) connection_suspect: Notify,
     /// Signals that peers have had newer values for some heartbeats.
@@ -180,6 +184,7 @@
             relays: Cell::new(0),
             answer_memory: AnswerMemory::default(),
             stop: Stop::default(),
+            pause_detector: RefCell::new(PauseDetector::new()),
             started_at: Instant::now(),
             tasks,
             store: StoreState::default(),
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,7 +7,7 @@
 
 use briarbank_core::flow::StoreReads;
 use rand::Rng;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::shared::SharedState;
 use reader::{ReadError, Reader};
@@ -15,6 +15,9 @@
 /// Initial and longest backoff after a failed request.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
+/// Time for the store to confirm the values while a call waits; a slow one takes 0.3 s.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Keeps the node's copy of the published values up to date.
 pub(crate) async fn follow(shared: Rc<SharedState>) {
     let mut reader = Reader::new(&shared);
@@ -61,6 +64,26 @@
     }
 }
 
+/// Has the store confirm the values; returns whether all is known that it had acknowledged
+/// at `since`.
+pub(crate) async fn confirm(shared: &Rc<SharedState>, since: Instant) -> bool {
+    let is_confirmed = || {
+        let age = shared.staleness.borrow().age(Instant::now());
+        age.is_some_and(|age| age <= since.elapsed())
+    };
+    let reading = async {
+        let _guard = shared.store.confirming.lock().await;
+        if is_confirmed() || shared.values.borrow().revision() == 0 {
+            return;
+        }
+        if let Err(error) = Reader::new(shared).confirm().await {
+            tracing::debug!(%error, "store: confirming the values failed");
+        }
+    };
+    let _ = timeout(CONFIRM_TIMEOUT, reading).await;
+    is_confirmed()
+}
+
 /// Records that a read was given up, so that the next one uses a new connection.
 ///
 /// There is no need for a pause, as the time until then was one.
--- a/crates/gateway/src/store/reader.rs
+++ b/crates/gateway/src/store/reader.rs
@@ -159,6 +159,17 @@
                 return Ok(false);
             }
         };
+        self.read_changes(wait).await?;
+        Ok(true)
+    }
+
+    /// Reads the changes that this node lacks.
+    pub(super) async fn confirm(&mut self) -> Result<(), ReadError> {
+        self.read_changes(Duration::ZERO).await
+    }
+
+    /// Waits for changes that follow those that are known, and applies them.
+    async fn read_changes(&mut self, wait: Duration) -> Result<(), ReadError> {
         let revision = self.shared.values.borrow().revision();
         let sent_at = Instant::now();
         let (headers, body) = self
@@ -180,7 +191,7 @@
         let complete_at = (sent_at + waited).min(Instant::now());
         let mut staleness = self.shared.staleness.borrow_mut();
         staleness.record_complete(complete_at);
-        Ok(true)
+        Ok(())
     }
 
     /// Returns how to read next, and records whether this node is one of those that watch.
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use briarbank_core::flow::{
-    StreamKey, StreamMessage, StreamOrigin, StreamRecord, ValueKind, VersionKey,
+    StreamKey, StreamMessage, StreamOrigin, StreamRecord, ValueKind, VersionEvidence, VersionKey,
+    VersionProof,
 };
 use briarbank_core::ids::ServiceName;
 use tokio::sync::Notify;
@@ -15,9 +16,9 @@
 
 use crate::codec;
 use crate::datagram;
-use crate::gossip::HEARTBEAT_INTERVAL;
+use crate::gossip::{HEARTBEAT_INTERVAL, notice_pause};
 use crate::shared::SharedState;
-use crate::sync;
+use crate::{store, sync};
 
 /// Nodes that are asked for a stream; more than hold it, as views of live nodes differ.
 const ASKED_NODES: usize = 8;
@@ -40,6 +41,11 @@
 /// Time in which a node that has started hears of the others.
 const MEETING_TIME: Duration = Duration::from_millis(300);
 
+/// Age of values up to which nodes of earlier builds are told of a sole version.
+///
+/// The store confirms the values of a fleet every second.
+const CONFIRMED_AGE_MAX: Duration = Duration::from_millis(1_500);
+
 /// Times to wait for answers before the question is repeated or given up.
 const QUERY_TIMEOUTS: [Duration; 3] = [
     Duration::from_millis(50),
@@ -60,7 +66,9 @@
     /// Nodes that were asked and have not answered.
     unanswered: RefCell<HashSet<SocketAddrV4>>,
     recorded: Cell<Option<VersionKey>>,
-    sole: Cell<Option<VersionKey>>,
+    /// What the nodes have said of versions.
+    proof: RefCell<VersionProof>,
+    is_answered: Cell<bool>,
     ended: Notify,
 }
 
@@ -200,16 +208,60 @@
     streams.record(Instant::now(), record.stream, record.version, lifetime);
 }
 
-/// Returns the version at which a stream began, `None` if no node that answers knows it.
-pub(crate) async fn find(shared: &SharedState, stream: &SoughtStream) -> Option<VersionKey> {
-    let own = origin(shared, stream);
-    if let StreamOrigin::Recorded(version) = own {
+/// Returns the version at which a stream began, `None` if nobody who answers can tell.
+pub(crate) async fn find(shared: &Rc<SharedState>, stream: &SoughtStream) -> Option<VersionKey> {
+    notice_pause(shared);
+    let arrived_at = Instant::now();
+    if let Some(version) = shared.streams.borrow().version(arrived_at, stream.key) {
         return Some(version);
     }
+    let query = ask(shared, stream, &QUERY_TIMEOUTS).await;
+    if let Some(version) = query.recorded.get() {
+        return Some(version);
+    }
+    let own_complete = shared.dispatcher.borrow().complete_time(arrived_at);
+    if !query
+        .proof
+        .borrow()
+        .would_cover(stream.age_max, own_complete)
+    {
+        return None;
+    }
+    // Only the store can tell what others were told while this node was cut off.
+    if !store::confirm(shared, arrived_at).await {
+        return None;
+    }
+    let mut proof = query.proof.borrow_mut();
+    proof.add(&own_evidence(shared, stream, arrived_at)?);
+    let is_covered = proof.covers(stream.age_max);
+    proof.only_version().filter(|_| is_covered)
+}
+
+/// Returns the only version that this node and others have seen servers of a service with.
+///
+/// For streams whose callers do not name the first call. Unlike [`find`] it proves nothing of
+/// the time before the nodes' start, but a node that nobody confirms may have missed another
+/// version.
+pub(crate) async fn find_only_version(
+    shared: &Rc<SharedState>,
+    stream: &SoughtStream,
+) -> Option<VersionKey> {
+    notice_pause(shared);
+    let arrived_at = Instant::now();
+    let query = ask(shared, stream, &QUERY_TIMEOUTS[..1]).await;
+    let is_alone = !shared.peers.borrow().has_other_seeds();
+    let is_confirmed =
+        query.is_answered.get() || is_alone || store::confirm(shared, arrived_at).await;
+    let mut proof = query.proof.borrow_mut();
+    proof.add(&own_evidence(shared, stream, arrived_at)?);
+    proof.only_version().filter(|_| is_confirmed)
+}
+
+/// Asks other nodes for a stream until one has a record of it or all have answered.
+async fn ask(shared: &SharedState, stream: &SoughtStream, times: &[Duration]) -> Rc<Query> {
     let pending = shared.stream_queries.start();
     let (id, query) = (pending.id, &pending.query);
-    query.record(own);
-    for time in QUERY_TIMEOUTS {
+    for time in times {
         let now = Instant::now();
         let (asked, sender) = {
             let peers = shared.peers.borrow();
@@ -230,25 +282,43 @@
             };
             send(shared, node, &message);
         }
-        let has_ended = timeout(time, query.ended.notified()).await.is_ok();
-        if has_ended || query.sole.get().is_some() {
+        if timeout(*time, query.ended.notified()).await.is_ok() {
             break;
         }
         metrics::counter!("briarbank_stream_queries_unanswered_total").increment(1);
     }
-    query.recorded.get().or(query.sole.get())
+    Rc::clone(query)
+}
+
+/// Returns what this node has seen of a stream's service until `at`.
+fn own_evidence(
+    shared: &SharedState,
+    stream: &SoughtStream,
+    at: Instant,
+) -> Option<VersionEvidence> {
+    let dispatcher = shared.dispatcher.borrow();
+    let versions = dispatcher.seen_versions(at, stream.service.as_ref()?, stream.age_max);
+    let values_age = shared.staleness.borrow().age(at);
+    Some(VersionEvidence::new(
+        versions,
+        dispatcher.complete_time(at),
+        values_age,
+    ))
 }
 
-/// Returns what this node knows of a stream's version.
+/// Returns what this node knows of a stream's version, for nodes of earlier builds.
+///
+/// They take [`StreamOrigin::SoleVersion`] for a proof by itself.
 fn origin(shared: &SharedState, stream: &SoughtStream) -> StreamOrigin {
     let now = Instant::now();
     if let Some(version) = shared.streams.borrow().version(now, stream.key) {
         return StreamOrigin::Recorded(version);
     }
+    let is_confirmed = !shared.staleness.borrow().is_beyond(now, CONFIRMED_AGE_MAX);
     let Some(service) = stream
         .service
         .as_ref()
-        .filter(|_| has_current_values(shared))
+        .filter(|_| is_confirmed && has_current_values(shared))
     else {
         return StreamOrigin::Unknown;
     };
@@ -274,32 +344,44 @@
 
 /// Handles a message of another node about a stream.
 pub(crate) fn receive(shared: &SharedState, from: SocketAddr, bytes: &[u8]) {
-    let decoded = codec::decode_message::<StreamMessage>(bytes);
-    match decoded {
-        Ok(StreamMessage::Record(record)) => {
+    let decoded = codec::decode::<StreamMessage, VersionEvidence>(bytes);
+    let (message, evidence) = match decoded {
+        Ok(decoded) => decoded,
+        Err(error) => {
+            tracing::debug!(%error, "peer: decoding a message about a stream failed");
+            return;
+        }
+    };
+    match message {
+        StreamMessage::Record(record) => {
             receive_record(shared, record);
             // Its sender serves the stream now.
             end(shared, record.stream);
         }
-        Ok(StreamMessage::Query {
+        StreamMessage::Query {
             sender,
             id,
             stream,
             service,
             age_max_ms,
-        }) => {
+        } => {
+            notice_pause(shared);
             let sought = SoughtStream {
                 key: stream,
                 service,
                 age_max: Duration::from_millis(u64::from(age_max_ms)),
             };
             let origin = origin(shared, &sought);
-            send(shared, sender, &StreamMessage::Answer { id, origin });
+            let evidence = own_evidence(shared, &sought, Instant::now());
+            let answer = StreamMessage::Answer { id, origin };
+            let evidence = evidence.as_slice();
+            datagram::send_with(shared, sender, &StreamMessage::PREFIX, &answer, evidence);
         }
-        Ok(StreamMessage::Answer { id, origin }) => {
-            shared.stream_queries.record_answer(id, from, origin);
+        StreamMessage::Answer { id, origin } => {
+            shared
+                .stream_queries
+                .record_answer(id, from, origin, &evidence);
         }
-        Err(error) => tracing::debug!(%error, "peer: decoding a message about a stream failed"),
     }
 }
 
@@ -317,7 +399,13 @@
     }
 
     /// Ends a query when a record is found, or when all nodes that were asked have answered.
-    fn record_answer(&self, id: u32, from: SocketAddr, origin: StreamOrigin) {
+    fn record_answer(
+        &self,
+        id: u32,
+        from: SocketAddr,
+        origin: StreamOrigin,
+        evidence: &[VersionEvidence],
+    ) {
         let Some(query) = self.waiting.borrow().get(&id).cloned() else {
             return;
         };
@@ -327,7 +415,7 @@
         if !query.unanswered.borrow_mut().remove(&from) {
             return;
         }
-        query.record(origin);
+        query.record(origin, evidence);
         if query.recorded.get().is_some() || query.unanswered.borrow().is_empty() {
             query.ended.notify_one();
         }
@@ -335,11 +423,17 @@
 }
 
 impl Query {
-    fn record(&self, origin: StreamOrigin) {
+    fn record(&self, origin: StreamOrigin, evidence: &[VersionEvidence]) {
+        self.is_answered.set(true);
+        let mut proof = self.proof.borrow_mut();
         match origin {
             StreamOrigin::Unknown => {}
             StreamOrigin::Recorded(version) => self.recorded.set(Some(version)),
-            StreamOrigin::SoleVersion(version) => self.sole.set(Some(version)),
+            // Nodes of earlier builds do not say how old their values are.
+            StreamOrigin::SoleVersion(version) => proof.add_version(version),
+        }
+        for evidence in evidence {
+            proof.add(evidence);
         }
     }
 }
