Join an answer to a stream only if it goes on with it

After a stream had broken off, any sealed 200 of the next server was taken for its rest: JSON with the text of an error, an answer with neither type nor body, events without ids, or all events anew. A stream whose events have no ids was begun again behind them. Ruled out: errors with a status of their own, and the head and text of an error that follow events on the same connection, neither of which was passed on before.

Change: a stream's call is answered by a stream of events; in the middle of one the media type has to be named if its head did. The first event of each further answer needs an id that follows the last one, also for callers that take a stream up. Else the attempt has failed and nothing of it is passed on. Without ids a broken stream is cut.

--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -2,7 +2,8 @@
 
 use briarbank_core::flow::{Fault, Instance};
 use bytes::Bytes;
-use http::{Request, response};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, Request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -12,6 +13,9 @@
 use crate::dialect::{AnswerHead, AnswerKind, ForwardContext};
 use crate::server::{Connection, SendError, Sent, break_fault};
 
+/// Media type of streams of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// An answer that may be forwarded: its heads, body and connection.
 pub(crate) type AcceptedAnswer = (response::Parts, AnswerHead, Incoming, Connection);
 
@@ -82,6 +86,10 @@
             self.shared.record_rejection(instance);
         }
         let (fault, execution, failure_reason) = match answer_head.kind {
+            AnswerKind::Verified if !self.is_acceptable_type(&head) => {
+                let failure_reason = "answer is not a stream of events";
+                (Fault::Failed, Execution::Unknown, failure_reason)
+            }
             AnswerKind::Verified => return Ok((head, answer_head, body, sent.connection)),
             AnswerKind::Unverified if !head.status.is_success() => {
                 return Ok((head, answer_head, body, sent.connection));
@@ -99,4 +107,23 @@
         self.set_failure_reason(failure_reason);
         Err(FailedAttempt { fault, execution })
     }
+
+    /// Returns whether a success may be the stream that was asked for, or the rest of it.
+    ///
+    /// Servers may leave the media type out, but not in the middle of a stream that has one.
+    fn is_acceptable_type(&self, head: &response::Parts) -> bool {
+        if !self.admitted.route.is_stream() || !head.status.is_success() {
+            return true;
+        }
+        media_type(&head.headers).map_or(!self.is_typed, |media_type| {
+            media_type.eq_ignore_ascii_case(EVENT_STREAM)
+        })
+    }
+}
+
+/// Returns the media type of an answer without its parameters.
+pub(crate) fn media_type(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = value.split(';').next()?.trim();
+    (!media_type.is_empty()).then_some(media_type)
 }
--- a/crates/gateway/src/caller/continuity.rs
+++ b/crates/gateway/src/caller/continuity.rs
@@ -67,6 +67,13 @@
         streams::end(&self.shared, self.stream_key());
     }
 
+    /// Returns the event after which the caller takes a stream up that may be resumed.
+    pub(crate) fn resumed_event(&self) -> Option<Arc<str>> {
+        let taken_up = self.admitted.head.taken_up.as_ref();
+        let may_resume = self.admitted.route.is_repeatable();
+        taken_up.filter(|_| may_resume)?.last_event.clone()
+    }
+
     /// Returns the key of the stream, by the call that brought its first event.
     fn stream_key(&self) -> StreamKey {
         let taken_up = self.admitted.head.taken_up.as_ref();
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -81,6 +81,8 @@
     pub(crate) last_event: Option<Arc<str>>,
     /// Version at which the stream goes on, once it has begun.
     pub(crate) version: Option<VersionKey>,
+    /// Whether the head of the stream that has begun names a media type.
+    pub(crate) is_typed: bool,
     /// `None` once the answer keeps it.
     in_flight: Option<InFlight>,
 }
@@ -131,6 +133,7 @@
             may_have_run: false,
             last_event: None,
             version: None,
+            is_typed: false,
             in_flight: Some(in_flight),
         }
     }
--- a/crates/gateway/src/caller/pending.rs
+++ b/crates/gateway/src/caller/pending.rs
@@ -164,6 +164,7 @@
         let (connections_max, sharing_nodes) = self.connection_limit();
         let (shared, instance) = (Rc::clone(&self.shared), Arc::clone(&placement.instance));
         let (ahead, method) = (self.read_ahead(), self.head.method.clone());
+        let resumed_event = self.resumed_event();
         let sending = async move {
             let is_evacuated = || {
                 let dispatcher = shared.dispatcher.borrow();
@@ -179,7 +180,14 @@
                 is_evacuated,
             );
             let mut sent = sending.await?;
-            let received = read_ahead(&mut sent, &method, ahead, &shared.answer_memory).await;
+            let received = read_ahead(
+                &mut sent,
+                &method,
+                ahead,
+                resumed_event,
+                &shared.answer_memory,
+            )
+            .await;
             Ok((sent, received))
         };
         let (sent_at, silence_max) = (Instant::now(), self.silence_max(placement));
--- a/crates/gateway/src/caller/received.rs
+++ b/crates/gateway/src/caller/received.rs
@@ -1,5 +1,7 @@
 //! What is read of an answer before its attempt counts as answered.
 
+use std::sync::Arc;
+
 use briarbank_core::flow::Fault;
 use http::Method;
 
@@ -35,6 +37,7 @@
     sent: &mut Sent,
     method: &Method,
     read_ahead: ReadAhead,
+    resumed_event: Option<Arc<str>>,
     memory: &AnswerMemory,
 ) -> Received {
     let status = sent.response.status();
@@ -46,7 +49,7 @@
             Err(error) => Received::Broken(error.fault(), error.to_string()),
         },
         ReadAhead::FirstEvents if status.is_success() => {
-            let mut splitter = EventSplitter::default();
+            let mut splitter = EventSplitter::after(resumed_event);
             match read_events(body, framing, &mut splitter).await {
                 Next::Broken(reason, fault) => Received::Broken(fault, reason.to_owned()),
                 next => Received::Events(splitter, next),
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -13,6 +13,7 @@
 
 use briarbank_core::flow::{Fault, Instance};
 
+use crate::caller::attempt::media_type;
 use crate::caller::attempt_guard::{StartedAnswer, keep_connection};
 use crate::caller::body::{AnswerBody, Cut};
 use crate::caller::exchange::Exchange;
@@ -20,7 +21,7 @@
 use crate::caller::outcome::Outcome;
 use crate::caller::received::Received;
 use crate::caller::silence::overlap_end;
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, OutOfOrder};
 use crate::log_lines::LineKind;
 use crate::server::break_fault;
 
@@ -65,7 +66,7 @@
         let received = std::mem::replace(&mut started.received, Received::Nothing);
         let (splitter, read_ahead) = match received {
             Received::Events(splitter, next) => (splitter, Some(next)),
-            _ => (EventSplitter::default(), None),
+            _ => (EventSplitter::after(exchange.resumed_event()), None),
         };
         let mut stream = Self {
             exchange,
@@ -169,7 +170,7 @@
                 };
                 return Next::Broken("stream did not end in time", fault);
             }
-            if self.exchange.can_leave(&started.guard.instance) {
+            if self.splitter.can_go_on() && self.exchange.can_leave(&started.guard.instance) {
                 return Next::Silent;
             }
             stalls_at = Instant::now() + stall_max;
@@ -231,6 +232,7 @@
         self.exchange.record.add_chunk();
         if !std::mem::replace(&mut self.has_event, true) {
             self.exchange.record_first_server(&started.guard.instance);
+            self.exchange.is_typed = media_type(&self.head.headers).is_some();
         }
     }
 
@@ -253,7 +255,8 @@
         };
         let event = self.splitter.last_id().cloned();
         let is_expired = Instant::now() >= self.exchange.deadline;
-        if is_expired || !self.exchange.may_resume(&instance, event) {
+        let can_go_on = !is_expired && self.splitter.can_go_on();
+        if !can_go_on || !self.exchange.may_resume(&instance, event) {
             return Err(Cut::Stream);
         }
         let Some(started) = self.exchange.start_stream().await else {
@@ -334,8 +337,12 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if let Some(events) = splitter.push(data) {
-            return Next::Events(events);
+        match splitter.push(data) {
+            Ok(Some(events)) => return Next::Events(events),
+            Ok(None) => {}
+            Err(OutOfOrder) => {
+                return Next::Broken("events do not follow the last one", Fault::Malformed);
+            }
         }
         if splitter.is_too_long() {
             return Next::Broken("event is too long", Fault::Malformed);
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -7,6 +7,10 @@
 /// Largest event that is buffered until it is complete.
 const EVENT_BYTES_MAX: usize = 256 << 10;
 
+/// Events that do not go on after the last one of the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct OutOfOrder;
+
 /// Splits a stream after complete events, so that it can be resumed.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
@@ -14,20 +18,36 @@
     last_id: Option<Arc<str>>,
     /// Whether the present answer has brought an event.
     has_event: bool,
+    /// Whether any answer has brought an event.
+    has_begun: bool,
 }
 
 impl EventSplitter {
+    /// Creates a splitter for the rest of a stream after an event, `None` for a whole stream.
+    pub(crate) fn after(last_id: Option<Arc<str>>) -> Self {
+        Self {
+            last_id,
+            ..Self::default()
+        }
+    }
+
     /// Adds bytes and returns all events that are complete.
-    pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// The first event of an answer does not go on after the last one of the stream.
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Result<Option<Bytes>, OutOfOrder> {
         if self.buffer.is_empty() && bytes.ends_with(b"\n\n") {
-            self.record(&bytes);
-            return Some(bytes);
+            self.record(&bytes)?;
+            return Ok(Some(bytes));
         }
         self.buffer.extend_from_slice(&bytes);
-        let end = find_last_end(&self.buffer)?;
+        let Some(end) = find_last_end(&self.buffer) else {
+            return Ok(None);
+        };
         let complete = self.buffer.split_to(end).freeze();
-        self.record(&complete);
-        Some(complete)
+        self.record(&complete)?;
+        Ok(Some(complete))
     }
 
     /// Returns whether the incomplete event is longer than any event may be.
@@ -56,21 +76,63 @@
         self.last_id.as_ref()
     }
 
-    fn record(&mut self, events: &[u8]) {
-        self.has_event |= has_event(events);
+    /// Returns whether another server can go on after the events so far.
+    ///
+    /// It would begin anew after events without an id.
+    pub(crate) fn can_go_on(&self) -> bool {
+        !self.has_begun || self.last_id.is_some()
+    }
+
+    fn record(&mut self, events: &[u8]) -> Result<(), OutOfOrder> {
+        if !has_event(events) {
+            return Ok(());
+        }
+        if let Some(last_id) = self.last_id.as_deref().filter(|_| !self.has_event)
+            && !go_on_after(events, last_id)
+        {
+            return Err(OutOfOrder);
+        }
+        self.has_event = true;
+        self.has_begun = true;
         let lines = events.rsplit(|byte| *byte == b'\n');
-        let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-        let Some(id) = ids.next().and_then(|id| std::str::from_utf8(id).ok()) else {
-            return;
-        };
-        self.last_id = Some(Arc::from(id.trim()));
+        if let Some(id) = lines.filter_map(event_id).next() {
+            self.last_id = Some(Arc::from(id));
+        }
+        Ok(())
     }
 }
 
+/// Returns the id that a line of an event gives.
+fn event_id(line: &[u8]) -> Option<&str> {
+    let id = std::str::from_utf8(line.strip_prefix(b"id:")?).ok()?;
+    Some(id.trim())
+}
+
+/// Returns whether the first of some events follows the one with that id.
+fn go_on_after(events: &[u8], last_id: &str) -> bool {
+    let lines = events.split(|byte| *byte == b'\n');
+    let first = lines.skip_while(|line| is_blank(line));
+    let mut ids = first
+        .take_while(|line| !line.is_empty())
+        .filter_map(event_id);
+    let Some(id) = ids.next() else {
+        return false;
+    };
+    match (id.parse::<u64>(), last_id.parse::<u64>()) {
+        (Ok(id), Ok(last_id)) => id > last_id,
+        _ => id != last_id,
+    }
+}
+
+/// Returns whether a line is empty or a comment.
+fn is_blank(line: &[u8]) -> bool {
+    matches!(line, [] | [b':', ..])
+}
+
 /// Returns whether events are among complete lines, which may all be comments.
 fn has_event(lines: &[u8]) -> bool {
     let mut lines = lines.split(|byte| *byte == b'\n');
-    lines.any(|line| !matches!(line, [] | [b':', ..]))
+    lines.any(|line| !is_blank(line))
 }
 
 /// Returns the position after the last empty line.
