Take no empty body for a whole plain answer without framing

Within the head it could not happen here: no beginning of three heads, with and without an interim head, on new and used connections and behind a relay, gave an answer that looks whole. Right behind a head without a length or chunks it did: the end of the connection completed the empty body, and callers got 200 with content-length 0.

Change: a success that only the end of its connection completes needs a body. Without one it is a fault of the server; the call is repeated where that is allowed and else ends with 502. Answers whose framing or status shows that they have no body, and errors, are passed on as before.

--- a/crates/gateway/src/caller/answer_buffer.rs
+++ b/crates/gateway/src/caller/answer_buffer.rs
@@ -5,10 +5,12 @@
 
 use briarbank_core::flow::Fault;
 use bytes::Bytes;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quick_error::quick_error;
 
+use crate::caller::framing::Framing;
 use crate::server::break_fault;
 
 /// Largest plain answer; answers are buffered so that broken ones can be retried.
@@ -28,6 +30,7 @@
     pub enum BufferError {
         Broken(error: hyper::Error) { display("answer broke off: {error}") from() }
         TooLarge { display("answer is larger than {ANSWER_BYTES_MAX} bytes") }
+        Empty { display("connection ended without a body") }
         NoMemory { display("answers in flight take more than {RESERVED_BYTES_MAX} bytes") }
     }
 }
@@ -37,6 +40,7 @@
     pub(crate) fn fault(&self) -> Fault {
         match self {
             Self::Broken(error) => break_fault(error),
+            Self::Empty => Fault::Broken,
             Self::TooLarge | Self::NoMemory => Fault::Malformed,
         }
     }
@@ -88,7 +92,15 @@
 
 impl AnswerMemory {
     /// Reads an answer to its end.
-    pub(crate) async fn collect(&self, body: &mut Incoming) -> Result<BufferedAnswer, BufferError> {
+    ///
+    /// A success that only the end of the connection completes needs a body: a server that
+    /// crashes after the head ends it in the same way.
+    pub(crate) async fn collect(
+        &self,
+        body: &mut Incoming,
+        status: StatusCode,
+        framing: Framing,
+    ) -> Result<BufferedAnswer, BufferError> {
         let mut reservation = Reservation {
             memory: self.clone(),
             bytes: 0,
@@ -111,6 +123,9 @@
             }
             buffer.extend_from_slice(&data);
         }
+        if buffer.is_empty() && status.is_success() && framing == Framing::ConnectionEnd {
+            return Err(BufferError::Empty);
+        }
         Ok(BufferedAnswer {
             bytes: buffer.into(),
             _reservation: reservation,
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -267,7 +267,11 @@
     async fn read_whole(&self, started: &mut StartedAnswer) -> Result<BufferedAnswer, BufferError> {
         match std::mem::replace(&mut started.received, Received::Nothing) {
             Received::Whole(answer) => Ok(answer),
-            _ => self.shared.answer_memory.collect(&mut started.body).await,
+            _ => {
+                let (status, framing) = (started.head.status, started.framing);
+                let memory = &self.shared.answer_memory;
+                memory.collect(&mut started.body, status, framing).await
+            }
         }
     }
 
--- a/crates/gateway/src/caller/received.rs
+++ b/crates/gateway/src/caller/received.rs
@@ -44,7 +44,7 @@
     let framing = Framing::of(method, status, sent.response.headers());
     let body = sent.response.body_mut();
     match read_ahead {
-        ReadAhead::Whole => match memory.collect(body).await {
+        ReadAhead::Whole => match memory.collect(body, status, framing).await {
             Ok(answer) => Received::Whole(answer),
             Err(error) => Received::Broken(error.fault(), error.to_string()),
         },
