Claim no more in evidence of versions than a node knows

What two nodes say of a service's versions is put together by ages, in milliseconds. Ages were rounded down, so that values confirmed within the last millisecond counted as confirmed at the moment of the call, and an answer that came 0.3 s after the question counted as if its node had been complete for that much longer. Found by reading, not seen.

Ages are rounded up, and the time until the answer is taken off. A property test compares the proof with the seconds that each span covers.

--- a/crates/core/src/flow/version_evidence.rs
+++ b/crates/core/src/flow/version_evidence.rs
@@ -37,15 +37,21 @@
         Self {
             versions,
             complete_ms: to_ms(complete),
-            values_age_ms: values_age.map_or(MS_MAX, to_ms),
+            values_age_ms: values_age.map_or(MS_MAX, to_ms_up),
         }
     }
 }
 
+/// Converts a time, rounded down so that it claims no more than is known.
 fn to_ms(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(MS_MAX)
 }
 
+/// Converts an age, rounded up for the same reason.
+fn to_ms_up(age: Duration) -> u32 {
+    u32::try_from(age.as_nanos().div_ceil(1_000_000)).unwrap_or(MS_MAX)
+}
+
 /// Evidence of several nodes about one service, up to one moment.
 ///
 /// # Examples
@@ -57,9 +63,9 @@
 ///
 /// let second = Duration::from_secs(1);
 /// let mut proof = VersionProof::default();
-/// proof.add(&VersionEvidence::new(Vec::new(), second * 30, Some(second)));
+/// proof.add(&VersionEvidence::new(Vec::new(), second * 30, Some(second)), Duration::ZERO);
 /// assert!(!proof.covers(second * 20), "it may have missed the last second");
-/// proof.add(&VersionEvidence::new(Vec::new(), second * 5, Some(Duration::ZERO)));
+/// proof.add(&VersionEvidence::new(Vec::new(), second * 5, Some(Duration::ZERO)), Duration::ZERO);
 /// assert!(proof.covers(second * 20));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -70,10 +76,14 @@
 }
 
 impl VersionProof {
-    /// Adds what a node says.
-    pub fn add(&mut self, evidence: &VersionEvidence) {
+    /// Adds what a node said at most that time after the moment.
+    pub fn add(&mut self, evidence: &VersionEvidence, later: Duration) {
         self.versions.extend(&evidence.versions);
-        let span = (evidence.complete_ms, evidence.values_age_ms);
+        let start = match evidence.complete_ms {
+            MS_MAX => MS_MAX,
+            complete_ms => complete_ms.saturating_sub(to_ms_up(later)),
+        };
+        let span = (start, evidence.values_age_ms);
         if span.1 < span.0 {
             self.spans.push(span);
         }
--- a/crates/core/tests/flow/streams.rs
+++ b/crates/core/tests/flow/streams.rs
@@ -6,7 +6,8 @@
 
 use briarbank_core::flow::{
     Dispatcher, Heartbeat, HeartbeatEntry, Instance, Options, PeerOptions, Peers, Route, RouteKind,
-    ServedStreams, Split, StreamDirectory, StreamKey, StreamMessage, ValueKind, VersionKey,
+    ServedStreams, Split, StreamDirectory, StreamKey, StreamMessage, ValueKind, VersionEvidence,
+    VersionKey, VersionProof,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -82,6 +83,29 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(47),
+        ..ProptestConfig::with_cases(10_000)
+    })]
+
+    /// Guards against a proof with a gap: each moment of the time is in the span of some node.
+    #[test]
+    fn spans_prove_a_time_that_they_cover_without_a_gap(
+        spans in prop::collection::vec((0..40_u64, 0..40_u64), 0..6),
+        time in 1..40_u64,
+    ) {
+        let mut proof = VersionProof::default();
+        for (complete, age) in &spans {
+            let (complete, age) = (Duration::from_secs(*complete), Duration::from_secs(*age));
+            let evidence = VersionEvidence::new(vec![version("v1")], complete, Some(age));
+            proof.add(&evidence, Duration::ZERO);
+        }
+        let is_seen = |second: u64| spans.iter().any(|(start, end)| *end <= second && second < *start);
+        prop_assert_eq!(proof.covers(Duration::from_secs(time)), (0..time).all(is_seen));
+    }
+}
+
 /// Guards against growth without a bound when callers begin streams faster than they end.
 #[test]
 fn a_flood_of_streams_replaces_those_that_expire_first() {
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -265,14 +265,13 @@
 
     /// Reads a plain answer to its end, unless that was done before it was chosen.
     async fn read_whole(&self, started: &mut StartedAnswer) -> Result<BufferedAnswer, BufferError> {
-        match std::mem::replace(&mut started.received, Received::Nothing) {
-            Received::Whole(answer) => Ok(answer),
-            _ => {
-                let (status, framing) = (started.head.status, started.framing);
-                let memory = &self.shared.answer_memory;
-                memory.collect(&mut started.body, status, framing).await
-            }
+        let received = std::mem::replace(&mut started.received, Received::Nothing);
+        if let Received::Whole(answer) = received {
+            return Ok(answer);
         }
+        let (status, framing) = (started.head.status, started.framing);
+        let memory = &self.shared.answer_memory;
+        memory.collect(&mut started.body, status, framing).await
     }
 
     pub(crate) fn call_to_dispatch(&self, now: Instant) -> Call {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -94,8 +94,8 @@
         }
         self.has_event = true;
         self.has_begun = true;
-        let lines = events.rsplit(|byte| *byte == b'\n');
-        if let Some(id) = lines.filter_map(event_id).next() {
+        let mut lines = events.rsplit(|byte| *byte == b'\n');
+        if let Some(id) = lines.find_map(event_id) {
             self.last_id = Some(Arc::from(id));
         }
         Ok(())
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -61,8 +61,9 @@
 }
 
 /// Answers to a query so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Query {
+    started_at: Instant,
     /// Nodes that were asked and have not answered.
     unanswered: RefCell<HashSet<SocketAddrV4>>,
     recorded: Cell<Option<VersionKey>>,
@@ -232,7 +233,7 @@
         return None;
     }
     let mut proof = query.proof.borrow_mut();
-    proof.add(&own_evidence(shared, stream, arrived_at)?);
+    proof.add(&own_evidence(shared, stream, arrived_at)?, Duration::ZERO);
     let is_covered = proof.covers(stream.age_max);
     proof.only_version().filter(|_| is_covered)
 }
@@ -253,7 +254,7 @@
     let is_confirmed =
         query.is_answered.get() || is_alone || store::confirm(shared, arrived_at).await;
     let mut proof = query.proof.borrow_mut();
-    proof.add(&own_evidence(shared, stream, arrived_at)?);
+    proof.add(&own_evidence(shared, stream, arrived_at)?, Duration::ZERO);
     proof.only_version().filter(|_| is_confirmed)
 }
 
@@ -389,7 +390,14 @@
     fn start(&self) -> PendingQuery<'_> {
         let id = self.next_id.get().wrapping_add(1);
         self.next_id.set(id);
-        let query = Rc::new(Query::default());
+        let query = Rc::new(Query {
+            started_at: Instant::now(),
+            unanswered: RefCell::default(),
+            recorded: Cell::new(None),
+            proof: RefCell::default(),
+            is_answered: Cell::new(false),
+            ended: Notify::new(),
+        });
         self.waiting.borrow_mut().insert(id, Rc::clone(&query));
         PendingQuery {
             queries: self,
@@ -433,7 +441,7 @@
             StreamOrigin::SoleVersion(version) => proof.add_version(version),
         }
         for evidence in evidence {
-            proof.add(evidence);
+            proof.add(evidence, self.started_at.elapsed());
         }
     }
 }
