Prove no version for longer than versions are kept

A node that started with its fleet counted its view as complete for ever, but forgets versions of servers that are gone after five minutes. A stream without a record on a route with a timeout of over two and a half minutes could go on at another version than the one that began it (ORDER).

A view is complete for five minutes at most now. The test failed before with the newer version as the only one.

--- a/crates/core/src/flow/version_log.rs
+++ b/crates/core/src/flow/version_log.rs
@@ -61,13 +61,14 @@
         }
     }
 
-    /// Returns for how long no listed server was missed.
+    /// Returns for how long no listed server was missed or forgotten.
     pub(crate) fn complete_time(&self, now: Instant) -> Duration {
-        match self.complete_since {
+        let seen = match self.complete_since {
             Start::Never => Duration::ZERO,
             Start::At(since) => now.saturating_duration_since(since),
             Start::Always => Duration::MAX,
-        }
+        };
+        seen.min(RETENTION)
     }
 
     /// Iterates over the versions of a service's servers that were listed in that time.
--- a/crates/core/tests/flow/streams.rs
+++ b/crates/core/tests/flow/streams.rs
@@ -279,6 +279,25 @@
     assert_eq!(served.stream_count(), 0);
 }
 
+/// Guards against a proof for longer than versions of servers that are gone are kept.
+#[test]
+fn a_version_that_is_forgotten_leaves_no_other_one_as_the_only_one() {
+    const LONG: Duration = Duration::from_mins(20);
+    let mut dispatcher = Dispatcher::new("zone".into(), Options::default());
+    dispatcher.record_first_start();
+    let now = Instant::now();
+    dispatcher.add_server(now, of_version("old", "v1"));
+    dispatcher.remove_server(now, &"old".into(), None);
+    dispatcher.add_server(now, of_version("new", "v2"));
+    let later = now + Duration::from_mins(10);
+    dispatcher.add_server(later, of_version("other", "v2"));
+    dispatcher.remove_server(later, &"other".into(), None);
+    let sole = dispatcher.sole_version(later, &MODELS.into(), LONG);
+    assert_eq!(sole, None);
+    let sole = dispatcher.sole_version(later, &MODELS.into(), Duration::from_mins(4));
+    assert_eq!(sole, Some(version("v2")));
+}
+
 fn route(services: &[&str]) -> Route {
     Route {
         name: "chat".into(),
