Look for the record of a stream again after others were asked

A node that stood still is told of streams meanwhile. When it goes on, a call that takes such a stream up and the messages that tell of it wait in its sockets side by side; the call was handled first, asked nodes that were gone, and was refused although the record had arrived before the questions were given up (LOST). Seen in a script with two processes: 3 of 16 and 16 of 16 streams of two plays in which the node still counted as live when they began.

The own record is looked up again after others were asked. a_record_that_arrives_while_others_are_asked_counts failed before with 503.

--- a/crates/gateway/src/streams/query.rs
+++ b/crates/gateway/src/streams/query.rs
@@ -84,7 +84,9 @@
         return Some(version);
     }
     let query = ask(shared, stream, &QUERY_TIMEOUTS).await;
-    if let Some(version) = query.recorded.get() {
+    // What others have told a node that has just woken arrives with the first calls.
+    let told = || shared.streams.borrow().version(arrived_at, stream.key);
+    if let Some(version) = query.recorded.get().or_else(told) {
         return Some(version);
     }
     let own_complete = shared.dispatcher.borrow().complete_time(arrived_at);
