--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -288,13 +288,14 @@
     """A gateway process on a machine of its own, which is a loopback address."""
 
     def __init__(self, record, folder, name, ip, ports, seeds, store, bootstrap=True,
-                 overrides=""):
+                 memory_mb=260):
         self.record, self.name, self.ip = record, name, ip
         self.front, self.ready, self.control, self.first, self.last = ports
         self.settings = os.path.join(folder, f"{name}.toml")
         self.log = os.path.join(folder, f"{name}.log")
         self.seeds, self.store = seeds, store
         self.process = None
+        self.memory_max_mb = memory_mb
         self.write(bootstrap)
 
     def write(self, bootstrap):
@@ -326,7 +327,7 @@
 [limits]
 cpuShare = 0.25
 cores = 1
-memoryMb = 260
+memoryMb = {self.memory_max_mb}
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
@@ -359,6 +360,14 @@
         self.record.line(f"gateway {self.name}: {signal.Signals(number).name}")
         self.process.send_signal(number)
 
+    def memory_mb(self):
+        """Returns the resident memory of the process, 0 when it has ended."""
+        try:
+            with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as file:
+                return int(file.read().split()[1]) * os.sysconf("SC_PAGESIZE") / 1e6
+        except (OSError, IndexError):
+            return 0.0
+
     async def is_ready(self):
         try:
             reader, writer = await asyncio.open_connection(self.ip, self.ready)
@@ -388,7 +397,7 @@
         self.gateways, self.servers = [], []
         self.store = None
 
-    async def start(self, gateways=1):
+    async def start(self, gateways=1, memory_mb=260):
         self.store = Store(self.record, "127.0.0.1")
         await self.store.start()
         ips = [unused_ip() for _ in range(gateways)]
@@ -396,7 +405,7 @@
         ports.append(ports[3] + 15)
         for number, ip in enumerate(ips):
             gateway = Gateway(self.record, self.folder, f"edge-{number + 1}", ip, ports, ips[:3],
-                              self.store)
+                              self.store, memory_mb=memory_mb)
             self.gateways.append(gateway)
 
     def add_server(self, ident, service, handle, version="v1", **more):
