--- a/review/7/case.py
+++ b/review/7/case.py
@@ -20,7 +20,8 @@
 FOREIGN_ENTRIES = 520
 ENDS_MAX = 3
 RESTART_DELAY_S = 0.5
-WATCHED_S = 40
+WATCHED_S = 25
+ENTRY = b"\xff\x00 not a server".ljust(1000, b".")
 
 CONFIG = {
     "version": 1,
@@ -126,7 +127,7 @@
     await asyncio.sleep(3)
     sign = "&" if trouble else "-"
     for number in range(FOREIGN_ENTRIES):
-        fleet.store.put(f"servers/R{sign}D-{number:04}", b"\xff\x00 not a server")
+        fleet.store.put(f"servers/R{sign}D-{number:04}", ENTRY)
     fleet.record.line(f"another writer: {FOREIGN_ENTRIES} entries, servers/R{sign}D-0000 and so on")
     await asyncio.sleep(3)
     for machine in machines:
