--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -441,6 +441,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     path = os.path.join(folder, "record.txt")
     fleet = None
+    # A case that is told to stop ends its processes, as after SIGINT.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def play():
         nonlocal fleet
