--- a/review/7/case.py
+++ b/review/7/case.py
@@ -116,7 +116,7 @@
 
 
 async def case(fleet, trouble):
-    await fleet.start(gateways=2)
+    await fleet.start(gateways=2, memory_mb=88)
     fleet.store.put("op/config", CONFIG)
     for number in (1, 2):
         await fleet.add_server(f"i-{number}", "desk", answer, slots=6).start()
