gateway: Give up reading pages of the store that do not advance

An empty page that others follow was taken for the end: the servers behind it counted as removed and got no calls.

Cause: read_all checked neither that a page leads to another one nor that it had been there before, and ended at a page without a last key.

Change: PageWalk in the core notices a page that ends like an earlier one, with the memory of one key and without assuming an order of keys. A read that gets no further fails with the key after which it stood, which the log names, and is tried again after the usual pause.

--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -35,6 +35,7 @@
 mod notices;
 mod options;
 mod packed;
+mod page_walk;
 mod part_records;
 mod peer_values;
 mod peers;
@@ -86,6 +87,7 @@
 pub use mirror::{Change, Delta, Mirror, Removal};
 pub use options::{ColdLimit, Options};
 pub use packed::{KNOWN_CHUNKS_MAX, KnownChunks, PackedDelta};
+pub use page_walk::PageWalk;
 pub use part_records::{
     CRASHES_BLAMED, CRASHES_NO_RETRY, CrashStatement, PartRecords, PartStatement,
 };
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod load;
 mod mirror;
+mod page_walk;
 mod part_records;
 mod parts;
 mod peers;
--- a/crates/gateway/src/store/reader.rs
+++ b/crates/gateway/src/store/reader.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Delta, NextRead, StoreReads, era_of};
+use briarbank_core::flow::{Delta, NextRead, PageWalk, StoreReads, era_of};
 use briarbank_net::BodyError;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -50,6 +50,7 @@
         HistoryLost { display("history after the requested revision is no longer available") }
         Silent { display("store did not answer in time") }
         ConnectionSuspect { display("peers have newer values") }
+        NoProgress(after: String) { display("pages after key {after:?} do not lead to an end") }
         Decode(error: DecodeError) { display("decoding the answer failed: {error}") from() }
         Request(error: http::Error) { display("building the request failed: {error}") from() }
     }
@@ -121,11 +122,12 @@
             ..Delta::default()
         };
         let sent_at = Instant::now();
-        let mut after = None;
+        let (mut after, mut walk) = (None, PageWalk::default());
         loop {
-            let (headers, body) = self
-                .request(&StoreRead::Page { after }, Duration::ZERO)
-                .await?;
+            let read = StoreRead::Page {
+                after: after.clone(),
+            };
+            let (headers, body) = self.request(&read, Duration::ZERO).await?;
             let page = self.shared.dialect.decode_page(&headers, &body)?;
             if values.revision == 0 {
                 // Later pages may be newer; the watch continues from the first page's revision.
@@ -135,10 +137,17 @@
                 return Err(ReadError::HistoryLost);
             }
             values.changes.extend(page.delta.changes);
-            if !page.has_more || page.last_key.is_none() {
+            if !page.has_more {
                 break;
             }
-            after = page.last_key;
+            after = match page.last_key {
+                Some(key) if walk.go_on(&key) => Some(key),
+                _ => {
+                    return Err(ReadError::NoProgress(
+                        after.as_deref().unwrap_or("").to_owned(),
+                    ));
+                }
+            };
         }
         self.shared.apply(&values, None, Source::Store);
         let mut staleness = self.shared.staleness.borrow_mut();
