gateway: Apply what can be read of the store beside pages that cannot

What callers saw: one page or one key of another writer that could not be read kept a node from starting, and a running one that had to read all values again from its next configurations: routes that were added stayed 404. Operators saw a line that did not say where.

Cause: the reader applied nothing until the last page, and an answer was decoded as a whole, so that one key that is no text (half of a surrogate pair) made all items of its page unreadable. It then tried the same again for ever.

Change: the operator's keys and the servers are read as ranges of their own, so that a page of one does not stop the other. Items are decoded one by one. When a page fails, or others take longer than a second, what was read is applied: values are removed only of kinds that were read whole, and the revision stays. A watch whose answer is too large or malformed is followed by a read of all values. The log names range and key of the page, briarbank_store_items_unreadable_total counts items. A read of all values costs one call to the store more.

--- a/crates/core/src/flow/page_walk.rs
+++ b/crates/core/src/flow/page_walk.rs
@@ -33,8 +33,8 @@
 impl PageWalk {
     /// Records the last key of a page that others follow.
     ///
-    /// Returns false once a page ends like an earlier one: for a walk that comes to repeat
-    /// itself within n pages, after fewer than 4n.
+    /// Returns false once a page ends like an earlier one: for a walk that repeats itself
+    /// after n pages, within 4n.
     pub fn go_on(&mut self, last_key: &Arc<str>) -> bool {
         if self.mark.as_ref() == Some(last_key) {
             return false;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -110,11 +110,27 @@
     pub notice: ServerNotice,
 }
 
+/// A range of published values that is read by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ValueRange {
+    /// The operator's configuration and evacuations.
+    Operator,
+    /// Entries of servers.
+    Servers,
+}
+
+impl ValueRange {
+    /// All ranges, in the order in which they are read.
+    pub const ALL: [Self; 2] = [Self::Operator, Self::Servers];
+}
+
 /// A request to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreRead {
-    /// Reads all values in order of their keys, after a key.
+    /// Reads the values of a range after a key.
     Page {
+        /// The range.
+        range: ValueRange,
         /// Last key of the preceding page.
         after: Option<Arc<str>>,
     },
@@ -136,6 +152,17 @@
     pub last_key: Option<Arc<str>>,
     /// The values, and the revision of the store when the page was read.
     pub delta: Delta,
+    /// Number of items that cannot be read, which are left out.
+    pub unreadable: usize,
+}
+
+/// Changes of published values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Events {
+    /// The changes, and the revision up to which they are complete.
+    pub delta: Delta,
+    /// Number of changes that cannot be read, which are left out.
+    pub unreadable: usize,
 }
 
 /// A published value.
@@ -187,7 +214,7 @@
     /// # Errors
     ///
     /// The body is malformed.
-    fn decode_events(&self, headers: &HeaderMap, body: &[u8]) -> Result<Delta, DecodeError>;
+    fn decode_events(&self, headers: &HeaderMap, body: &[u8]) -> Result<Events, DecodeError>;
 
     /// Decodes a value.
     ///
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,8 +34,8 @@
 mod sync;
 
 pub use dialect::{
-    AnswerHead, AnswerKind, CallHead, Dialect, ForwardContext, Page, Published, ServerNotice,
-    StatedLoad, StoreRead, TakenUpStream,
+    AnswerHead, AnswerKind, CallHead, Dialect, Events, ForwardContext, Page, Published,
+    ServerNotice, StatedLoad, StoreRead, TakenUpStream, ValueRange,
 };
 pub use error::{DecodeError, Error, HeadError, LoadError};
 pub use run::run;
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! Follows the store of published values.
 
+mod full_read;
 mod reader;
 
 use std::rc::Rc;
@@ -15,6 +16,13 @@
 /// Initial and longest backoff after a failed request.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
+/// Longest backoff of a node that watches the store, while the store answers but parts of
+/// the answers can't be read.
+///
+/// The rest is read again as often, so it is shorter than the time in which a configuration
+/// has to be in force.
+const UNREADABLE_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Time for the store to confirm the values while a call waits; a slow one takes 0.3 s.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -53,8 +61,12 @@
                 reader.connection = None;
             }
             Err(error) => {
-                has_values &= !matches!(error, ReadError::HistoryLost);
+                has_values &= !matches!(error, ReadError::HistoryLost) && !error.is_of_content();
                 reader.connection = None;
+                let is_needed = shared.peers.borrow().should_watch(Instant::now());
+                if error.is_of_content() && is_needed {
+                    backoff = backoff.min(UNREADABLE_BACKOFF);
+                }
                 record_failure(&shared, &error, has_values);
                 let jitter = rand::rng().random_range(0.5..1.5);
                 sleep(backoff.mul_f64(jitter)).await;
--- a/crates/gateway/src/store/reader.rs
+++ b/crates/gateway/src/store/reader.rs
@@ -2,9 +2,10 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use briarbank_core::flow::{Delta, NextRead, PageWalk, StoreReads, era_of};
+use briarbank_core::flow::{NextRead, PageWalk, StoreReads, era_of};
 use briarbank_net::BodyError;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -15,8 +16,9 @@
 use quick_error::quick_error;
 use tokio::time::{sleep, sleep_until};
 
+use super::full_read::FullRead;
 use crate::apply::Source;
-use crate::dialect::StoreRead;
+use crate::dialect::{Page, StoreRead, ValueRange};
 use crate::error::DecodeError;
 use crate::shared::SharedState;
 
@@ -50,12 +52,32 @@
         HistoryLost { display("history after the requested revision is no longer available") }
         Silent { display("store did not answer in time") }
         ConnectionSuspect { display("peers have newer values") }
-        NoProgress(after: String) { display("pages after key {after:?} do not lead to an end") }
+        NoProgress { display("pages lead to no end") }
         Decode(error: DecodeError) { display("decoding the answer failed: {error}") from() }
         Request(error: http::Error) { display("building the request failed: {error}") from() }
     }
 }
 
+impl ReadError {
+    /// Returns whether the store answers, but the answer is of no use.
+    ///
+    /// Other answers may be.
+    pub(super) fn is_of_content(&self) -> bool {
+        matches!(
+            self,
+            Self::NoProgress
+                | Self::Decode(_)
+                | Self::Body(BodyError::TooLarge(_))
+                | Self::Request(_)
+        )
+    }
+}
+
+/// Counts items that cannot be read.
+fn record_unreadable(count: usize) {
+    metrics::counter!("briarbank_store_items_unreadable_total").increment(count as u64);
+}
+
 /// Waits until a request that is sent now is given up; returns the reason.
 async fn overdue(shared: &SharedState, reads: &StoreReads, wait: Duration) -> ReadError {
     let sent_at = Instant::now();
@@ -116,45 +138,65 @@
     }
 
     /// Reads all values, page by page.
+    ///
+    /// What can be read is applied, also if some pages can't.
     pub(super) async fn read_all(&mut self) -> Result<bool, ReadError> {
-        let mut values = Delta {
-            is_whole: true,
-            ..Delta::default()
-        };
         let sent_at = Instant::now();
-        let (mut after, mut walk) = (None, PageWalk::default());
-        loop {
-            let read = StoreRead::Page {
-                after: after.clone(),
-            };
-            let (headers, body) = self.request(&read, Duration::ZERO).await?;
-            let page = self.shared.dialect.decode_page(&headers, &body)?;
-            if values.revision == 0 {
-                // Later pages may be newer; the watch continues from the first page's revision.
-                values.revision = page.delta.revision;
-            }
-            if era_of(page.delta.revision) != era_of(values.revision) {
-                return Err(ReadError::HistoryLost);
-            }
-            values.changes.extend(page.delta.changes);
-            if !page.has_more {
+        let mut read = FullRead::start();
+        let mut result = Ok(());
+        for range in ValueRange::ALL {
+            result = result.and(self.read_range(range, &mut read).await);
+            if result.as_ref().is_err_and(|error| !error.is_of_content()) {
                 break;
             }
-            after = match page.last_key {
-                Some(key) if walk.go_on(&key) => Some(key),
-                _ => {
-                    return Err(ReadError::NoProgress(
-                        after.as_deref().unwrap_or("").to_owned(),
-                    ));
-                }
-            };
         }
-        self.shared.apply(&values, None, Source::Store);
+        read.apply(&self.shared);
+        result?;
         let mut staleness = self.shared.staleness.borrow_mut();
         staleness.record_complete(sent_at);
         Ok(true)
     }
 
+    /// Reads the pages of a range up to the first that cannot be read.
+    async fn read_range(
+        &mut self,
+        range: ValueRange,
+        read: &mut FullRead,
+    ) -> Result<(), ReadError> {
+        let (mut after, mut walk) = (None, PageWalk::default());
+        loop {
+            let page = self.read_page(range, after.clone()).await;
+            let page = page.inspect_err(|error| {
+                tracing::warn!(?range, ?after, %error, "store: page cannot be read");
+            })?;
+            let next = page.has_more.then(|| page.last_key.clone());
+            read.add(page)?;
+            read.apply_if_slow(&self.shared);
+            after = match next {
+                None => break,
+                Some(Some(key)) if walk.go_on(&key) => Some(key),
+                Some(_) => {
+                    tracing::warn!(?range, ?after, "store: page leads to no other one");
+                    return Err(ReadError::NoProgress);
+                }
+            };
+        }
+        read.finish(range);
+        Ok(())
+    }
+
+    async fn read_page(
+        &mut self,
+        range: ValueRange,
+        after: Option<Arc<str>>,
+    ) -> Result<Page, ReadError> {
+        let read = StoreRead::Page { range, after };
+        let (headers, body) = self.request(&read, Duration::ZERO).await?;
+        let page = self.shared.dialect.decode_page(&headers, &body)?;
+        record_unreadable(page.unreadable);
+        Ok(page)
+    }
+
     /// Waits for changes; returns false if other nodes read the store instead.
     pub(super) async fn watch(&mut self) -> Result<bool, ReadError> {
         let wait = match self.next_read() {
@@ -184,7 +226,9 @@
         let (headers, body) = self
             .request(&StoreRead::Watch { revision, wait }, wait)
             .await?;
-        let delta = self.shared.dialect.decode_events(&headers, &body)?;
+        let events = self.shared.dialect.decode_events(&headers, &body)?;
+        record_unreadable(events.unreadable);
+        let delta = events.delta;
         if era_of(delta.revision) != era_of(revision) {
             // The changes do not follow those that are known.
             return Err(ReadError::HistoryLost);
