gateway: Read all values when watches stay without an answer

What callers saw: a node whose watch the store answered too slowly, as it held too many changes, gave the watch up and asked for the same and more again, for ever; new configurations were not served.

Cause: a watch that was given up is followed by another one from the same revision, and nothing bounds its answer, while a page of values is bounded.

Evidence: values_are_read_while_watches_are_not_answered failed before (route not served within 20 s).

Change: after three reads in a row without an answer the next one reads all values page by page, then watches are tried again. In an outage that costs no more calls.

--- a/crates/core/src/flow/store_reads.rs
+++ b/crates/core/src/flow/store_reads.rs
@@ -39,6 +39,12 @@
 /// Time for an answer beyond the requested wait, at first and after further silences.
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(1_500));
 
+/// Reads of which one asks for all values, while the store stays silent.
+///
+/// The answer to a watch holds all changes since the last one, however many, and may take
+/// longer each time; a page of values is of bounded size.
+const SILENCES_PER_FULL_READ: u32 = 4;
+
 /// How a node reads the store next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextRead {
@@ -120,6 +126,12 @@
         self.silences > 1
     }
 
+    /// Returns whether to read all values page by page instead of waiting for changes.
+    #[must_use]
+    pub fn should_read_all(&self) -> bool {
+        self.silences % SILENCES_PER_FULL_READ == SILENCES_PER_FULL_READ - 1
+    }
+
     /// Records an answer.
     pub fn record_answer(&mut self) {
         self.silences = 0;
--- a/crates/core/tests/flow/store_reads.rs
+++ b/crates/core/tests/flow/store_reads.rs
@@ -197,7 +197,7 @@
             }
             let next = node.reads.next(now, &node.peers, &node.staleness);
             let wait = match next {
-                _ if !node.has_read_all => None,
+                _ if !node.has_read_all || node.reads.should_read_all() => None,
                 NextRead::Watch(wait) => Some(wait),
                 NextRead::Idle(until) => {
                     node.idle_until = Some(until.min(now + SECOND / 2));
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -33,7 +33,7 @@
     let mut has_values = false;
     loop {
         let read = async {
-            if has_values {
+            if has_values && !reader.reads.should_read_all() {
                 reader.watch().await
             } else {
                 reader.read_all().await
