gateway: Keep nothing of values that no node uses

What callers saw: 20,000 values of another writer brought a node over its memory when it started, or when it read all values again.

Cause: nodes kept all values under all keys, also the text of entries that do not decode, and passed them on to each other. Finding what a whole read lacks took the square of their number.

Change: values under keys that the router does not use are dropped when an answer is decoded. Of an entry that does not decode, the key is kept if the node knew the entry, as its peers must learn that it names no server; otherwise nothing is. Names from other writers are written to the log quoted.

--- a/crates/core/src/flow/mirror.rs
+++ b/crates/core/src/flow/mirror.rs
@@ -7,7 +7,7 @@
 //!
 //! [`revision_in_era`]: crate::flow::revision_in_era
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -170,8 +170,8 @@
 
     /// Removes values that a whole delta, read at its revision, does not hold.
     fn remove_missing(&mut self, delta: &Delta) -> Vec<Arc<str>> {
-        let present: Vec<&str> = delta.changes.iter().map(|c| &*c.key).collect();
-        let is_missing = |c: &&Change| c.revision <= delta.revision && !present.contains(&&*c.key);
+        let present: HashSet<&str> = delta.changes.iter().map(|c| &*c.key).collect();
+        let is_missing = |c: &&Change| c.revision <= delta.revision && !present.contains(&*c.key);
         let missing: Vec<Arc<str>> = self
             .items
             .values()
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -9,7 +9,6 @@
 };
 
 use crate::dialect::Published;
-use crate::error::DecodeError;
 use crate::log_lines::LineKind;
 use crate::shared::SharedState;
 
@@ -64,12 +63,17 @@
     /// The changes are those of one kind, or of all kinds.
     pub(crate) fn apply(&self, delta: &Delta, kind: Option<ValueKind>, source: Source<'_>) {
         let now = Instant::now();
+        let mut delta = delta.clone();
+        if let Some(kind) = kind {
+            self.retain_kind(kind, &mut delta);
+        }
+        self.retain_usable(&mut delta.changes);
         let mut values = self.values.borrow_mut();
         let entry_revision = |values: &Values| values.mirror(ValueKind::Entry).revision();
         let (is_known, revision_before) = (values.revision() > 0, entry_revision(&values));
         let changed = match kind {
-            Some(kind) => values.apply_kind(kind, &self.without_other_kinds(kind, delta)),
-            None => values.apply(delta, |key| self.kind_of(key)),
+            Some(kind) => values.apply_kind(kind, &delta),
+            None => values.apply(&delta, |key| self.kind_of(key)),
         };
         let era = era_of(entry_revision(&values));
         drop(values);
@@ -134,7 +138,12 @@
             }
             Ok(Published::Other) => {}
             Err(error) => {
-                self.log_invalid(change, &error);
+                if self.kind_of(&change.key) == ValueKind::Document {
+                    tracing::warn!(
+                        key = ?change.key, revision = change.revision, %error,
+                        "values: decoding a document failed"
+                    );
+                }
                 let removal = RemovalRecord {
                     read_at: now,
                     may_have_lapsed: false,
@@ -164,7 +173,7 @@
         let is_unknown = table.is_some_and(|t| t.service(&instance.service).is_none());
         if is_unknown && self.log_lines.take(LineKind::Entry) {
             tracing::warn!(
-                key = %change.key, service = %instance.service, revision = change.revision,
+                key = ?change.key, service = ?instance.service, revision = change.revision,
                 "values: entry names an unknown service"
             );
         }
@@ -179,28 +188,13 @@
         self.restore_omitted_evacuation(now, &listed.zone, source);
     }
 
-    /// Logs a value that cannot be decoded, once as it is read once per revision.
-    ///
-    /// Other writers may write many entries, but not the documents of the operator.
-    fn log_invalid(&self, change: &Change, error: &DecodeError) {
-        let is_document = self.kind_of(&change.key) == ValueKind::Document;
-        if is_document || self.log_lines.take(LineKind::Entry) {
-            tracing::warn!(
-                key = %change.key, revision = change.revision, %error,
-                "values: decoding an entry failed"
-            );
-        }
-    }
-
-    /// Returns a delta of a kind without values of the other kind.
+    /// Removes values of the other kind from a delta.
     ///
     /// Nodes of earlier builds send evacuations with the documents, where their removals,
     /// read from the store as those of entries, would not be found.
-    fn without_other_kinds(&self, kind: ValueKind, delta: &Delta) -> Delta {
-        let mut delta = delta.clone();
+    fn retain_kind(&self, kind: ValueKind, delta: &mut Delta) {
         delta.changes.retain(|c| self.kind_of(&c.key) == kind);
         delta.removals.retain(|r| self.kind_of(&r.key) == kind);
-        delta
     }
 
     fn kind_of(&self, key: &str) -> ValueKind {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -223,6 +223,9 @@
     /// The value is malformed; it may come from another writer.
     fn decode_value(&self, change: &Change) -> Result<Published, DecodeError>;
 
+    /// Returns whether the router uses values under a key.
+    fn is_used(&self, key: &str) -> bool;
+
     /// Returns the name of the server whose entry has the given key.
     fn server_of_key<'a>(&self, key: &'a str) -> Option<&'a str>;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod store;
 mod streams;
 mod sync;
+mod usable;
 
 pub use dialect::{
     AnswerHead, AnswerKind, CallHead, Dialect, Events, ForwardContext, Page, Published,
--- a/crates/gateway/src/store/full_read.rs
+++ b/crates/gateway/src/store/full_read.rs
@@ -38,7 +38,7 @@
     /// # Errors
     ///
     /// The store came back from an earlier copy since the first page.
-    pub(super) fn add(&mut self, page: Page) -> Result<(), ReadError> {
+    pub(super) fn add(&mut self, shared: &SharedState, mut page: Page) -> Result<(), ReadError> {
         if self.values.revision == 0 {
             // Later pages may be newer; the watch continues from the first page's revision.
             self.values.revision = page.delta.revision;
@@ -46,6 +46,7 @@
         if era_of(page.delta.revision) != era_of(self.values.revision) {
             return Err(ReadError::HistoryLost);
         }
+        shared.retain_usable(&mut page.delta.changes);
         self.values.changes.extend(page.delta.changes);
         Ok(())
     }
--- a/crates/gateway/src/store/reader.rs
+++ b/crates/gateway/src/store/reader.rs
@@ -170,7 +170,7 @@
                 tracing::warn!(?range, ?after, %error, "store: page cannot be read");
             })?;
             let next = page.has_more.then(|| page.last_key.clone());
-            read.add(page)?;
+            read.add(&self.shared, page)?;
             read.apply_if_slow(&self.shared);
             after = match next {
                 None => break,
