net: Take no end of a connection for that of an answer before the request has arrived

What callers saw: a server that crashed in the middle of a long upload, after it had begun an answer without a length, gave them the part that had been sent as a complete answer with status 200.

Cause: a process that ends closes its connections in order first and resets them only when more arrives, and such an end completes an answer without a length, though most of the request was still in the buffers of the connection.

Change: when the end of a connection to a server is read while bytes wait to be written, or the system knows of bytes that are not acknowledged, it is an error. The end of a connection acknowledges all that was received before it, so nothing has to be waited for. gateway and node use it alike, and a relay resets its stream in that case.

--- a/crates/gateway/src/relay/serve.rs
+++ b/crates/gateway/src/relay/serve.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use briarbank_core::flow::Instance;
+use briarbank_net::Delivery;
 use bytes::{Bytes, BytesMut};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
@@ -126,6 +127,10 @@
     loop {
         let mut buffer = BytesMut::with_capacity(PIECE_BYTES);
         if from_server.read_buf(&mut buffer).await? == 0 {
+            let server: &TcpStream = from_server.as_ref();
+            if server.is_undelivered() {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
             return Ok(());
         }
         let mut bytes = buffer.freeze();
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+use briarbank_net::Delivery;
 use bytes::{Buf, Bytes};
 use h2::{RecvStream, SendStream};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -25,6 +26,13 @@
     io::Error::new(io::ErrorKind::HostUnreachable, error)
 }
 
+impl Delivery for RelayedStream {
+    /// The relay ends the stream with an error in that case.
+    fn is_undelivered(&self) -> bool {
+        false
+    }
+}
+
 impl AsyncRead for RelayedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use briarbank_net::{HEAD_BUFFER_BYTES, HeadLimit, HeadLimitedStream};
+use briarbank_net::{DeliveredStream, HEAD_BUFFER_BYTES, HeadLimit, HeadLimitedStream};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
@@ -42,6 +42,7 @@
     ) -> hyper::Result<Self> {
         let is_relayed = matches!(stream, Either::Right(_));
         let head_limit = HeadLimit::default();
+        let stream = DeliveredStream::new(stream);
         let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let handshake = Builder::new()
             .max_buf_size(HEAD_BUFFER_BYTES)
--- a/crates/node/src/server/pool.rs
+++ b/crates/node/src/server/pool.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use briarbank_net::{HEAD_BUFFER_BYTES, HeadLimit, HeadLimitedStream};
+use briarbank_net::{DeliveredStream, HEAD_BUFFER_BYTES, HeadLimit, HeadLimitedStream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -71,6 +71,7 @@
     pub(super) async fn connect(&self, address: SocketAddr) -> Option<Connection> {
         let stream = crate::connect::connect(address).await.ok()?;
         let head_limit = HeadLimit::default();
+        let stream = DeliveredStream::new(stream);
         let stream = HeadLimitedStream::new(stream, head_limit.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_BUFFER_BYTES)
