Forward only answers with a final status

What callers saw: a server that answered 101 with a length and a body, though nobody had asked for an upgrade, gave them a head with status 101 and nothing after it. Statuses of 600 and more were passed on with the proof of the server.

Cause: neither daemon looked at the range of the status; the HTTP library takes 101 for the end of HTTP on the connection, without a body.

Change: statuses outside 200 to 599 count as a malformed answer of a call that may have run (RFC 9110, section 15), in one function for both daemons.

--- a/crates/gateway/src/caller/attempt.rs
+++ b/crates/gateway/src/caller/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use briarbank_core::flow::{Fault, Instance};
+use briarbank_net::is_final;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Request, response};
 use hyper::body::Incoming;
@@ -74,6 +75,13 @@
         sent: Sent,
     ) -> Result<AcceptedAnswer, FailedAttempt> {
         let (head, body) = sent.response.into_parts();
+        if !is_final(head.status) {
+            self.set_failure_reason("answer has no final status");
+            return Err(FailedAttempt {
+                fault: Fault::Malformed,
+                execution: Execution::Unknown,
+            });
+        }
         let answer_head = self.shared.dialect.decode_answer(&head, &self.record.id);
         let is_of_instance = !matches!(
             answer_head.kind,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 mod head_limit;
 mod head_scanner;
 mod held;
+mod status;
 
 pub use accept::accept;
 pub use admission::{Admission, AdmissionCounts, Place, Reservation};
@@ -24,3 +25,4 @@
 pub use drain::drain;
 pub use head_limit::{HEAD_BUFFER_BYTES, HeadLimit, HeadLimitedStream};
 pub use held::{Collector, HeldBytes};
+pub use status::is_final;
--- a/crates/node/src/server/exchange.rs
+++ b/crates/node/src/server/exchange.rs
@@ -7,6 +7,7 @@
 use briarbank_core::call::Failure;
 use briarbank_core::node::Event;
 use briarbank_core::router::AttemptEvent;
+use briarbank_net::is_final;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
@@ -202,6 +203,9 @@
 
     /// Checks that the answer belongs to this attempt and that the call ran.
     fn check_head(&self, head: &ServerHead, status: StatusCode) -> Result<(), Failure> {
+        if !is_final(status) {
+            return Err(Failure::Malformed);
+        }
         let attempt = self.attempt.dispatch.attempt.to_string();
         if head.attempt.as_deref() != Some(&*attempt) {
             metrics::counter!("briarbank_crossed_answers_total").increment(1);
