relay: Encode names of servers in paths

What callers saw: a server whose name holds a space, ?, # or % could not be reached through another node by one whose own path to it is broken.

Cause: the name was put into the path of the request as it is.

Change: names are percent-encoded and decoded; the usual ones look as before, so that nodes of earlier builds understand them.

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod serve;
 mod stream;
 
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC};
 use quick_error::quick_error;
 
 pub(crate) use open::open;
@@ -19,6 +20,15 @@
 /// Start of the path of a request to relay; the server's name follows.
 pub(crate) const PATH_PREFIX: &str = "/relay/";
 
+/// Characters of servers' names that are percent-encoded in paths.
+///
+/// The usual names stay as they are, as earlier builds send and expect them.
+const NAME_ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 quick_error! {
     /// Error of a relayed connection before its first byte.
     #[derive(Debug)]
--- a/crates/gateway/src/relay/open.rs
+++ b/crates/gateway/src/relay/open.rs
@@ -6,10 +6,11 @@
 use briarbank_core::ids::ServerName;
 use bytes::Bytes;
 use http::{Request, StatusCode};
+use percent_encoding::utf8_percent_encode;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::{PATH_PREFIX, RelayError, RelayedStream};
+use super::{NAME_ESCAPED, PATH_PREFIX, RelayError, RelayedStream};
 use crate::shared::SharedState;
 
 /// Timeout of a connect to a relay.
@@ -70,7 +71,8 @@
             tracing::debug!(%error, "relay: connection ended");
         }
     }));
-    let request = Request::post(format!("http://{relay}{PATH_PREFIX}{server}")).body(())?;
+    let name = utf8_percent_encode(server.as_str(), NAME_ESCAPED);
+    let request = Request::post(format!("http://{relay}{PATH_PREFIX}{name}")).body(())?;
     let (response, to_server) = sender.ready().await?.send_request(request, false)?;
     let Ok(response) = timeout(ANSWER_TIMEOUT, response).await else {
         return Err(RelayError::Silent);
--- a/crates/gateway/src/relay/serve.rs
+++ b/crates/gateway/src/relay/serve.rs
@@ -12,6 +12,7 @@
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
 use http::{Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -80,8 +81,9 @@
 
 /// Returns the server that a path names, if this node lists it as well.
 fn listed_server(shared: &SharedState, path: &str) -> Option<Arc<Instance>> {
-    let name = path.strip_prefix(PATH_PREFIX)?;
-    shared.dispatcher.borrow().listed(&name.into())
+    let name = percent_decode_str(path.strip_prefix(PATH_PREFIX)?);
+    let name = name.decode_utf8().ok()?;
+    shared.dispatcher.borrow().listed(&name.as_ref().into())
 }
 
 /// Passes bytes on in both directions until either end closes the connection.
