gateway: Count parts of events that wait for their end

What callers saw: servers that stop in the middle of an event of up to 256 kB made a node hold a part for each stream, beside all bounds on what callers hold, until it was over its memory.

Cause: the buffer of an incomplete event was the one copy of an answer that no reservation counted.

Change: the buffer grows in reserved steps that count as held by the connection of the caller; without room the stream ends as one that cannot be finished, and that is no fault of the server.

--- a/crates/gateway/src/caller/received.rs
+++ b/crates/gateway/src/caller/received.rs
@@ -50,7 +50,7 @@
             Err(error) => Received::Broken(error.fault(), error.to_string()),
         },
         ReadAhead::FirstEvents if status.is_success() => {
-            let mut splitter = EventSplitter::after(resumed_event);
+            let mut splitter = EventSplitter::after(resumed_event, place);
             match read_events(body, framing, &mut splitter).await {
                 Next::Broken(reason, fault) => Received::Broken(fault, reason.to_owned()),
                 next => Received::Events(splitter, next),
--- a/crates/gateway/src/caller/stream.rs
+++ b/crates/gateway/src/caller/stream.rs
@@ -21,7 +21,7 @@
 use crate::caller::outcome::Outcome;
 use crate::caller::received::Received;
 use crate::caller::silence::overlap_end;
-use crate::events::{EventSplitter, OutOfOrder};
+use crate::events::{EventError, EventSplitter};
 use crate::log_lines::LineKind;
 use crate::server::break_fault;
 
@@ -54,6 +54,18 @@
     Moved,
 }
 
+impl From<EventError> for Next {
+    fn from(error: EventError) -> Self {
+        match error {
+            EventError::OutOfOrder => {
+                Self::Broken("events do not follow the last one", Fault::Malformed)
+            }
+            EventError::TooLong => Self::Broken("event is too long", Fault::Malformed),
+            EventError::NoRoom => Self::Broken("no room for an event", Fault::Cancelled),
+        }
+    }
+}
+
 impl EventStream {
     /// Returns the answer once the first event has arrived.
     pub(crate) async fn answer(
@@ -64,9 +76,11 @@
         exchange.hedge_kind = None;
         log_taken_up(&exchange, &started.guard.instance);
         let received = std::mem::replace(&mut started.received, Received::Nothing);
-        let (splitter, read_ahead) = match received {
-            Received::Events(splitter, next) => (splitter, Some(next)),
-            _ => (EventSplitter::after(exchange.resumed_event()), None),
+        let (splitter, read_ahead) = if let Received::Events(splitter, next) = received {
+            (splitter, Some(next))
+        } else {
+            let splitter = EventSplitter::after(exchange.resumed_event(), &exchange.place);
+            (splitter, None)
         };
         let mut stream = Self {
             exchange,
@@ -340,12 +354,7 @@
         match splitter.push(data) {
             Ok(Some(events)) => return Next::Events(events),
             Ok(None) => {}
-            Err(OutOfOrder) => {
-                return Next::Broken("events do not follow the last one", Fault::Malformed);
-            }
-        }
-        if splitter.is_too_long() {
-            return Next::Broken("event is too long", Fault::Malformed);
+            Err(error) => return Next::from(error),
         }
     }
 }
