gateway: Use servers only once evacuations are read, and log entries once

With a page of evacuations that cannot be read, the servers of an evacuated zone were applied without its evacuation, and calls went there. Keys of another writer under op/ could hold up the configuration.

Change: the configuration and the evacuations are ranges of their own. Entries of an incomplete read wait for the evacuations. Values are filtered once, where they arrive from the store or a peer. Keys in the log look as before but for characters that are escaped.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -63,17 +63,12 @@
     /// The changes are those of one kind, or of all kinds.
     pub(crate) fn apply(&self, delta: &Delta, kind: Option<ValueKind>, source: Source<'_>) {
         let now = Instant::now();
-        let mut delta = delta.clone();
-        if let Some(kind) = kind {
-            self.retain_kind(kind, &mut delta);
-        }
-        self.retain_usable(&mut delta.changes);
         let mut values = self.values.borrow_mut();
         let entry_revision = |values: &Values| values.mirror(ValueKind::Entry).revision();
         let (is_known, revision_before) = (values.revision() > 0, entry_revision(&values));
         let changed = match kind {
-            Some(kind) => values.apply_kind(kind, &delta),
-            None => values.apply(&delta, |key| self.kind_of(key)),
+            Some(kind) => values.apply_kind(kind, &self.without_other_kinds(kind, delta)),
+            None => values.apply(delta, |key| self.kind_of(key)),
         };
         let era = era_of(entry_revision(&values));
         drop(values);
@@ -140,7 +135,7 @@
             Err(error) => {
                 if self.kind_of(&change.key) == ValueKind::Document {
                     tracing::warn!(
-                        key = ?change.key, revision = change.revision, %error,
+                        key = %change.key.escape_debug(), revision = change.revision, %error,
                         "values: decoding a document failed"
                     );
                 }
@@ -173,7 +168,7 @@
         let is_unknown = table.is_some_and(|t| t.service(&instance.service).is_none());
         if is_unknown && self.log_lines.take(LineKind::Entry) {
             tracing::warn!(
-                key = ?change.key, service = ?instance.service, revision = change.revision,
+                key = %change.key.escape_debug(), service = %instance.service.as_str().escape_debug(), revision = change.revision,
                 "values: entry names an unknown service"
             );
         }
@@ -188,13 +183,15 @@
         self.restore_omitted_evacuation(now, &listed.zone, source);
     }
 
-    /// Removes values of the other kind from a delta.
+    /// Returns a delta of a kind without values of the other kind.
     ///
     /// Nodes of earlier builds send evacuations with the documents, where their removals,
     /// read from the store as those of entries, would not be found.
-    fn retain_kind(&self, kind: ValueKind, delta: &mut Delta) {
+    fn without_other_kinds(&self, kind: ValueKind, delta: &Delta) -> Delta {
+        let mut delta = delta.clone();
         delta.changes.retain(|c| self.kind_of(&c.key) == kind);
         delta.removals.retain(|r| self.kind_of(&r.key) == kind);
+        delta
     }
 
     fn kind_of(&self, key: &str) -> ValueKind {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -113,15 +113,17 @@
 /// A range of published values that is read by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ValueRange {
-    /// The operator's configuration and evacuations.
-    Operator,
+    /// The operator's configuration.
+    Config,
+    /// Evacuations of availability zones.
+    Evacuations,
     /// Entries of servers.
     Servers,
 }
 
 impl ValueRange {
     /// All ranges, in the order in which they are read.
-    pub const ALL: [Self; 2] = [Self::Operator, Self::Servers];
+    pub const ALL: [Self; 3] = [Self::Config, Self::Evacuations, Self::Servers];
 }
 
 /// A request to the store.
--- a/crates/gateway/src/store/full_read.rs
+++ b/crates/gateway/src/store/full_read.rs
@@ -74,22 +74,26 @@
             shared.apply(&self.values, None, Source::Store);
             return;
         }
+        if self.values.changes.is_empty() {
+            return;
+        }
         let partial = Delta {
             revision: 0,
             is_whole: false,
             changes: self.values.changes.clone(),
             removals: Vec::new(),
         };
-        // Documents are all in the operator's range, entries in both.
-        let documents = if self.complete.contains(&ValueRange::Operator) {
+        let documents = if self.complete.contains(&ValueRange::Config) {
             &self.values
         } else {
             &partial
         };
         shared.apply(documents, Some(ValueKind::Document), Source::Store);
-        // Whether an entry came back with an earlier copy shows only in all of them.
+        // Servers must not be known before the evacuations of their zones, and whether an entry
+        // came back with an earlier copy shows only in all of them.
         let known = shared.values.borrow().mirror(ValueKind::Entry).revision();
-        if known == 0 || era_of(known) == era_of(self.values.revision) {
+        let is_same_era = known == 0 || era_of(known) == era_of(self.values.revision);
+        if self.complete.contains(&ValueRange::Evacuations) && is_same_era {
             shared.apply(&partial, Some(ValueKind::Entry), Source::Store);
         }
     }
--- a/crates/gateway/src/store/reader.rs
+++ b/crates/gateway/src/store/reader.rs
@@ -228,7 +228,7 @@
             .await?;
         let events = self.shared.dialect.decode_events(&headers, &body)?;
         record_unreadable(events.unreadable);
-        let delta = events.delta;
+        let mut delta = events.delta;
         if era_of(delta.revision) != era_of(revision) {
             // The changes do not follow those that are known.
             return Err(ReadError::HistoryLost);
@@ -238,6 +238,7 @@
             // The answer leaves out what has changed.
             return Err(ReadError::HistoryLost);
         }
+        self.shared.retain_usable(&mut delta.changes);
         self.shared.apply(&delta, None, Source::Store);
         // The store waits that long for changes before it answers that there are none.
         let waited = if is_empty { wait } else { Duration::ZERO };
--- a/crates/gateway/src/sync/fetch.rs
+++ b/crates/gateway/src/sync/fetch.rs
@@ -41,7 +41,8 @@
         request_values(shared, requested, peer.into()),
     );
     let error = match fetched.await.unwrap_or(Err(SyncError::Silent)) {
-        Ok(Fetched { delta, notes }) => {
+        Ok(Fetched { mut delta, notes }) => {
+            shared.retain_usable(&mut delta.changes);
             let kind = source.sends_kinds.then_some(kind);
             return shared.apply(&delta, kind, Source::Peer(&notes));
         }
--- a/crates/gateway/src/usable.rs
+++ b/crates/gateway/src/usable.rs
@@ -19,10 +19,9 @@
             let Err(error) = self.dialect.decode_value(change) else {
                 return true;
             };
-            let was_emptied = change.value.is_empty();
-            if !was_emptied && self.log_lines.take(LineKind::Entry) {
+            if self.log_lines.take(LineKind::Entry) {
                 tracing::warn!(
-                    key = ?change.key, revision = change.revision, %error,
+                    key = %change.key.escape_debug(), revision = change.revision, %error,
                     "values: decoding an entry failed"
                 );
             }
