gateway: Log pages that cannot be read only when the store answers

In an outage the line told of a page though nothing was wrong with it; the failed read has a line of its own. A long line of log fields is broken.

--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -168,7 +168,9 @@
         let is_unknown = table.is_some_and(|t| t.service(&instance.service).is_none());
         if is_unknown && self.log_lines.take(LineKind::Entry) {
             tracing::warn!(
-                key = %change.key.escape_debug(), service = %instance.service.as_str().escape_debug(), revision = change.revision,
+                key = %change.key.escape_debug(),
+                service = %instance.service.as_str().escape_debug(),
+                revision = change.revision,
                 "values: entry names an unknown service"
             );
         }
--- a/crates/gateway/src/store/reader.rs
+++ b/crates/gateway/src/store/reader.rs
@@ -167,7 +167,9 @@
         loop {
             let page = self.read_page(range, after.clone()).await;
             let page = page.inspect_err(|error| {
-                tracing::warn!(?range, ?after, %error, "store: page cannot be read");
+                if error.is_of_content() {
+                    tracing::warn!(?range, ?after, %error, "store: page cannot be read");
+                }
             })?;
             let next = page.has_more.then(|| page.last_key.clone());
             read.add(&self.shared, page)?;
