--- a/crates/core/src/flow/page_walk.rs
+++ b/crates/core/src/flow/page_walk.rs
@@ -15,10 +15,10 @@
 /// use briarbank_core::flow::PageWalk;
 ///
 /// let mut walk = PageWalk::default();
-/// assert!(walk.go_on(&"servers/a".into()));
-/// assert!(walk.go_on(&"servers/b".into()));
+/// assert!(walk.go_on(&"lens-a".into()));
+/// assert!(walk.go_on(&"lens-b".into()));
 /// // The store sends the same page for ever.
-/// assert!(!(0..4).all(|_| walk.go_on(&"servers/b".into())));
+/// assert!(!(0..4).all(|_| walk.go_on(&"lens-b".into())));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct PageWalk {
