tests: Start no process while a probed port is still open

Cause: fleets look for free ports by listening on them for a moment. A test that starts a process meanwhile hands it copies of all descriptors until it has called exec, so that the port stays taken after its probe was closed. The process that gets the port then ends with "Address already in use", and the test waited for it for ever.

Probes and starts now exclude each other.

--- a/crates/briarbank/tests/fleet/caller.rs
+++ b/crates/briarbank/tests/fleet/caller.rs
@@ -1,6 +1,7 @@
 //! Caller that checks its answers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use briarbank_standin::{
     Client, ClientError, answer_hash, answer_length, answer_token, prompt_hash,
@@ -9,14 +10,21 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use uuid::Uuid;
 
-use super::POLL;
+use super::published::NodeAddresses;
+use super::{KEY, POLL};
 
 /// Seed of the engines' answer lengths.
 pub const ENGINE_SEED: u64 = 7;
 
+/// Maximum time for an answer, above the time limit of all profiles.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(90);
+
+/// Maximum time for the state of a node.
+const DUMP_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Returns a prompt whose unlimited answer has at least `tokens` tokens.
 pub fn long_prompt(tokens: u32) -> String {
     let prompts = (0..).map(|number| format!("long list {number}"));
@@ -31,6 +39,7 @@
 #[derive(Debug)]
 pub struct Caller {
     node: SocketAddr,
+    operator: SocketAddr,
     client: Client,
 }
 
@@ -101,9 +110,10 @@
         self.node
     }
 
-    pub(super) fn new(node: SocketAddr) -> Self {
+    pub(super) fn new(node: NodeAddresses) -> Self {
         Self {
-            node,
+            node: node.caller,
+            operator: node.operator,
             client: Client::default(),
         }
     }
@@ -167,6 +177,28 @@
     }
 
     async fn exchange(&self, client: &Client, call: &Call) -> Result<Answer, ClientError> {
+        let Ok(answer) = timeout(ANSWER_TIMEOUT, self.send_and_read(client, call)).await else {
+            panic!("{} is not answered: {}", call.path, self.dump().await);
+        };
+        answer
+    }
+
+    /// Returns the state of the node.
+    async fn dump(&self) -> String {
+        let request = Request::builder()
+            .uri("/dump")
+            .header("host", self.operator.to_string())
+            .header("authorization", format!("Bearer {KEY}"))
+            .body(Full::default())
+            .expect("a request");
+        let client = Client::default();
+        let answer = timeout(DUMP_TIMEOUT, async {
+            client.send(self.operator, request).await?.bytes().await
+        });
+        format!("{:?}", answer.await)
+    }
+
+    async fn send_and_read(&self, client: &Client, call: &Call) -> Result<Answer, ClientError> {
         let mut request = Request::builder()
             .method("POST")
             .uri(&call.path)
--- a/crates/briarbank/tests/fleet/mod.rs
+++ b/crates/briarbank/tests/fleet/mod.rs
@@ -13,6 +13,7 @@
 
 use caller::ENGINE_SEED;
 pub use caller::{Answer, Call, Caller, long_prompt};
+use process::SPAWNING;
 pub use process::{POLL, Process};
 use published::NodeAddresses;
 pub use published::Published;
@@ -22,6 +23,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::ExitStatus;
+use std::sync::PoisonError;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
@@ -265,7 +267,7 @@
 
     /// Returns a caller of the node.
     pub fn caller(&self, node: usize) -> Caller {
-        Caller::new(self.published.nodes[node].caller)
+        Caller::new(self.published.nodes[node])
     }
 
     /// Returns how often a request id ran, over all services.
@@ -314,6 +316,7 @@
     loop {
         let port = PORTS.fetch_add(1, Ordering::Relaxed);
         let address = SocketAddr::new(ip, port);
+        let _spawning = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind(address).is_ok() {
             return address;
         }
--- a/crates/briarbank/tests/fleet/process.rs
+++ b/crates/briarbank/tests/fleet/process.rs
@@ -2,26 +2,40 @@
 
 use std::fs::{self, File};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus};
-use std::time::Duration;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use briarbank_standin::Client;
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use serde_json::Value;
-use tokio::time::sleep;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
 
 use super::KEY;
 
 /// Interval between polls.
 pub const POLL: Duration = Duration::from_millis(20);
 
+/// Held while a process is started, and by who needs a listener to be closed at once.
+///
+/// Between fork and exec a new process holds copies of all descriptors.
+pub(super) static SPAWNING: Mutex<()> = Mutex::new(());
+
+/// Maximum time until a process is ready.
+const START_TIMEOUT: Duration = Duration::from_mins(2);
+
+/// Maximum time for an answer of an operator or control port.
+const CALL_TIMEOUT: Duration = Duration::from_mins(1);
+
 /// Running process, killed when dropped.
 #[derive(Debug)]
 pub struct Process {
-    child: Child,
+    child: Mutex<Child>,
+    log: PathBuf,
     /// Address of its port; of a node, the operator port.
     pub address: SocketAddr,
 }
@@ -36,7 +50,9 @@
     ) -> Self {
         let path = folder.join(format!("{name}.json"));
         fs::write(&path, settings.to_string()).expect("settings are written");
-        let log = File::create(folder.join(format!("{name}.log"))).expect("a log file");
+        let log_path = folder.join(format!("{name}.log"));
+        let log = File::create(&log_path).expect("a log file");
+        let spawning = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
         let child = Command::new(env!("CARGO_BIN_EXE_briarbank"))
             .args(["--log", "briarbank_node=debug,info"])
             .args(arguments)
@@ -45,12 +61,17 @@
             .stderr(log)
             .spawn()
             .expect("the binary runs");
-        Self { child, address }
+        drop(spawning);
+        Self {
+            child: Mutex::new(child),
+            log: log_path,
+            address,
+        }
     }
 
     /// Returns the id of the process.
     pub fn id(&self) -> u32 {
-        self.child.id()
+        self.child().id()
     }
 
     /// Requests a graceful shutdown, as an init system does.
@@ -60,22 +81,26 @@
 
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let signal = format!("-{name}");
-        let status = Command::new("kill").args([&signal, &id]).status();
-        assert!(status.expect("kill runs").success());
+        let spawning = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let kill = Command::new("kill").args([&signal, &id]).spawn();
+        drop(spawning);
+        let status = kill.expect("kill runs").wait();
+        assert!(status.expect("kill ends").success());
     }
 
     /// Kills the process.
     pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let mut child = self.child();
+        let _ = child.kill();
+        let _ = child.wait();
     }
 
     /// Waits until the process exits.
     pub async fn wait_exit(&mut self) -> ExitStatus {
         loop {
-            if let Some(status) = self.child.try_wait().expect("the child can be waited for") {
+            if let Some(status) = self.exit_status() {
                 return status;
             }
             sleep(POLL).await;
@@ -84,30 +109,58 @@
 
     /// Waits until the process listens.
     pub async fn wait_listening(&self) {
-        while tokio::net::TcpStream::connect(self.address).await.is_err() {
-            sleep(POLL).await;
-        }
+        let is_listening = async || TcpStream::connect(self.address).await.is_ok();
+        self.wait_until("listening", is_listening).await;
     }
 
     /// Waits until a node reports that it is ready.
     pub async fn wait_ready(&self) {
-        self.wait_listening().await;
-        while self.call(Method::GET, "/ready", Bytes::new()).await.0 != StatusCode::OK {
-            sleep(POLL).await;
-        }
+        let is_ready = async || {
+            let answer = self.call(Method::GET, "/ready", Bytes::new()).await;
+            answer.0 == StatusCode::OK
+        };
+        self.wait_until("ready", is_ready).await;
     }
 
     /// Waits until a node holds all slots that the host list assigns to it.
     pub async fn wait_owning(&self) {
-        loop {
+        let is_owning = async || {
             let owner = &self.get("/dump").await["owner"];
-            if owner["owned_slots"] != 0 && owner["held_slots"] == owner["owned_slots"] {
-                return;
-            }
+            owner["owned_slots"] != 0 && owner["held_slots"] == owner["owned_slots"]
+        };
+        self.wait_until("holding its slots", is_owning).await;
+    }
+
+    /// Waits for a state of a process that starts.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the process's log if it has exited or the state takes too long.
+    async fn wait_until(&self, state: &str, holds: impl AsyncFn() -> bool) {
+        let deadline = Instant::now() + START_TIMEOUT;
+        while !holds().await {
+            let status = self.exit_status();
+            let is_late = Instant::now() > deadline;
+            assert!(
+                status.is_none() && !is_late,
+                "{} is not {state}, {status:?}: {}",
+                self.address,
+                fs::read_to_string(&self.log).unwrap_or_default()
+            );
             sleep(POLL).await;
         }
     }
 
+    fn exit_status(&self) -> Option<ExitStatus> {
+        self.child()
+            .try_wait()
+            .expect("the child can be waited for")
+    }
+
+    fn child(&self) -> MutexGuard<'_, Child> {
+        self.child.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Gets JSON from a path.
     pub async fn get(&self, path: &str) -> Value {
         let (status, body) = self.call(Method::GET, path, Bytes::new()).await;
@@ -165,13 +218,15 @@
             .body(Full::new(body))
             .expect("a request");
         let client = Client::default();
-        let Ok(answer) = client.send(self.address, request).await else {
-            return (StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        let exchange = async {
+            let Ok(answer) = client.send(self.address, request).await else {
+                return (StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            };
+            (answer.head.status, answer.bytes().await.unwrap_or_default())
         };
-        let status = answer.head.status;
-        let body = answer.bytes().await.unwrap_or_default();
+        let answer = timeout(CALL_TIMEOUT, exchange).await;
         client.close().await;
-        (status, body)
+        answer.unwrap_or_else(|_elapsed| panic!("{} does not answer {path}", self.address))
     }
 }
 
