node: Count parts of events that wait for their end

Callers of a node would lose their requests beside servers that send events without an end: the reader of streams kept up to answer_bytes (1 MiB) of each incomplete event, which counted as nobody's, so that some hundred calls took more than the memory of the machine.

What is left of an event once the whole ones are taken out is now reserved for the caller's connection, in steps of powers of two. Without room the attempt ends as preempted: it counts neither as an attempt nor against its server. The reader drops its buffer when it is empty, since the library may otherwise use the memory of a large event again for small ones.

--- a/crates/briarbank/tests/crowds.rs
+++ b/crates/briarbank/tests/crowds.rs
@@ -8,12 +8,14 @@
 mod crowd;
 mod fleet;
 
+use std::pin::pin;
 use std::time::Duration;
 
-use crowd::{Alone, Crowd, Script, Watch};
+use crowd::{Alone, Crowd, Script, Watch, serve_calls};
 use fleet::{Call, Fleet, Size};
 use http::StatusCode;
 use serde_json::{Value, json};
+use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
 const SIZE: Size = Size {
@@ -30,6 +32,9 @@
 /// Descriptors of the machine.
 const DESCRIPTORS: u64 = 4_100;
 
+/// Servers that take a crowd of 400 calls.
+const FAULTY_SERVERS: usize = 50;
+
 /// Largest body by the default limits.
 const BODY_BYTES: usize = 1 << 20;
 
@@ -39,6 +44,9 @@
 /// Time that a crowd needs for some million chunks.
 const CHUNKS_TIME: Duration = Duration::from_secs(9);
 
+/// Time after which a node knows what was published.
+const PUBLISHED_TIME: Duration = Duration::from_secs(1);
+
 /// Time within which an ordinary caller that tries again gets its answer.
 const SERVED_TIME: Duration = Duration::from_secs(20);
 
@@ -54,8 +62,11 @@
             sleep(fleet::POLL).await;
         }
     };
-    let served = timeout(SERVED_TIME, served).await;
-    assert!(served.is_ok(), "an ordinary call is not answered");
+    let mut served = pin!(served);
+    if timeout(SERVED_TIME, &mut served).await.is_err() {
+        let state = fleet.nodes[0].get("/dump").await;
+        panic!("an ordinary call is not answered: {state}");
+    }
 }
 
 /// Plays a crowd against the operator port, beside which readiness must be answered.
@@ -87,6 +98,43 @@
     watch.check(name, MEMORY_MB, DESCRIPTORS);
 }
 
+/// Plays a crowd of ordinary callers of faulty servers, which answer an attempt as `answer`
+/// says and go no further.
+async fn check_servers(name: &str, answer: fn(&str) -> String) {
+    let _alone = Alone::wait();
+    let mut fleet = Fleet::start_with_limits(SIZE, json!({})).await;
+    for _ in 0..FAULTY_SERVERS {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        serve_calls(listener, move |head| {
+            let attempt = head.split_once("briarbank-attempt: ")?.1;
+            Some(answer(attempt.lines().next()?))
+        });
+        fleet.publish_server(address, "lens-model").await;
+    }
+    let caller = fleet.caller(0).node();
+    let watch = Watch::start(fleet.nodes[0].id(), &[caller]);
+    let body = r#"{"model":"lens-model","prompt":"x","stream":true,"max_tokens":50}"#;
+    let request = head(&format!("content-length: {}", body.len())) + body;
+    let crowd = Crowd::start(400, caller, &Script::new(request));
+    sleep(CROWD_TIME).await;
+    drop(crowd);
+    fleet.published.servers.truncate(SIZE.engines);
+    fleet.publish_all().await;
+    // A call that is sent to one of them before the node knows it may wait there.
+    sleep(PUBLISHED_TIME).await;
+    wait_served(&fleet, "afterwards").await;
+    watch.check(name, MEMORY_MB, DESCRIPTORS);
+}
+
+/// Returns the start of a stream of an attempt.
+fn stream(attempt: &str, events: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+         briarbank-attempt: {attempt}\r\n\r\n{events}"
+    )
+}
+
 fn head(more: &str) -> String {
     format!(
         "POST /v1/completions HTTP/1.1\r\nhost: x\r\nbriarbank-workspace: w\r\n\
@@ -157,3 +205,13 @@
     let script = Script::new("GET /ready HTTP/1.1\r\nhost: x\r\n").then(line, 95);
     check_operator_port("operator port, heads", 300, &script).await;
 }
+
+/// Guards against parts of events that take memory beside all bounds.
+#[tokio::test]
+async fn parts_of_events() {
+    let answer = |attempt: &str| {
+        let part = "x".repeat(1_000_000);
+        stream(attempt, &format!("data: {part}"))
+    };
+    check_servers("parts of events", answer).await;
+}
--- a/crates/net/src/admission.rs
+++ b/crates/net/src/admission.rs
@@ -164,6 +164,9 @@
     }
 }
 
+/// Least number of bytes that are reserved for a buffer that grows.
+const BUFFER_BYTES_MIN: usize = 1 << 10;
+
 /// Bytes that a connection holds, released when dropped.
 #[derive(Debug)]
 pub struct Reservation {
@@ -198,6 +201,25 @@
         Ok(())
     }
 
+    /// Grows to a buffer of that length, whose capacity doubles.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::grow`].
+    pub fn grow_to(&mut self, length: usize) -> Result<(), Full> {
+        if length <= self.bytes {
+            return Ok(());
+        }
+        let capacity = length.next_power_of_two().max(BUFFER_BYTES_MIN);
+        self.grow(capacity - self.bytes)
+    }
+
+    /// Returns whether nothing is reserved.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.bytes == 0
+    }
+
     /// Releases bytes beyond these.
     pub fn shrink_to(&mut self, bytes: usize) {
         let released = self.bytes.saturating_sub(bytes);
--- a/crates/node/src/server/body.rs
+++ b/crates/node/src/server/body.rs
@@ -1,18 +1,19 @@
 //! Reading of the bodies of servers' answers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use briarbank_core::call::Failure;
 use briarbank_core::ids::AttemptId;
 use briarbank_core::occupancy::{Full, Purpose};
-use briarbank_net::Collector;
+use briarbank_net::{Collector, Place, Reservation};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::exchange::Upstream;
-use super::stream::{AnswerStream, StreamPart};
+use super::stream::{AnswerStream, StreamEnd, StreamPart};
 use crate::call::Answer;
 use crate::command::Attempt;
 
@@ -20,16 +21,25 @@
 const END_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Reader of the stream of one attempt.
+///
+/// What it buffers of an incomplete event counts as held by the caller's connection.
 pub(super) struct StreamBody {
     body: Incoming,
     stream: AnswerStream,
+    reservation: Reservation,
 }
 
 impl StreamBody {
-    pub(super) fn new(body: Incoming, attempt: AttemptId, answer: &Answer) -> Self {
+    pub(super) fn new(
+        body: Incoming,
+        attempt: AttemptId,
+        answer: &Answer,
+        place: &Arc<Place>,
+    ) -> Self {
         Self {
             body,
             stream: AnswerStream::new(attempt, answer.tokens(), answer.limit_bytes()),
+            reservation: Reservation::new(place, Purpose::Answer),
         }
     }
 
@@ -45,13 +55,27 @@
                 continue;
             };
             self.stream.push(data);
-            let part = self.stream.next_part(|text| answer.record_token(text));
+            let mut part = self.stream.next_part(|text| answer.record_token(text));
+            if let Err(full) = self.reserve() {
+                let failed = StreamEnd::Failed(no_room(full));
+                part.end.get_or_insert(failed);
+            }
             if part.end.is_some() || !part.chunk.is_empty() {
                 return part;
             }
         }
     }
 
+    /// Counts the incomplete event.
+    fn reserve(&mut self) -> Result<(), Full> {
+        match self.stream.incomplete_bytes() {
+            0 if self.reservation.is_empty() => {}
+            0 => self.reservation.shrink_to(0),
+            bytes => self.reservation.grow_to(bytes)?,
+        }
+        Ok(())
+    }
+
     /// Returns whether the body ends with the stream.
     ///
     /// Its connection can be reused only then.
--- a/crates/node/src/server/relay.rs
+++ b/crates/node/src/server/relay.rs
@@ -93,7 +93,8 @@
             .begin_stream(response.status().as_u16(), &head.content_type);
         let id = attempt.dispatch.attempt;
         let progress = Progress::new(id);
-        let mut body = StreamBody::new(response.into_body(), id, self.answer);
+        let place = &self.upstream.inbound.place;
+        let mut body = StreamBody::new(response.into_body(), id, self.answer, place);
         let mut silence_timeout = attempt.silence_timeouts.first;
         loop {
             let read = body.read_part(self.answer);
--- a/crates/node/src/server/sse.rs
+++ b/crates/node/src/server/sse.rs
@@ -80,6 +80,10 @@
         }
         self.searched = 0;
         let raw = self.buffer.split_to(end).freeze();
+        if self.buffer.is_empty() {
+            // Else the next event may reclaim the memory of a large one.
+            self.buffer = BytesMut::new();
+        }
         parse_event(raw).map(Some)
     }
 
--- a/crates/node/src/server/stream.rs
+++ b/crates/node/src/server/stream.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Returns the number of bytes of the incomplete event.
+    #[must_use]
+    pub fn incomplete_bytes(&self) -> usize {
+        self.events.incomplete().len()
+    }
+
     /// Returns the last part when the connection ends before the stream.
     #[must_use]
     pub fn end_of_input(&self) -> StreamPart {
