node: Count the texts of streams, and what is kept of them

Beside servers that send much, a node took more than its machine has, so that all of its callers would lose their requests: it keeps the text of each stream to resume it, and the bytes of a streamed answer to a call that runs once to replay it, up to answer_bytes (1 MiB) each, and counted neither.

Both are reserved for the caller's connection as they grow. Without room they are dropped as if over the limit: the stream goes on, but not at another server, or is not replayed.

--- a/crates/briarbank/tests/crowds.rs
+++ b/crates/briarbank/tests/crowds.rs
@@ -215,3 +215,19 @@
     };
     check_servers("parts of events", answer).await;
 }
+
+/// Guards against texts of streams, kept to resume them, that take memory beside all bounds.
+#[tokio::test]
+async fn long_texts() {
+    let answer = |attempt: &str| {
+        let text = "x".repeat(20_000);
+        let event = |index: usize| {
+            let choice = json!({"text": text, "finish_reason": null});
+            let event = json!({"attempt": attempt, "index": index, "choices": [choice]});
+            format!("data: {event}\n\n")
+        };
+        let events: String = (0..50).map(event).collect();
+        stream(attempt, &events)
+    };
+    check_servers("long texts", answer).await;
+}
--- a/crates/node/src/call/answer.rs
+++ b/crates/node/src/call/answer.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use briarbank_core::call::{Outcome, Refusal, StoredAnswer};
+use briarbank_core::occupancy::Purpose;
+use briarbank_net::{Place, Reservation};
 use bytes::{Bytes, BytesMut};
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
@@ -30,19 +32,23 @@
     unsent: BytesMut,
     complete: bool,
     stored_bytes: Option<BytesMut>,
+    /// Counts the stored bytes.
+    stored: Reservation,
     limit_bytes: usize,
 }
 
 impl Answer {
-    pub(super) fn new(reply: ReplySender, limit_bytes: usize) -> Self {
+    /// Creates an answer; what it keeps counts as held by the caller's connection.
+    pub(super) fn new(reply: ReplySender, limit_bytes: usize, place: &Arc<Place>) -> Self {
         Self {
             reply: Some(reply),
             chunks: None,
             head: None,
-            transcript: Transcript::default(),
+            transcript: Transcript::new(place),
             unsent: BytesMut::new(),
             complete: false,
             stored_bytes: None,
+            stored: Reservation::new(place, Purpose::Answer),
             limit_bytes,
         }
     }
@@ -99,13 +105,16 @@
     /// Buffers a chunk of the streamed answer for [`Self::flush`].
     pub(crate) fn buffer_chunk(&mut self, chunk: &[u8]) {
         self.unsent.extend_from_slice(chunk);
-        let limit_bytes = self.limit_bytes;
-        if let Some(stored_bytes) = &mut self.stored_bytes {
-            stored_bytes.extend_from_slice(chunk);
-            if stored_bytes.len() > limit_bytes {
-                self.stored_bytes = None;
-            }
+        let Some(stored_bytes) = &mut self.stored_bytes else {
+            return;
+        };
+        let length = stored_bytes.len() + chunk.len();
+        if length > self.limit_bytes || self.stored.grow_to(length).is_err() {
+            self.stored_bytes = None;
+            self.stored.shrink_to(0);
+            return;
         }
+        stored_bytes.extend_from_slice(chunk);
     }
 
     /// Buffers the last chunk of the streamed answer for [`Self::flush`].
--- a/crates/node/src/call/calls.rs
+++ b/crates/node/src/call/calls.rs
@@ -105,7 +105,7 @@
             control: context.control.clone(),
             links: context.links.clone(),
             pool: context.pool.clone(),
-            answer: Answer::new(sender, context.limits.answer_bytes),
+            answer: Answer::new(sender, context.limits.answer_bytes, &inbound.place),
             meter: Meter::new(&inbound.call, known),
             gone_reported: false,
             inbound,
