--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod router;
 pub mod server;
 pub mod store;
+pub mod streams;
 
 use std::time::Duration;
 
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -9,8 +9,12 @@
 
 use crate::http;
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
+    /// Number of times that the store came back from a copy.
+    era: u64,
+    /// Whether the store is away.
+    is_away: bool,
     revision: u64,
     items: BTreeMap<String, (String, u64)>,
     /// Revision, key and value; `None` for a removal.
@@ -34,6 +38,10 @@
     (taken, false)
 }
 
+/// What a store held at a time.
+#[derive(Clone, Debug)]
+pub struct Copy(State);
+
 /// A store on loopback.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -69,6 +77,41 @@
         store
     }
 
+    /// Copies all that the store holds.
+    ///
+    /// # Panics
+    ///
+    /// Another thread has panicked.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.0.lock().unwrap().clone())
+    }
+
+    /// Lets the store be away: connections close, and new ones are closed at once.
+    ///
+    /// # Panics
+    ///
+    /// Another thread has panicked.
+    pub fn leave(&self) {
+        self.state.0.lock().unwrap().is_away = true;
+        self.state.1.notify_all();
+    }
+
+    /// Lets the store come back from an earlier copy.
+    ///
+    /// # Panics
+    ///
+    /// Another thread has panicked.
+    pub fn return_from(&self, copy: &Copy) {
+        let mut state = self.state.0.lock().unwrap();
+        let era = state.era + 1;
+        *state = State {
+            era,
+            is_away: false,
+            ..copy.0.clone()
+        };
+    }
+
     /// Writes an item.
     pub fn put(&self, key: &str, value: &str) {
         self.change(key, Some(base64(value.as_bytes())));
@@ -97,9 +140,12 @@
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = http::read_message(&mut stream, &mut buffer) {
-            let body = self.answer(request.path());
+            let Some((status, era, body)) = self.answer(request.path()) else {
+                return;
+            };
             let text = format!(
-                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
+                 Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             if stream.write_all(text.as_bytes()).is_err() {
@@ -108,7 +154,8 @@
         }
     }
 
-    fn answer(&self, path: &str) -> String {
+    /// Returns status, era and body of an answer, `None` while the store is away.
+    fn answer(&self, path: &str) -> Option<(&'static str, u64, String)> {
         let (call, query) = path.split_once('?').unwrap_or((path, ""));
         let field = |name: &str| {
             let fields = query.split('&').filter_map(|f| f.split_once('='));
@@ -117,6 +164,9 @@
         };
         if call == "/kv-range" {
             let state = self.state.0.lock().unwrap();
+            if state.is_away {
+                return None;
+            }
             let prefix = field("prefix").unwrap_or_default();
             let after = field("after").unwrap_or_default();
             let items = state.items.iter();
@@ -124,23 +174,30 @@
             let sized = items
                 .map(|(key, (value, revision))| (item(key, value, *revision), value.len() / 4 * 3));
             let (items, has_more) = page(sized);
-            return format!(
+            let body = format!(
                 "{{\"items\":[{}],\"hasMore\":{has_more},\"at\":{}}}",
                 items.join(","),
                 state.revision
             );
+            return Some(("200 OK", state.era, body));
         }
         let after: u64 = field("after").and_then(|a| a.parse().ok()).unwrap_or(0);
         let wait_ms = field("waitMs").and_then(|w| w.parse().ok()).unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state.0.lock().unwrap();
-        while state.revision <= after {
+        if after > state.revision {
+            return Some(("410 Gone", state.era, String::new()));
+        }
+        while state.revision <= after && !state.is_away {
             let rest = until.saturating_duration_since(Instant::now());
             if rest.is_zero() {
                 break;
             }
             state = self.state.1.wait_timeout(state, rest).unwrap().0;
         }
+        if state.is_away {
+            return None;
+        }
         let events = state.history.iter().filter(|(r, _, _)| *r > after);
         let sized = events.map(|(revision, key, value)| match value {
             Some(value) => (
@@ -155,13 +212,10 @@
         });
         let (events, has_more) = page(sized);
         let last = events.last().map_or(0, |(revision, _)| *revision);
-        let at = if has_more {
-            last
-        } else {
-            state.revision.max(after)
-        };
+        let at = if has_more { last } else { state.revision };
         let events: Vec<String> = events.into_iter().map(|(_, text)| text).collect();
-        format!("{{\"events\":[{}],\"at\":{at}}}", events.join(","))
+        let body = format!("{{\"events\":[{}],\"at\":{at}}}", events.join(","));
+        Some(("200 OK", state.era, body))
     }
 }
 
