--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,11 +1,11 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-for program in target/release/briarbank target/review-3/release/upgrade; do
+for program in target/release/briarbank target/review-3/release/odd; do
     [ -x "$program" ] || { echo "$program is missing: build first"; exit 2; }
 done
 scratch=$(mktemp -d) || exit 2
-timeout -k 2 115 target/review-3/release/upgrade review/11 "$scratch"
+timeout -k 2 115 target/review-3/release/odd review/11 "$scratch"
 status=$?
 rm -rf "$scratch"
 [ "$status" -le 1 ] && exit "$status"
