--- a/review/standins-3/src/router.rs
+++ b/review/standins-3/src/router.rs
@@ -191,6 +191,16 @@
         }
     }
 
+    /// Kills several processes at once.
+    pub fn kill_all(routers: &mut [Self]) {
+        for router in &mut *routers {
+            if let Some(child) = &mut router.child {
+                let _ = child.kill();
+            }
+        }
+        routers.iter_mut().for_each(Self::kill);
+    }
+
     /// Returns the log lines that hold a text.
     #[must_use]
     pub fn log_lines(&self, text: &str) -> Vec<String> {
--- a/review/standins-3/src/streams.rs
+++ b/review/standins-3/src/streams.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::io::{self, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -120,12 +120,19 @@
     (mixed, text)
 }
 
-/// Reads one try of a stream; returns its status, and whether it is complete.
-fn read_try(
+/// Reads one try of a stream; returns its status, whether it is complete, and when to come back.
+///
+/// A client that leaves closes its connection after an event.
+///
+/// # Errors
+///
+/// The connection fails before the head of an answer.
+pub fn read_try(
     front: SocketAddr,
     number: usize,
     id: &str,
     resumes: Option<(&str, u32)>,
+    leave_after: Option<u32>,
     received: &mut Received,
 ) -> io::Result<(u16, bool, Duration)> {
     let mut stream = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
@@ -156,6 +163,7 @@
     }
     received.tries.push(BTreeSet::new());
     let mut text = Vec::new();
+    let to_close = stream.try_clone()?;
     let read = http::read_body(&mut stream, &mut buffer, &head, |piece| {
         text.extend_from_slice(piece);
         while let Some(end) = text.windows(2).position(|pair| pair == b"\n\n") {
@@ -169,9 +177,11 @@
             if let Some(versions) = received.tries.last_mut() {
                 versions.insert(version.clone());
             }
-            received
-                .events
-                .push((field("id:").parse().unwrap_or(0), version));
+            let event_id: u32 = field("id:").parse().unwrap_or(0);
+            if leave_after.is_some_and(|last| event_id >= last) {
+                let _ = to_close.shutdown(Shutdown::Both);
+            }
+            received.events.push((event_id, version));
         }
     });
     Ok((200, read.is_ok(), Duration::ZERO))
@@ -191,7 +201,7 @@
         record.line(&format!(
             "client {number} sends {id} to {front}, after {resumes:?}"
         ));
-        let answered = read_try(front, number, &id, resumes, &mut received);
+        let answered = read_try(front, number, &id, resumes, None, &mut received);
         let Ok((status, is_whole, retry_after)) = answered else {
             record.line(&format!("client {number}: {id} failed: {answered:?}"));
             continue;
