--- a/review/standins-3/src/bin/extra.rs
+++ b/review/standins-3/src/bin/extra.rs
@@ -27,8 +27,9 @@
 /// Time that a server works on a request.
 const WORK: Duration = Duration::from_millis(30);
 
-/// One answer in so many is followed by a second one.
-const EXTRA_EACH: u64 = 20;
+/// The server in trouble, of three, and how many of its answers one second answer follows.
+const FAULTY: &str = "i-0a11";
+const EXTRA_EACH: u64 = 34;
 
 fn config() -> String {
     format!(
@@ -94,8 +95,10 @@
         if stream.write_all(text.as_bytes()).is_err() {
             return;
         }
-        let count = runs.answers.fetch_add(1, Ordering::SeqCst) + 1;
-        has_extra = has_trouble() && count % EXTRA_EACH == 0;
+        if has_trouble() && run.id == FAULTY {
+            let count = runs.answers.fetch_add(1, Ordering::SeqCst) + 1;
+            has_extra = count % EXTRA_EACH == 0;
+        }
     }
 }
 
