Bound the entries that a node keeps, whoever wrote them

Cause: an entry that can be decoded was kept with its whole text, whatever its service, size and number; a node that starts is sent all of it, which takes a multiple at both ends.

Ruled out: the store's pages (one at a time), removals (512 are kept), the cache of packed documents.

Change: EntryBound keeps 16 MiB of entries, the state of their servers included, in one order on all nodes: needed by the configuration first, then oldest. Large values are reduced to the fields in use; small ones stay as they are for later builds. A read of the store holds no more while it goes on and applies the configuration first. Entries that were left out are read again when they are needed or there is room; a mirror that takes them back sends its peers everything. A node that may lack needed entries proves no sole version.

--- a/crates/core/src/flow/mirror.rs
+++ b/crates/core/src/flow/mirror.rs
@@ -108,8 +108,13 @@
     /// Applies a delta and returns the keys that were changed or removed, sorted.
     pub fn apply(&mut self, delta: &Delta) -> BTreeSet<Arc<str>> {
         let mut changed = BTreeSet::new();
+        // It shows that no value in it was removed before, whatever this mirror has left out.
+        let is_newest_whole = delta.is_whole && delta.revision >= self.revision;
+        let mut was_left_out = false;
         for change in &delta.changes {
-            if self.apply_change(change) {
+            let is_back = is_newest_whole && self.take_back(change);
+            was_left_out |= is_back;
+            if is_back || self.apply_change(change) {
                 changed.insert(Arc::clone(&change.key));
             }
         }
@@ -121,8 +126,9 @@
         if delta.is_whole {
             changed.extend(self.remove_missing(delta));
         }
-        if self.revision == 0 {
-            // The removals before the first read are not known.
+        if self.revision == 0 || was_left_out {
+            // The removals before the first read are not known, and peers must be sent values
+            // that are older than what they have.
             self.dropped_revision = delta.revision;
             self.changed_revision = delta.revision;
         }
@@ -130,6 +136,25 @@
         changed
     }
 
+    /// Adds a value that this mirror has left out; returns whether it had.
+    fn take_back(&mut self, change: &Change) -> bool {
+        let was_removed = |r: &Removal| r.key == change.key && r.revision > change.revision;
+        let is_older = change.revision <= self.dropped_revision;
+        if self.items.contains_key(&change.key)
+            || !(is_older || self.removals.iter().any(was_removed))
+        {
+            return false;
+        }
+        self.removals.retain(|r| !was_removed(r));
+        self.items.insert(Arc::clone(&change.key), change.clone());
+        true
+    }
+
+    /// Leaves out a value, though it was not removed.
+    pub(crate) fn leave_out(&mut self, key: &str) {
+        self.items.remove(key);
+    }
+
     fn apply_change(&mut self, change: &Change) -> bool {
         let current = self.items.get(&change.key);
         let is_known = current.is_some_and(|c| c.revision >= change.revision);
--- a/crates/core/src/flow/values.rs
+++ b/crates/core/src/flow/values.rs
@@ -127,6 +127,11 @@
         self.mirror_mut(kind).apply(delta)
     }
 
+    /// Leaves out an entry, though it was not removed.
+    pub fn leave_out(&mut self, key: &str) {
+        self.entries.leave_out(key);
+    }
+
     /// Returns whether no change is missing that a peer has by its statement.
     #[must_use]
     pub fn has_all_of(&self, statement: &ValuesStatement) -> bool {
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod directory;
 mod engine;
+mod entry_bound;
 mod evacuation;
 mod fleet;
 mod harmful_calls;
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -71,7 +71,12 @@
             None => values.apply(delta, |key| self.kind_of(key)),
         };
         let era = era_of(entry_revision(&values));
+        let left_out = self.bound_entries(&mut values, &changed);
+        let is_newest = delta.revision >= entry_revision(&values);
         drop(values);
+        if delta.is_whole && is_newest && kind != Some(ValueKind::Document) {
+            self.record_entries_read();
+        }
         let is_restored = is_known && era > era_of(revision_before);
         if is_restored {
             tracing::warn!(era, "values: store came back from an earlier copy");
@@ -97,13 +102,19 @@
             is_restored,
             is_as_it_happens: !delta.is_whole && !is_restored && is_recent,
         };
-        for key in changed {
+        for key in changed.into_iter().filter(|key| !left_out.contains(key)) {
             let change = self.values.borrow().get(&key).cloned();
             match change {
                 Some(change) => self.apply_change(&change, &arrival),
                 None => self.apply_removal(&key, &arrival),
             }
         }
+        for key in &left_out {
+            if let Some(server) = self.dialect.server_of_key(key) {
+                let mut dispatcher = self.dispatcher.borrow_mut();
+                dispatcher.remove_server(now, &server.into(), None);
+            }
+        }
         // Servers that turned cold get no calls before this node has its shares in them.
         self.divide_cold(now);
     }
@@ -196,7 +207,7 @@
         delta
     }
 
-    fn kind_of(&self, key: &str) -> ValueKind {
+    pub(crate) fn kind_of(&self, key: &str) -> ValueKind {
         let is_entry = self.dialect.server_of_key(key).is_some()
             || self.dialect.evacuated_zone_of_key(key).is_some();
         if is_entry {
@@ -221,7 +232,9 @@
             "values: configuration in force"
         );
         self.dispatcher.borrow_mut().configure(&table);
-        *self.table.borrow_mut() = Some(Rc::new(table));
+        let (before, table) = (self.table(), Rc::new(table));
+        *self.table.borrow_mut() = Some(Rc::clone(&table));
+        self.set_needed_entries(before.as_deref(), &table);
     }
 
     /// Returns when the value of a key was removed and why, as far as is known.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -225,6 +225,13 @@
     /// The value is malformed; it may come from another writer.
     fn decode_value(&self, change: &Change) -> Result<Published, DecodeError>;
 
+    /// Returns the value of an entry with only what the router uses of it.
+    ///
+    /// # Errors
+    ///
+    /// The value is malformed; it may come from another writer.
+    fn reduce_entry(&self, change: &Change) -> Result<Vec<u8>, DecodeError>;
+
     /// Returns whether the router uses values under a key.
     fn is_used(&self, key: &str) -> bool;
 
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use briarbank_core::flow::{ENTRY_BYTES_MAX, ENTRY_KEY_BYTES_MAX};
 use quick_error::quick_error;
 
 quick_error! {
@@ -55,6 +56,10 @@
     /// Error of decoding bytes from the store.
     #[derive(Debug)]
     pub enum DecodeError {
+        /// An entry is larger than any server's.
+        EntryTooLarge {
+            display("entry is larger than {ENTRY_BYTES_MAX} bytes, or its key than {ENTRY_KEY_BYTES_MAX}")
+        }
         /// Error of the dialect.
         Dialect(error: Box<dyn std::error::Error>) {
             display("{error}")
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -185,6 +185,8 @@
             let is_current = source.is_none() && (is_watching || peers.hears_watcher(now));
             shared.freshness.record_check(now, is_current);
         }
+        let wants_all = kind == ValueKind::Entry && !is_watching && shared.should_request_entries();
+        let source = source.or_else(|| peers.newer_source(now, kind, 0).filter(|_| wants_all));
         drop(peers);
         let Some(source) = source else {
             self.newer_heartbeats = 0;
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use briarbank_core::flow::ENTRIES_BYTES_MAX;
 use briarbank_core::ids::ServerName;
 use briarbank_meter::PrometheusHandle;
 use briarbank_net::{Admission, Place};
@@ -119,6 +120,10 @@
     let servers = dispatcher.evacuated_servers(now);
     metrics::gauge!("briarbank_evacuated_servers").set(servers as f64);
     drop(dispatcher);
+    let entries = shared.entry_bound.borrow();
+    metrics::gauge!("briarbank_entries").set(entries.len() as f64);
+    metrics::gauge!("briarbank_entry_bytes").set(entries.bytes() as f64);
+    drop(entries);
     let version = shared.table().map_or(0, |t| t.version());
     metrics::gauge!("briarbank_config_version").set(version as f64);
     let age = shared
@@ -188,12 +193,21 @@
         "broken_paths": broken_paths, "relays": shared.relays.get(),
         "blamed_parts": blamed, "zone_regions": regions, "evacuated_zones": zones,
         "cold_servers": shared.dump_cold_servers(now),
-        "callers": caller_state(shared),
+        "entries": entry_state(shared), "callers": caller_state(shared),
         "hedging": hedging_state(shared, now),
     })
     .to_string()
 }
 
+/// Returns what the entries that are kept take, and whether some were left out.
+fn entry_state(shared: &SharedState) -> serde_json::Value {
+    let entries = shared.entry_bound.borrow();
+    json!({
+        "kept": entries.len(), "bytes": entries.bytes(), "bytes_max": ENTRIES_BYTES_MAX,
+        "complete": entries.is_complete(),
+    })
+}
+
 /// Returns what callers' connections hold, and the bounds on it.
 fn caller_state(shared: &SharedState) -> serde_json::Value {
     let (counts, bounds) = (shared.admission.counts(), shared.settings().caller_bounds);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use briarbank_core::flow::{
-    BrittleServers, Dispatcher, Hedging, LoadDirectory, Options, PeerOptions, Peers,
+    BrittleServers, Dispatcher, EntryBound, Hedging, LoadDirectory, Options, PeerOptions, Peers,
     PrefillDirectory, RemovalLog, RouteTable, ServedStreams, ServerLimits, ServerPaths, Staleness,
     StreamDirectory, Values,
 };
@@ -48,6 +48,8 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) hedging: RefCell<Hedging>,
     pub(crate) values: RefCell<Values>,
+    /// Which entries are kept of all that are published.
+    pub(crate) entry_bound: RefCell<EntryBound>,
     /// How old the values may be.
     pub(crate) staleness: RefCell<Staleness>,
     pub(crate) removals: RefCell<RemovalLog>,
@@ -118,6 +120,12 @@
     pub(crate) is_receiving: Cell<bool>,
     /// Held while the store is asked to confirm the values, so that one answer serves all.
     pub(crate) confirming: Mutex<()>,
+    /// When all entries may be read again, if some that were left out are wanted.
+    pub(crate) entries_wanted_at: Cell<Option<Instant>>,
+    /// Signals that entries are wanted that were left out.
+    pub(crate) entries_wanted: Notify,
+    /// Time of the last read of all entries, from the store or a peer.
+    pub(crate) entries_read_at: Cell<Option<Instant>>,
     /// Signals that the connection to the store may be dead.
     pub(crate) connection_suspect: Notify,
     /// Signals that peers have had newer values for some heartbeats.
@@ -168,6 +176,7 @@
             dialect,
             table: RefCell::new(None),
             values: RefCell::default(),
+            entry_bound: RefCell::default(),
             staleness: RefCell::default(),
             removals: RefCell::default(),
             freshness: Freshness::default(),
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -33,8 +33,12 @@
     let mut has_values = false;
     loop {
         let read = async {
-            if has_values && !reader.reads.should_read_all() {
-                reader.watch().await
+            let is_due = reader.reads.should_read_all() || shared.should_read_entries();
+            if has_values && !is_due {
+                tokio::select! {
+                    watched = reader.watch() => watched,
+                    () = shared.entries_due() => Err(ReadError::EntriesDue),
+                }
             } else {
                 reader.read_all().await
             }
@@ -56,7 +60,7 @@
                 reader.connection = None;
                 record_silence(&shared, &mut reader.reads, has_values);
             }
-            Err(ReadError::ConnectionSuspect) => {
+            Err(ReadError::ConnectionSuspect | ReadError::EntriesDue) => {
                 // Only the connection may be dead; the store is not known to be failing.
                 reader.connection = None;
             }
--- a/crates/gateway/src/store/reader.rs
+++ b/crates/gateway/src/store/reader.rs
@@ -52,6 +52,7 @@
         HistoryLost { display("history after the requested revision is no longer available") }
         Silent { display("store did not answer in time") }
         ConnectionSuspect { display("peers have newer values") }
+        EntriesDue { display("entries that were left out are wanted") }
         NoProgress { display("pages lead to no end") }
         Decode(error: DecodeError) { display("decoding the answer failed: {error}") from() }
         Request(error: http::Error) { display("building the request failed: {error}") from() }
@@ -183,7 +184,7 @@
                 }
             };
         }
-        read.finish(range);
+        read.finish(&self.shared, range);
         Ok(())
     }
 
--- a/crates/gateway/src/streams/query.rs
+++ b/crates/gateway/src/streams/query.rs
@@ -169,11 +169,12 @@
     let dispatcher = shared.dispatcher.borrow();
     let versions = dispatcher.seen_versions(at, stream.service.as_ref()?, stream.age_max);
     let values_age = shared.staleness.borrow().age(at);
-    Some(VersionEvidence::new(
-        versions,
-        dispatcher.complete_time(at),
-        values_age,
-    ))
+    let complete = if shared.entry_bound.borrow().may_lack_needed() {
+        Duration::ZERO
+    } else {
+        dispatcher.complete_time(at)
+    };
+    Some(VersionEvidence::new(versions, complete, values_age))
 }
 
 /// Returns what this node knows of a stream's version, for nodes of earlier builds.
@@ -189,6 +190,7 @@
         .service
         .as_ref()
         .filter(|_| is_confirmed && has_current_values(shared))
+        .filter(|_| !shared.entry_bound.borrow().may_lack_needed())
     else {
         return StreamOrigin::Unknown;
     };
--- a/crates/gateway/src/sync/fetch.rs
+++ b/crates/gateway/src/sync/fetch.rs
@@ -15,8 +15,8 @@
 use tokio::time::timeout;
 
 use super::{
-    CONNECT_TIMEOUT, ENCODING, EXCHANGE_TIMEOUT, Requested, SILENCE_TIMEOUT, STREAMS_PREFIX,
-    SyncError, VALUES_BYTES_MAX,
+    CONNECT_TIMEOUT, ENCODING, ENTRIES_ANSWER_BYTES_MAX, EXCHANGE_TIMEOUT, Requested,
+    SILENCE_TIMEOUT, STREAMS_PREFIX, SyncError, VALUES_BYTES_MAX,
 };
 use crate::apply::Source;
 use crate::codec;
@@ -68,8 +68,8 @@
     let local = shared.peers.borrow().local().address;
     let path = format!("http://{peer}{STREAMS_PREFIX}{local}");
     let requesting = on_connection(peer.into(), async |sender| {
-        let bytes = send_request(sender, Method::GET, path, Bytes::new()).await?;
-        Ok(codec::decode_message(&bytes)?)
+        let bytes = send_request(sender, Method::GET, path, Bytes::new(), VALUES_BYTES_MAX);
+        Ok(codec::decode_message(&bytes.await?)?)
     });
     match timeout(EXCHANGE_TIMEOUT, requesting).await {
         Ok(Ok(records)) => Some(records),
@@ -116,10 +116,18 @@
     if requested != Requested::Kind(ValueKind::Document) {
         let revision = match requested {
             Requested::All => shared.values.borrow().revision(),
+            Requested::Kind(_) if shared.should_request_entries() => {
+                shared.record_entries_requested();
+                0
+            }
             Requested::Kind(kind) => shared.values.borrow().mirror(kind).revision(),
         };
         let path = format!("http://{peer}{path}{revision}");
-        let bytes = send_request(sender, Method::GET, path, Bytes::new()).await?;
+        let bytes_max = match requested {
+            Requested::All => VALUES_BYTES_MAX,
+            Requested::Kind(_) => ENTRIES_ANSWER_BYTES_MAX,
+        };
+        let bytes = send_request(sender, Method::GET, path, Bytes::new(), bytes_max).await?;
         let (delta, notes) = codec::decode(&bytes)?;
         return Ok(Fetched { delta, notes });
     }
@@ -131,8 +139,8 @@
     };
     let path = format!("http://{peer}{path}{revision}");
     let hashes = codec::encode_message(&known.hashes())?;
-    let bytes = send_request(sender, Method::POST, path, hashes.into()).await?;
-    let packed: PackedDelta = codec::decode_message(&bytes)?;
+    let bytes = send_request(sender, Method::POST, path, hashes.into(), VALUES_BYTES_MAX);
+    let packed: PackedDelta = codec::decode_message(&bytes.await?)?;
     let delta = packed.unpack(&known).ok_or(SyncError::Damaged)?;
     let notes = Vec::new();
     Ok(Fetched { delta, notes })
@@ -144,6 +152,7 @@
     method: Method,
     uri: String,
     body: Bytes,
+    bytes_max: usize,
 ) -> Result<Vec<u8>, SyncError> {
     let request = Request::builder().method(method).uri(uri);
     let request = request.header(ACCEPT_ENCODING, ENCODING).body(())?;
@@ -161,14 +170,14 @@
         return Err(SyncError::Busy(response.status()));
     }
     let is_compressed = response.headers().contains_key(CONTENT_ENCODING);
-    let bytes = read_body(response.into_body(), VALUES_BYTES_MAX).await?;
+    let bytes = read_body(response.into_body(), bytes_max).await?;
     metrics::counter!("briarbank_value_bytes_received_total").increment(bytes.len() as u64);
     if !is_compressed {
         return Ok(bytes);
     }
     let (length, compressed) = block::uncompressed_size(&bytes)?;
-    if length > VALUES_BYTES_MAX {
-        return Err(SyncError::TooLarge);
+    if length > bytes_max {
+        return Err(SyncError::TooLarge(bytes_max));
     }
     Ok(block::decompress(compressed, length)?)
 }
@@ -188,7 +197,7 @@
         };
         bytes.extend_from_slice(&chunk);
         if bytes.len() > bytes_max {
-            return Err(SyncError::TooLarge);
+            return Err(SyncError::TooLarge(bytes_max));
         }
         body.flow_control().release_capacity(chunk.len())?;
     }
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use briarbank_core::flow::ValueKind;
+use briarbank_core::flow::{ENTRIES_BYTES_MAX, ValueKind};
 use http::StatusCode;
 use lz4_flex::block::DecompressError;
 use quick_error::quick_error;
@@ -32,6 +32,11 @@
 /// Largest set of values that is accepted from a peer, encoded and not compressed.
 const VALUES_BYTES_MAX: usize = 16 << 20;
 
+/// Largest set of entries that is accepted from a peer, encoded and not compressed.
+///
+/// What a node keeps takes less than that: the larger part of its memory is not sent.
+const ENTRIES_ANSWER_BYTES_MAX: usize = ENTRIES_BYTES_MAX / 2;
+
 /// Start of the path of a request for records of streams; the requesting node follows.
 const STREAMS_PREFIX: &str = "/streams/";
 
@@ -51,7 +56,7 @@
         Path(path: String) { display("path {path} is unknown") }
         Busy(status: StatusCode) { display("peer refused with status {status}") }
         Damaged { display("document is not what the peer has") }
-        TooLarge { display("values are larger than {VALUES_BYTES_MAX} bytes") }
+        TooLarge(bytes_max: usize) { display("values are larger than {bytes_max} bytes") }
         Silent { display("peer was silent for too long") }
         GaveWay { display("connection gave way to others before its request") }
     }
