Reserve the memory of an answer to peers before it is made

A node that had started asked its peers for everything, which ended them one by one, as long as large values were there.

Cause: values were encoded and compressed before Transfer counted the answer, for as many peers as asked, and what a peer has not read stayed in memory beside no bound in bytes: up to 16 answers of all entries.

Change: AnswerMaker reserves what an answer takes while it is made, and keeps what it takes while it is sent, in an account of core::occupancy with 5 % of the machine's memory.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -20,6 +20,9 @@
 const REQUESTS_PERCENT: usize = 20;
 const ANSWERS_PERCENT: usize = 15;
 
+/// Percentage of a machine's memory for answers with values to other nodes.
+const TRANSFERS_PERCENT: usize = 5;
+
 /// Percentage of the sockets that callers may take; a call takes another one to a server.
 const CALLERS_PERCENT: usize = 40;
 
@@ -44,7 +47,7 @@
     pub sockets_max: usize,
 }
 
-/// Largest numbers of connections besides those of callers.
+/// Bounds on connections besides those of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionShares {
     /// Connections to servers.
@@ -55,6 +58,8 @@
     pub relays: usize,
     /// Connections of the ports for readiness and for operators, each.
     pub port: usize,
+    /// Bytes of answers with values that are made for other nodes.
+    pub transfer_bytes: usize,
 }
 
 impl Machine {
@@ -85,6 +90,7 @@
             peers,
             relays,
             port: PORT_CONNECTIONS_MAX,
+            transfer_bytes: self.memory_bytes / 100 * TRANSFERS_PERCENT,
         }
     }
 }
--- a/crates/gateway/src/sync/serve.rs
+++ b/crates/gateway/src/sync/serve.rs
@@ -4,10 +4,12 @@
 use std::future::poll_fn;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
-use briarbank_core::flow::{KNOWN_CHUNKS_MAX, PackedDelta, ValueKind};
-use briarbank_net::{Admission, Place};
+use briarbank_core::flow::{Delta, KNOWN_CHUNKS_MAX, PackedDelta, ValueKind, Values};
+use briarbank_core::occupancy::{Bounds, Bytes as HeldBytes, Purpose};
+use briarbank_net::{Admission, Place, Reservation};
 use bytes::Bytes;
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
@@ -28,6 +30,9 @@
 /// Size, as sent, from which an answer counts as large.
 const LARGE_BYTES_MIN: usize = 64 << 10;
 
+/// Copies of an answer while it is made: packed, encoded and compressed.
+const COPIES_MAX: usize = 3;
+
 /// Largest header list of a request.
 const HEADER_BYTES_MAX: u32 = 8 << 10;
 
@@ -48,7 +53,14 @@
 
 /// Serves values to peers until the task is aborted.
 pub(crate) async fn serve(shared: Rc<SharedState>, listener: TcpListener) {
-    let admission = Admission::of_connections(shared.settings().connection_shares.peers);
+    let bounds = shared.settings().connection_shares;
+    let admission = Admission::new(Bounds {
+        connections_max: bounds.peers,
+        bytes_max: HeldBytes {
+            answers: bounds.transfer_bytes,
+            ..HeldBytes::default()
+        },
+    });
     loop {
         let (stream, peer) = briarbank_net::accept(&listener).await;
         let Ok(place) = admission.enter() else {
@@ -75,7 +87,7 @@
 async fn serve_connection(
     shared: &SharedState,
     stream: TcpStream,
-    place: &Place,
+    place: &Arc<Place>,
 ) -> Result<(), SyncError> {
     briarbank_net::set_path_timeouts(&stream)?;
     let mut builder = h2::server::Builder::new();
@@ -93,7 +105,7 @@
     place.work();
     // Held until the peer has the whole answer and closes the connection, or stands still.
     let _transfer = tokio::select! {
-        answered = serve_request(shared, request, respond) => answered?,
+        answered = serve_request(shared, request, respond, place) => answered?,
         closed = poll_fn(|cx| connection.poll_closed(cx)) => return Ok(closed?),
     };
     let closed = timeout(SILENCE_TIMEOUT, poll_fn(|cx| connection.poll_closed(cx)));
@@ -101,34 +113,42 @@
 }
 
 /// Relays a connection to a server, or sends values.
-async fn serve_request(
-    shared: &SharedState,
+async fn serve_request<'a>(
+    shared: &'a SharedState,
     request: Request<RecvStream>,
     respond: SendResponse<Bytes>,
-) -> Result<Option<Transfer<'_>>, SyncError> {
+    place: &Arc<Place>,
+) -> Result<Option<Transfer<'a>>, SyncError> {
     if request.uri().path().starts_with(relay::PATH_PREFIX) {
         relay::serve(shared, request, respond).await?;
         return Ok(None);
     }
-    let answered = timeout(EXCHANGE_TIMEOUT, answer(shared, request, respond)).await;
+    let answered = timeout(EXCHANGE_TIMEOUT, answer(shared, request, respond, place)).await;
     answered.unwrap_or(Err(SyncError::Silent))
 }
 
 /// Sends the answer to a request for as long as the peer reads it.
-async fn answer(
-    shared: &SharedState,
+async fn answer<'a>(
+    shared: &'a SharedState,
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
-) -> Result<Option<Transfer<'_>>, SyncError> {
+    place: &Arc<Place>,
+) -> Result<Option<Transfer<'a>>, SyncError> {
     let (head, body) = request.into_parts();
     let is_compressed = head.headers.contains_key(ACCEPT_ENCODING);
     let known = read_body(body, REQUEST_BYTES_MAX).await?;
     let path = head.uri.path();
-    let Some((bytes, transfer)) = encode(shared, path, known.into(), is_compressed)? else {
+    let mut maker = AnswerMaker {
+        shared,
+        is_compressed,
+        reservation: Reservation::new(place, Purpose::Answer),
+    };
+    let Some((bytes, is_large)) = maker.make(path, known.into())? else {
         let refusal = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
         respond.send_response(refusal.body(())?, true)?;
         return Ok(None);
     };
+    let transfer = is_large.then(|| Transfer::start(shared, maker.reservation));
     let mut response = Response::builder();
     if is_compressed {
         response = response.header(CONTENT_ENCODING, ENCODING);
@@ -153,52 +173,83 @@
     Ok(())
 }
 
-/// Encodes an answer; `None` if it is large and enough of those are being sent.
-fn encode<'a>(
+/// Makes an answer, whose memory is reserved before it is taken.
+struct AnswerMaker<'a> {
     shared: &'a SharedState,
-    path: &str,
-    known: Bytes,
     is_compressed: bool,
-) -> Result<Option<(Bytes, Option<Transfer<'a>>)>, SyncError> {
-    if let Some(node) = path.strip_prefix(STREAMS_PREFIX) {
-        let bytes = encode_streams(shared, node)?;
-        let bytes = if is_compressed {
-            block::compress_prepend_size(&bytes)
-        } else {
-            bytes
-        };
-        return Ok(Some((bytes.into(), None)));
-    }
-    let (requested, since) = Requested::parse(path)?;
-    let revision = shared.values.borrow().revision();
-    if let Some(cached) = &*shared.answer_cache.borrow()
-        && (cached.path.as_str(), &cached.known, cached.revision) == (path, &known, revision)
-        && is_compressed
-    {
-        let transfer = Transfer::start(shared);
-        return Ok(transfer.map(|transfer| (cached.bytes.clone(), Some(transfer))));
-    }
-    let mut bytes = encode_values(shared, requested, since, &known)?;
-    if is_compressed {
-        bytes = block::compress_prepend_size(&bytes);
+    reservation: Reservation,
+}
+
+impl AnswerMaker<'_> {
+    /// Returns an answer and whether it is large; `None` if it is and enough of those are
+    /// being sent.
+    fn make(&mut self, path: &str, known: Bytes) -> Result<Option<(Bytes, bool)>, SyncError> {
+        if let Some(node) = path.strip_prefix(STREAMS_PREFIX) {
+            let bytes = encode_streams(self.shared, node)?;
+            return Ok(Some((self.compress(bytes), false)));
+        }
+        let (requested, since) = Requested::parse(path)?;
+        let revision = self.shared.values.borrow().revision();
+        if let Some(cached) = &*self.shared.answer_cache.borrow()
+            && (cached.path.as_str(), &cached.known, cached.revision) == (path, &known, revision)
+            && self.is_compressed
+        {
+            let may_send = may_transfer(self.shared);
+            return Ok(may_send.then(|| (cached.bytes.clone(), true)));
+        }
+        let delta = changes_since(&self.shared.values.borrow(), requested, since);
+        let size = encoded_size(&delta);
+        if size >= LARGE_BYTES_MIN && self.reservation.grow(COPIES_MAX * size).is_err() {
+            return Ok(None);
+        }
+        let bytes = encode_values(self.shared, requested, &delta, &known)?;
+        drop(delta);
+        let bytes = self.compress(bytes);
+        if bytes.len() < LARGE_BYTES_MIN {
+            return Ok(Some((bytes, false)));
+        }
+        if !may_transfer(self.shared) {
+            return Ok(None);
+        }
+        self.reservation.shrink_to(bytes.len());
+        // Other answers hold ages of removals, which are right only when they are encoded.
+        if self.is_compressed && requested == Requested::Kind(ValueKind::Document) {
+            *self.shared.answer_cache.borrow_mut() = Some(AnswerCache {
+                path: path.to_owned(),
+                known,
+                revision,
+                bytes: bytes.clone(),
+            });
+        }
+        Ok(Some((bytes, true)))
     }
-    let bytes = Bytes::from(bytes);
-    if bytes.len() < LARGE_BYTES_MIN {
-        return Ok(Some((bytes, None)));
+
+    fn compress(&self, bytes: Vec<u8>) -> Bytes {
+        if !self.is_compressed {
+            return bytes.into();
+        }
+        let mut compressed = block::compress_prepend_size(&bytes);
+        drop(bytes);
+        compressed.shrink_to_fit();
+        compressed.into()
     }
-    let Some(transfer) = Transfer::start(shared) else {
-        return Ok(None);
-    };
-    // Other answers hold ages of removals, which are right only when they are encoded.
-    if is_compressed && requested == Requested::Kind(ValueKind::Document) {
-        *shared.answer_cache.borrow_mut() = Some(AnswerCache {
-            path: path.to_owned(),
-            known,
-            revision,
-            bytes: bytes.clone(),
-        });
+}
+
+/// Returns the size of a delta when it is encoded, not compressed, and nothing is known.
+fn encoded_size(delta: &Delta) -> usize {
+    /// Bytes of a revision and of two lengths.
+    const FRAMING_BYTES: usize = 9 + 5 + 5;
+    let changes = delta.changes.iter();
+    let changes = changes.map(|c| c.key.len() + c.value.len() + FRAMING_BYTES);
+    let removals = delta.removals.iter().map(|r| r.key.len() + FRAMING_BYTES);
+    changes.chain(removals).sum()
+}
+
+fn changes_since(values: &Values, requested: Requested, since: u64) -> Delta {
+    match requested {
+        Requested::All => values.all_changes_since(since),
+        Requested::Kind(kind) => values.changes_since(kind, since),
     }
-    Ok(Some((bytes, Some(transfer))))
 }
 
 /// Encodes the records of streams that a node should hold.
@@ -212,45 +263,50 @@
 fn encode_values(
     shared: &SharedState,
     requested: Requested,
-    since: u64,
+    delta: &Delta,
     known: &[u8],
 ) -> Result<Vec<u8>, SyncError> {
-    let values = shared.values.borrow();
-    let delta = match requested {
-        Requested::All => values.all_changes_since(since),
-        Requested::Kind(kind) => values.changes_since(kind, since),
-    };
     if requested == Requested::Kind(ValueKind::Document) {
         let known: Vec<u64> = codec::decode_message(known)?;
         let known: HashSet<u64> = known.into_iter().collect();
-        return Ok(codec::encode_message(&PackedDelta::pack(&delta, &known))?);
+        return Ok(codec::encode_message(&PackedDelta::pack(delta, &known))?);
     }
     let notes = shared.removals.borrow_mut().notes(Instant::now());
-    Ok(codec::encode(&delta, &notes)?)
+    Ok(codec::encode(delta, &notes)?)
+}
+
+/// Returns whether another large answer may be sent.
+fn may_transfer(shared: &SharedState) -> bool {
+    let may_transfer = shared.transfers.get() < shared.peers.borrow().transfers_max();
+    if !may_transfer {
+        metrics::counter!("briarbank_value_transfers_refused_total").increment(1);
+    }
+    may_transfer
 }
 
 /// Counts a large answer as being sent until dropped.
-struct Transfer<'a>(&'a SharedState);
+struct Transfer<'a> {
+    shared: &'a SharedState,
+    #[expect(dead_code, reason = "released when dropped")]
+    reservation: Reservation,
+}
 
 impl<'a> Transfer<'a> {
-    /// Returns `None` if enough large answers are being sent.
-    fn start(shared: &'a SharedState) -> Option<Self> {
-        let transfers = shared.transfers.get();
-        if transfers >= shared.peers.borrow().transfers_max() {
-            metrics::counter!("briarbank_value_transfers_refused_total").increment(1);
-            return None;
+    fn start(shared: &'a SharedState, reservation: Reservation) -> Self {
+        shared.transfers.set(shared.transfers.get() + 1);
+        Self {
+            shared,
+            reservation,
         }
-        shared.transfers.set(transfers + 1);
-        Some(Self(shared))
     }
 }
 
 impl Drop for Transfer<'_> {
     fn drop(&mut self) {
-        let transfers = self.0.transfers.get() - 1;
-        self.0.transfers.set(transfers);
+        let transfers = self.shared.transfers.get() - 1;
+        self.shared.transfers.set(transfers);
         if transfers == 0 {
-            *self.0.answer_cache.borrow_mut() = None;
+            *self.shared.answer_cache.borrow_mut() = None;
         }
     }
 }
