Know the versions of streams after the loss of most nodes

On the grown desk 6 to 8 of about 100 went on after 82 of 86 nodes were killed.

Cause: three nodes are told of a stream, and any number of nodes may go. With two versions nothing but a record tells which one began a stream. Nodes that were killed with the others and start again ask nodes that know as little.

Change: a new stream begins at the version of its key, by the shares of the published servers (VersionShares, Pool::choose_by_key); it may begin elsewhere if no server of the version answers in time or an attempt failed. All nodes are told of streams whose version does not follow from the key for certain: those that began elsewhere, those whose key lies where shares have moved, and those of nodes that have not run for long. Whoever takes a stream up considers all shares that may have been in force (StreamProof), back to the earliest loss of a node, and relies on no key beside nodes of earlier builds. Nodes that have run longest are asked as well, and by nodes that start for all their records. The reason of a refusal stands in the call's log line.

--- a/crates/core/src/flow/call.rs
+++ b/crates/core/src/flow/call.rs
@@ -58,6 +58,15 @@
     Last,
 }
 
+/// Version that follows from the key of a new stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyVersion {
+    /// The version.
+    pub version: VersionKey,
+    /// Whether the stream is refused if no server of the version answers in time.
+    pub is_strict: bool,
+}
+
 /// A call to be dispatched.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -73,6 +82,8 @@
     ///
     /// Such a call is not refused for load, since its caller has a part of the answer.
     pub version: Option<VersionKey>,
+    /// Version at which a stream should begin, `None` if any will do.
+    pub key_version: Option<KeyVersion>,
     /// Hash of path, caller and body, by which a call that comes again is known.
     pub identity: Option<u64>,
     /// Set for calls to models.
--- a/crates/core/src/flow/choice.rs
+++ b/crates/core/src/flow/choice.rs
@@ -15,6 +15,7 @@
 use crate::flow::prompt_time::PromptTime;
 use crate::flow::route::EngineSpec;
 use crate::flow::server::{NAMED_PARTS_MAX, ServerEntry};
+use crate::flow::version::VersionKey;
 use crate::ids::{ServerName, ZoneName};
 use crate::rendezvous;
 
@@ -42,6 +43,7 @@
     (Duration::from_millis(100), Duration::from_secs(2));
 
 /// Usable servers of a service, with the inputs of the choice.
+#[derive(Clone)]
 pub(crate) struct Pool<'a> {
     pub(crate) candidates: Vec<Candidate<'a>>,
     pub(crate) zone: &'a ZoneName,
@@ -56,6 +58,7 @@
 }
 
 /// A server and the load that all nodes put on it.
+#[derive(Clone)]
 pub(crate) struct Candidate<'a> {
     pub(crate) entry: &'a ServerEntry,
     pub(crate) load: Load,
@@ -127,6 +130,48 @@
 }
 
 impl Pool<'_> {
+    /// Returns a server for the call, of the version of a new stream's key if one answers in time.
+    ///
+    /// A call that was tried already may go to any version, as others of its own may fail alike.
+    ///
+    /// # Errors
+    ///
+    /// No server would answer in time, or none of the version if the stream is bound to it.
+    pub(crate) fn choose_by_key(
+        &self,
+        now: Instant,
+        call: &Call,
+        avoid: &[ServerName],
+    ) -> Result<Choice, Refusal> {
+        let Some(key) = call.key_version else {
+            return self.choose(now, call, avoid);
+        };
+        let of_version = self.of_version(key.version);
+        if key.is_strict && of_version.candidates.is_empty() {
+            return Err(Refusal::NoServerOfVersion);
+        }
+        if key.is_strict {
+            return of_version.choose(now, call, avoid);
+        }
+        if !avoid.is_empty() {
+            return self.choose(now, call, avoid);
+        }
+        let healthy = of_version.retain(|c| c.entry.is_healthy(now));
+        healthy
+            .choose(now, call, avoid)
+            .or_else(|_refusal| self.choose(now, call, avoid))
+    }
+
+    /// Returns the servers of a version.
+    pub(crate) fn of_version(&self, version: VersionKey) -> Self {
+        self.clone().retain(|c| c.entry.version_key == version)
+    }
+
+    fn retain(mut self, is_kept: impl Fn(&Candidate<'_>) -> bool) -> Self {
+        self.candidates.retain(is_kept);
+        self
+    }
+
     /// Returns the server of least cost that answers in time.
     pub(crate) fn choose(
         &self,
--- a/crates/core/src/flow/dispatch.rs
+++ b/crates/core/src/flow/dispatch.rs
@@ -27,6 +27,7 @@
 use crate::flow::server::ServerEntry;
 use crate::flow::table::RouteTable;
 use crate::flow::version_log::VersionLog;
+use crate::flow::version_shares::VersionShares;
 use crate::ids::{ServerName, ServiceName, ZoneName};
 
 /// Chooses a server for each call and tracks the attempts in flight.
@@ -45,6 +46,7 @@
     pub(crate) departed: DepartedServers,
     pub(crate) evacuations: Evacuations,
     pub(crate) version_log: VersionLog,
+    pub(crate) version_shares: VersionShares,
     pub(crate) part_records: PartRecords,
     pub(crate) seen_crashes: Vec<SeenCrash>,
     pub(crate) cold: ColdServers,
@@ -78,6 +80,7 @@
             departed: DepartedServers::default(),
             evacuations: Evacuations::default(),
             version_log: VersionLog::default(),
+            version_shares: VersionShares::default(),
             part_records: PartRecords::default(),
             seen_crashes: Vec::new(),
             paused_at: None,
@@ -117,6 +120,9 @@
         if let Some(entry) = self.servers.get(&instance.id) {
             self.version_log.record_former(now, &entry.instance);
         }
+        let before = self.servers.get(&instance.id);
+        let before = before.and_then(|e| e.share().map(|slots| (Arc::clone(&e.instance), slots)));
+        self.record_shares(now, before.as_ref(), Some(&instance));
         if instance.is_draining {
             self.departed.record(&instance);
         }
@@ -149,6 +155,9 @@
             return;
         };
         self.version_log.record_former(now, &entry.instance);
+        let before = entry
+            .share()
+            .map(|slots| (Arc::clone(&entry.instance), slots));
         match grace {
             Some(grace) if !entry.instance.is_draining && !entry.is_leaving => {
                 entry.grace_until = Some(now + grace);
@@ -157,6 +166,7 @@
                 self.servers.remove(server);
             }
         }
+        self.record_shares(now, before.as_ref(), None);
     }
 
     /// Removes servers whose grace time is over.
@@ -211,8 +221,13 @@
     /// Their exact loads make the choice of [`Self::dispatch`] better.
     #[must_use]
     pub fn preferred_servers(&self, now: Instant, call: &Call, avoid: &[ServerName]) -> Vec<u32> {
-        let pool = self.pool(now, call);
-        pool.map_or_else(Vec::new, |pool| pool.preferred_servers(now, call, avoid))
+        let Some(pool) = self.pool(now, call) else {
+            return Vec::new();
+        };
+        let of_version = call.key_version.map(|key| pool.of_version(key.version));
+        let of_version = of_version.filter(|pool| !pool.candidates.is_empty());
+        let pool = of_version.unwrap_or(pool);
+        pool.preferred_servers(now, call, avoid)
     }
 
     /// Iterates over servers by name, with total load and health.
@@ -306,7 +321,7 @@
         if pool.candidates.is_empty() {
             return Err(self.closed_refusal(now, call));
         }
-        let choice = pool.choose(now, call, avoid)?;
+        let choice = pool.choose_by_key(now, call, avoid)?;
         Ok(self.record_attempt(now, call, choice))
     }
 
--- a/crates/core/src/flow/hedge_offer.rs
+++ b/crates/core/src/flow/hedge_offer.rs
@@ -37,7 +37,7 @@
             return Err(HedgeRefusal::Limit);
         }
         let pool = self.pool(now, call).ok_or(HedgeRefusal::NoServer)?;
-        let choice = pool.choose(now, call, avoid);
+        let choice = pool.choose_by_key(now, call, avoid);
         let choice = choice.map_err(|_refusal| HedgeRefusal::NoServer)?;
         let engine_slots = pool.engine.map(|engine| engine.slots);
         let server = &choice.instance.id;
--- a/crates/core/src/flow/homes.rs
+++ b/crates/core/src/flow/homes.rs
@@ -5,13 +5,32 @@
 
 use std::cmp::Reverse;
 use std::net::SocketAddrV4;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::flow::peers::{Peer, Peers};
 use crate::flow::server_limits::limit_users;
 use crate::flow::stream_directory::StreamKey;
 use crate::rendezvous;
 
+/// Nodes that have run longest and are asked for a stream.
+const ELDEST: usize = 4;
+
+/// Age of the last heartbeat up to which these nodes are asked.
+///
+/// Nodes that were killed count as running for a while.
+const HEARD_AGE_MAX: Duration = Duration::from_secs(2);
+
+/// Time between the starts of two nodes in which neither counts as older, in milliseconds.
+///
+/// All nodes of a fleet start within 0.3 s.
+const START_SPREAD_MS: u64 = 500;
+
+/// Returns whether a node that started at one time has run longer than one of another time.
+#[must_use]
+pub fn has_run_longer(started_ms: u64, other_started_ms: u64) -> bool {
+    started_ms.saturating_add(START_SPREAD_MS) < other_started_ms
+}
+
 impl Peers {
     /// Returns whether the fleet is so large that servers have homes.
     #[must_use]
@@ -79,9 +98,10 @@
         holders.into_iter().map(|p| p.entry.address).collect()
     }
 
-    /// Returns the first `count` other nodes to ask for a stream.
+    /// Returns the first `count` other nodes to ask for a stream, and some that have run longest.
     ///
-    /// A node that stops knows the streams that it still serves, so it is asked as well.
+    /// A node that stops knows the streams that it still serves, so it is asked as well. After
+    /// a great loss, only nodes that were not restarted know anything.
     #[must_use]
     pub fn stream_sources(
         &self,
@@ -89,22 +109,43 @@
         stream: StreamKey,
         count: usize,
     ) -> Vec<SocketAddrV4> {
-        let sources = self.in_stream_order(stream, count, |p| self.is_running(now, p));
+        let mut sources = self.in_stream_order(stream, count, |p| self.is_running(now, p));
+        let is_heard = |p: &Peer| {
+            let age = p
+                .values
+                .heard_at
+                .map(|at| now.saturating_duration_since(at));
+            self.is_running(now, p) && age.is_some_and(|age| age < HEARD_AGE_MAX)
+        };
+        let own_start = self.local.incarnation;
+        let is_older = |p: &Peer| is_heard(p) && has_run_longer(p.entry.incarnation, own_start);
+        let mut eldest = self.in_stream_order(stream, ELDEST, is_older);
+        if eldest.is_empty() {
+            let is_as_old = |p: &Peer| !has_run_longer(own_start, p.entry.incarnation);
+            eldest = self.in_stream_order(stream, ELDEST, |p| is_heard(p) && is_as_old(p));
+        }
+        eldest.retain(|p| !sources.iter().any(|s| s.entry.address == p.entry.address));
+        sources.extend(eldest);
         sources.into_iter().map(|p| p.entry.address).collect()
     }
 
     /// Returns a node that was not tried to ask for all records of streams.
     ///
     /// Of those that were heard of lately it is the one that has run longest, preferably one
-    /// that does not stop.
+    /// that does not stop. Also returns when it started, in
+    /// milliseconds of its clock.
     #[must_use]
-    pub fn record_source(&self, now: Instant, tried: &[SocketAddrV4]) -> Option<SocketAddrV4> {
+    pub fn record_source(
+        &self,
+        now: Instant,
+        tried: &[SocketAddrV4],
+    ) -> Option<(SocketAddrV4, u64)> {
         // Builds that are too old to relay connections keep no such records either.
         let may_answer =
             |p: &&Peer| p.is_fresh(now) && p.relay.can_relay() && !tried.contains(&p.entry.address);
         let sources = self.others.values().filter(may_answer);
         let oldest = sources.min_by_key(|p| (p.is_leaving, p.entry.incarnation))?;
-        Some(oldest.entry.address)
+        Some((oldest.entry.address, oldest.entry.incarnation))
     }
 
     /// Returns a hash of the live nodes and of their starts.
--- a/crates/core/src/flow/mod.rs
+++ b/crates/core/src/flow/mod.rs
@@ -57,9 +57,11 @@
 mod server;
 mod server_limits;
 mod server_paths;
+mod share_span;
 mod staleness;
 mod store_reads;
 mod stream_directory;
+mod stream_proof;
 mod stream_versions;
 mod table;
 mod token_bucket;
@@ -67,9 +69,11 @@
 mod version;
 mod version_evidence;
 mod version_log;
+mod version_shares;
+mod view_log;
 
 pub use brittle_servers::{BrittleServers, BrittleStatement};
-pub use call::{AttemptId, Call, Fault, Placement, Prompt, Refusal, TierRank};
+pub use call::{AttemptId, Call, Fault, KeyVersion, Placement, Prompt, Refusal, TierRank};
 pub use call_times::CallKind;
 pub use cold_servers::{ColdChange, ColdCounts, ColdServer};
 pub use cold_share::{ColdShare, ColdStanding, ColdUsers};
@@ -79,6 +83,7 @@
 pub use harmful_prompts::SeenCrash;
 pub use hedge_offer::HedgeOffer;
 pub use hedging::{HEDGE_RATIO_MAX, HedgeReason, HedgeRefusal, Hedging, WaitingCall};
+pub use homes::has_run_longer;
 pub use instance::Instance;
 pub use load::Load;
 pub use load_directory::{LoadDirectory, REPORT_INTERVAL};
@@ -103,12 +108,14 @@
     ColdSpec, EngineSpec, RequestLimits, Route, RouteConfig, RouteKind, ServiceSpec, Split,
     WorkspaceEntry,
 };
-pub use served_streams::ServedStreams;
+pub use served_streams::{ServedStreams, StreamStart};
 pub use server_limits::{LimitStatement, ServerLimits};
 pub use server_paths::{PathStatement, ServerPaths};
+pub use share_span::{ShareSpan, VersionShare};
 pub use staleness::{Staleness, StalenessStatement};
 pub use store_reads::{NextRead, StoreReads};
 pub use stream_directory::{StreamDirectory, StreamKey, StreamMessage, StreamOrigin, StreamRecord};
+pub use stream_proof::{ShareStatement, StreamProof, VIEW_LAG};
 pub use table::RouteTable;
 pub use values::{ValueKind, Values, ValuesStatement};
 pub use version::VersionKey;
--- a/crates/core/src/flow/peers.rs
+++ b/crates/core/src/flow/peers.rs
@@ -26,6 +26,7 @@
 use crate::flow::message::{Heartbeat, HeartbeatEntry, ServerLoad};
 use crate::flow::peer_values::PeerValues;
 use crate::flow::relays::PeerRelay;
+use crate::flow::view_log::ViewLog;
 
 /// Time after which most pending prompts have been prefilled.
 const PENDING_LIFETIME: Duration = Duration::from_millis(300);
@@ -116,6 +117,8 @@
     pub(crate) homes: HashMap<u32, SocketAddrV4>,
     /// Hash of the live nodes, and when it last changed.
     membership: (u64, Option<Instant>),
+    /// Nodes that were lost, and builds that begin streams at any version.
+    pub(crate) view_log: ViewLog,
     /// Rate of this node's link in Mbit/s, 0 if unknown.
     pub(crate) link_mbps: u32,
     pub(crate) rng: SmallRng,
@@ -147,6 +150,7 @@
             started_at: None,
             homes: HashMap::new(),
             membership: (0, None),
+            view_log: ViewLog::default(),
             link_mbps: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -263,6 +267,10 @@
     }
 
     fn expire_peers(&mut self, now: Instant) {
+        let is_lost = |p: &&Peer| !self.is_running(now, p) && !p.is_leaving;
+        let lost = self.others.values().filter(is_lost).map(|p| p.updated_at);
+        let first_lost = lost.filter(|at| self.view_log.is_newer(*at)).min();
+        self.view_log.record_loss(now, first_lost);
         // Old counts that peers still gossip must not revive a failed node, so its entry
         // is kept for a while after the failure.
         let retention = self.options.failure_timeout * 8;
--- a/crates/core/src/flow/server.rs
+++ b/crates/core/src/flow/server.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Returns its part in the share of its version, `None` unless it is published as ready.
+    pub(crate) fn share(&self) -> Option<u32> {
+        let is_ready = self.grace_until.is_none() && !self.instance.is_draining;
+        is_ready.then_some(self.instance.slots)
+    }
+
     /// Returns the hash of the name and of the start of the process, the same on all nodes.
     pub(crate) fn process_key(&self) -> u32 {
         let key = rendezvous::weight_of(self.instance.born_ms, self.name_key);
--- a/crates/core/src/flow/stream_directory.rs
+++ b/crates/core/src/flow/stream_directory.rs
@@ -4,11 +4,13 @@
 //! which it chooses by rendezvous hashing of the stream's key, and those that take their
 //! place while the stream lasts ([`crate::flow::ServedStreams`]). A node that starts asks
 //! others for the records that they hold. Any node can ask the holders later. Nothing is
-//! agreed upon or stored: a record expires with the time that the caller has, and a stream
-//! is unknown when all nodes that knew it are gone.
+//! agreed upon or stored: a record expires with the time that the caller has. When all nodes
+//! that knew a stream are gone, its version follows from its key
+//! ([`crate::flow::StreamProof`]), unless all nodes were told that it does not.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -79,6 +81,8 @@
         /// What the node knows.
         origin: StreamOrigin,
     },
+    /// Streams that the sender serves, sent to all nodes.
+    Records(Arc<[StreamRecord]>),
 }
 
 /// What a node knows of the version at which a stream began.
--- a/crates/core/src/flow/stream_versions.rs
+++ b/crates/core/src/flow/stream_versions.rs
@@ -1,10 +1,14 @@
 //! Versions at which streams may go on, as the dispatcher knows them.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::flow::dispatch::Dispatcher;
+use crate::flow::instance::Instance;
 use crate::flow::route::Route;
 use crate::flow::server::ServerEntry;
+use crate::flow::share_span::ShareSpan;
+use crate::flow::stream_directory::StreamKey;
 use crate::flow::version::VersionKey;
 use crate::ids::ServiceName;
 
@@ -19,6 +23,53 @@
         self.version_log.interrupt(now);
     }
 
+    /// Records that a server was published, changed or removed.
+    pub(crate) fn record_shares(
+        &mut self,
+        now: Instant,
+        before: Option<&(Arc<Instance>, u32)>,
+        after: Option<&Instance>,
+    ) {
+        let after = after.filter(|instance| !instance.is_draining);
+        let shares = &mut self.version_shares;
+        match (before, after) {
+            (Some((old, slots)), Some(new))
+                if old.service == new.service && old.version_key() == new.version_key() =>
+            {
+                let change = (*slots, new.slots);
+                shares.change(now, &new.service, new.version_key(), change);
+            }
+            _ => {
+                if let Some((old, slots)) = before {
+                    shares.change(now, &old.service, old.version_key(), (*slots, 0));
+                }
+                if let Some(new) = after {
+                    shares.change(now, &new.service, new.version_key(), (0, new.slots));
+                }
+            }
+        }
+    }
+
+    /// Returns the version at which a new stream is to begin, `None` if any will do.
+    ///
+    /// Other nodes can tell it from the key, as long as the shares of versions stay.
+    #[must_use]
+    pub fn version_of_key(&self, service: &ServiceName, stream: StreamKey) -> Option<VersionKey> {
+        self.version_shares.version_of(service, stream)
+    }
+
+    /// Returns all shares of a service's versions that were in force in that time.
+    #[must_use]
+    pub fn share_span(&self, now: Instant, service: &ServiceName, time: Duration) -> ShareSpan {
+        self.version_shares.span(now, service, time)
+    }
+
+    /// Returns how often the share of a version has changed.
+    #[must_use]
+    pub fn share_changes(&self) -> u64 {
+        self.version_shares.changes()
+    }
+
     /// Returns the service of the route that has servers of a version.
     #[must_use]
     pub fn service_of_version(&self, route: &Route, version: VersionKey) -> Option<ServiceName> {
--- a/crates/core/src/flow/version.rs
+++ b/crates/core/src/flow/version.rs
@@ -10,9 +10,16 @@
 /// What two versions write does not fit together, so a stream that has begun goes on
 /// only at servers with the same key. A server that publishes no version has a key of
 /// its own, since nothing shows which others write the same.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct VersionKey(u64);
 
+impl VersionKey {
+    /// Returns the key in the rendezvous order of versions.
+    pub(crate) fn order_key(self) -> u64 {
+        self.0
+    }
+}
+
 impl Instance {
     /// Returns the hash of the server's service and version.
     #[must_use]
--- a/crates/core/tests/flow/crashes.rs
+++ b/crates/core/tests/flow/crashes.rs
@@ -188,6 +188,7 @@
         objective: Duration::from_millis(500),
         time_left: Duration::from_secs(5),
         version: None,
+        key_version: None,
         identity: None,
         allowed_regions: Vec::new(),
         prompt: Some(Prompt {
--- a/crates/core/tests/flow/fleet.rs
+++ b/crates/core/tests/flow/fleet.rs
@@ -84,6 +84,7 @@
         objective: Duration::from_millis(500),
         time_left: Duration::from_secs(5),
         version: None,
+        key_version: None,
         identity: None,
         allowed_regions: Vec::new(),
         prompt: Some(Prompt {
@@ -102,6 +103,7 @@
         objective: Duration::from_millis(150),
         time_left: Duration::from_secs(1),
         version: None,
+        key_version: None,
         identity: None,
         allowed_regions: Vec::new(),
         prompt: None,
--- a/crates/core/tests/flow/main.rs
+++ b/crates/core/tests/flow/main.rs
@@ -32,5 +32,6 @@
 mod spread;
 mod staleness;
 mod store_reads;
+mod stream_fleet;
 mod streams;
 mod values;
--- a/crates/core/tests/flow/simulation.rs
+++ b/crates/core/tests/flow/simulation.rs
@@ -471,6 +471,7 @@
             objective: Duration::from_millis(kind.target_ms),
             time_left: Duration::from_secs(4),
             version: None,
+            key_version: None,
             identity: None,
             allowed_regions: Vec::new(),
             prompt: Some(request.prompt.clone()),
--- a/crates/core/tests/flow/streams.rs
+++ b/crates/core/tests/flow/streams.rs
@@ -6,8 +6,8 @@
 
 use briarbank_core::flow::{
     Dispatcher, Heartbeat, HeartbeatEntry, Instance, Options, PeerOptions, Peers, Route, RouteKind,
-    ServedStreams, Split, StreamDirectory, StreamKey, StreamMessage, ValueKind, VersionEvidence,
-    VersionKey, VersionProof,
+    ServedStreams, Split, StreamDirectory, StreamKey, StreamMessage, StreamStart, ValueKind,
+    VersionEvidence, VersionKey, VersionProof,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -177,6 +177,14 @@
     }
 }
 
+/// Builds a node's view of servers of one version.
+fn one_version(now: Instant) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("zone".into(), Options::default());
+    dispatcher.add_server(now, of_version("a", "v1"));
+    dispatcher.add_server(now, of_version("b", "v1"));
+    dispatcher
+}
+
 /// Begins streams at the node of a view; returns what it keeps of them.
 fn begin_streams(now: Instant, peers: &Peers, count: u64) -> (StreamDirectory, ServedStreams) {
     let (mut directory, mut served) = (StreamDirectory::default(), ServedStreams::default());
@@ -185,7 +193,12 @@
         let record = directory
             .record_of(now, stream(index))
             .expect("it was just recorded");
-        served.begin(now, record, peers);
+        let start = StreamStart {
+            record,
+            service: Some(MODELS.into()),
+            age_max: Duration::from_secs(30),
+        };
+        served.begin(now, start, peers, &one_version(now));
     }
     (directory, served)
 }
--- a/crates/gateway/src/caller/continuity.rs
+++ b/crates/gateway/src/caller/continuity.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use briarbank_core::flow::{Instance, StreamKey};
+use briarbank_core::flow::{Instance, KeyVersion, StreamKey};
 
 use crate::caller::exchange::Exchange;
 use crate::caller::outcome::Outcome;
@@ -22,23 +22,20 @@
         };
         let is_named = taken_up.first_call.is_some();
         let route = Arc::clone(&self.admitted.route);
-        let sought = SoughtStream {
-            key: self.stream_key(),
-            service: match route.splits.as_slice() {
-                [split] => Some(split.service.clone()),
-                _ => None,
-            },
-            age_max: Duration::from_millis(u64::from(route.timeout_ms)) * AGE_RATIO,
-        };
+        let sought = self.sought_stream();
         let version = if is_named {
             streams::find(&self.shared, &sought).await
         } else {
-            streams::find_only_version(&self.shared, &sought).await
+            let version = streams::find_only_version(&self.shared, &sought).await;
+            version.ok_or("the call names no first call, and its service has several")
         };
-        let Some(version) = version else {
-            metrics::counter!("briarbank_streams_unknown_total").increment(1);
-            self.set_failure_reason("version of the stream is unknown");
-            return Err(Outcome::NotRepeatable);
+        let version = match version {
+            Ok(version) => version,
+            Err(reason) => {
+                metrics::counter!("briarbank_streams_unknown_total").increment(1);
+                self.set_failure_reason(&format!("version of the stream is unknown: {reason}"));
+                return Err(Outcome::NotRepeatable);
+            }
         };
         let dispatcher = self.shared.dispatcher.borrow();
         let service = dispatcher.service_of_version(&route, version);
@@ -58,7 +55,27 @@
         }
         let timeout = Duration::from_millis(u64::from(self.admitted.route.timeout_ms));
         let lifetime = self.admitted.head.time_left.unwrap_or(timeout);
-        streams::begin(&self.shared, self.stream_key(), version, lifetime);
+        streams::begin(&self.shared, &self.sought_stream(), version, lifetime);
+    }
+
+    /// Returns the version of a new stream's key, `None` if it may begin at any.
+    pub(crate) fn key_version(&self) -> Option<KeyVersion> {
+        let route = &self.admitted.route;
+        let is_new = self.version.is_none() && route.is_stream() && route.is_repeatable();
+        is_new.then(|| streams::version_of_key(&self.shared, &self.sought_stream()))?
+    }
+
+    /// Returns the stream as others may look for it.
+    fn sought_stream(&self) -> SoughtStream {
+        let route = &self.admitted.route;
+        SoughtStream {
+            key: self.stream_key(),
+            service: match route.splits.as_slice() {
+                [split] => Some(split.service.clone()),
+                _ => None,
+            },
+            age_max: Duration::from_millis(u64::from(route.timeout_ms)) * AGE_RATIO,
+        }
     }
 
     /// Records that the caller has the whole stream.
--- a/crates/gateway/src/caller/exchange.rs
+++ b/crates/gateway/src/caller/exchange.rs
@@ -296,6 +296,7 @@
             objective: target.saturating_sub(now - self.began_at),
             time_left: self.deadline - now,
             version: self.version,
+            key_version: self.key_version(),
             identity: self.identity,
             prompt: self.admitted.head.prompt.clone(),
             allowed_regions: self.admitted.allowed_regions(),
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -43,6 +43,19 @@
     Ok(bytes)
 }
 
+/// Encodes a message and two lists that belong to it; empty ones at the end are left out.
+pub(crate) fn encode_with_two<M: Serialize, T: Serialize, U: Serialize>(
+    message: &M,
+    (first, second): (&[T], &[U]),
+) -> Result<Vec<u8>, EncodeError> {
+    if second.is_empty() {
+        return encode(message, first);
+    }
+    let mut bytes = encode_message(message)?;
+    bincode::serde::encode_into_std_write((first, second), &mut bytes, standard())?;
+    Ok(bytes)
+}
+
 /// Lists that newer versions append to a heartbeat.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Appended {
@@ -55,6 +68,15 @@
     /// What the sender says of its paths to servers, once.
     pub(crate) paths: Vec<PathStatement>,
     pub(crate) brittle: Vec<BrittleStatement>,
+    /// What the sender's build does, once.
+    pub(crate) builds: Vec<BuildStatement>,
+}
+
+/// What a build does that others rely on.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct BuildStatement {
+    /// Whether new streams begin at the version of their key, or all nodes are told.
+    pub(crate) has_keyed_streams: bool,
 }
 
 /// Encodes a heartbeat with what is appended to it.
@@ -76,6 +98,20 @@
     Ok((message, appended))
 }
 
+/// Decodes a message and two lists that belong to it, which may be missing.
+pub(crate) fn decode_with_two<M, T, U>(bytes: &[u8]) -> Result<(M, Vec<T>, Vec<U>), DecodeError>
+where
+    M: DeserializeOwned,
+    T: DeserializeOwned,
+    U: DeserializeOwned,
+{
+    let (message, length) = bincode::serde::decode_from_slice(bytes, bounded())?;
+    let rest = bytes.get(length..).unwrap_or_default();
+    let (first, length) = decode_list(rest)?;
+    let (second, _) = decode_list(rest.get(length..).unwrap_or_default())?;
+    Ok((message, first, second))
+}
+
 /// Decodes a heartbeat; lists that its sender did not know are empty.
 pub(crate) fn decode_heartbeat(bytes: &[u8]) -> Result<(Heartbeat, Appended), DecodeError> {
     let (heartbeat, length) = bincode::serde::decode_from_slice(bytes, bounded())?;
@@ -89,7 +125,9 @@
     let (staleness, length) = decode_list(rest)?;
     let rest = rest.get(length..).unwrap_or_default();
     let (paths, length) = decode_list(rest)?;
-    let (brittle, _) = decode_list(rest.get(length..).unwrap_or_default())?;
+    let rest = rest.get(length..).unwrap_or_default();
+    let (brittle, length) = decode_list(rest)?;
+    let (builds, _) = decode_list(rest.get(length..).unwrap_or_default())?;
     let appended = Appended {
         limits,
         parts,
@@ -97,6 +135,7 @@
         staleness,
         paths,
         brittle,
+        builds,
     };
     Ok((heartbeat, appended))
 }
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 
+use bincode::error::EncodeError;
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
@@ -25,11 +26,32 @@
     prefix: &[u8],
     message: &M,
     appended: &[T],
+) {
+    send_encoded(shared, target, prefix, codec::encode(message, appended));
+}
+
+/// Sends a message and two lists that older nodes ignore, as [`send`] does.
+pub(crate) fn send_with_two<M: Serialize, T: Serialize, U: Serialize>(
+    shared: &SharedState,
+    target: SocketAddrV4,
+    prefix: &[u8],
+    message: &M,
+    appended: (&[T], &[U]),
+) {
+    let encoded = codec::encode_with_two(message, appended);
+    send_encoded(shared, target, prefix, encoded);
+}
+
+fn send_encoded(
+    shared: &SharedState,
+    target: SocketAddrV4,
+    prefix: &[u8],
+    encoded: Result<Vec<u8>, EncodeError>,
 ) {
     let Some(socket) = shared.socket.get() else {
         return;
     };
-    let encoded = match codec::encode(message, appended) {
+    let encoded = match encoded {
         Ok(encoded) => encoded,
         Err(error) => {
             tracing::warn!(%error, "peer: encoding a message failed");
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::codec::{self, Appended};
+use crate::codec::{self, Appended, BuildStatement};
 use crate::loads;
 use crate::shared::SharedState;
 use crate::streams;
@@ -45,7 +45,7 @@
             _ = ticks.tick() => {
                 notice_pause(&shared);
                 send_heartbeats(&shared, &socket);
-                streams::tell_new_holders(&shared);
+                streams::tell_others(&shared);
                 if reported_at.elapsed() >= REPORT_INTERVAL {
                     reported_at = Instant::now();
                     repeat_reports(&shared, reported_at);
@@ -84,6 +84,9 @@
         staleness: vec![staleness.statement(now)],
         paths: vec![shared.paths.borrow().statement()],
         brittle: shared.brittle.borrow_mut().statements(now),
+        builds: vec![BuildStatement {
+            has_keyed_streams: true,
+        }],
     };
     drop(staleness);
     let Ok(bytes) = codec::encode_heartbeat(&heartbeat, &appended) else {
@@ -116,7 +119,7 @@
     shared.paths.borrow_mut().expire(now);
 }
 
-fn receive(shared: &SharedState, from: SocketAddr, bytes: &[u8]) {
+fn receive(shared: &Rc<SharedState>, from: SocketAddr, bytes: &[u8]) {
     if let Some(message) = streams::strip_prefix(bytes) {
         streams::receive(shared, from, message);
         return;
@@ -131,6 +134,9 @@
             let (sender, revision) = (heartbeat.sender, heartbeat.revision);
             let mut peers = shared.peers.borrow_mut();
             peers.receive(now, heartbeat);
+            if !appended.builds.iter().any(|build| build.has_keyed_streams) {
+                peers.record_unkeyed(now);
+            }
             if let Some(paths) = appended.paths.into_iter().next() {
                 peers.receive_paths(sender, paths);
             }
--- a/crates/gateway/src/streams/query.rs
+++ b/crates/gateway/src/streams/query.rs
@@ -7,12 +7,14 @@
 use std::time::{Duration, Instant};
 
 use briarbank_core::flow::{
-    StreamKey, StreamMessage, StreamOrigin, ValueKind, VersionEvidence, VersionKey, VersionProof,
+    ShareStatement, StreamKey, StreamMessage, StreamOrigin, StreamProof, VersionEvidence,
+    VersionKey,
 };
 use briarbank_core::ids::ServiceName;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+use super::proof::{add_own, prove, to_ms};
 use super::send;
 use crate::gossip::notice_pause;
 use crate::shared::SharedState;
@@ -21,10 +23,8 @@
 /// Nodes that are asked for a stream; more than hold it, as views of live nodes differ.
 const ASKED_NODES: usize = 8;
 
-/// Age of values up to which nodes of earlier builds are told of a sole version.
-///
-/// The store confirms the values of a fleet every second.
-const CONFIRMED_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Time for nodes that were asked to have the store confirm their values.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
 
 /// Times to wait for answers before the question is repeated or given up.
 const QUERY_TIMEOUTS: [Duration; 3] = [
@@ -48,7 +48,7 @@
     unanswered: RefCell<HashSet<SocketAddrV4>>,
     recorded: Cell<Option<VersionKey>>,
     /// What the nodes have said of versions.
-    proof: RefCell<VersionProof>,
+    proof: RefCell<StreamProof>,
     is_answered: Cell<bool>,
     ended: Notify,
 }
@@ -76,35 +76,38 @@
     pub(crate) age_max: Duration,
 }
 
-/// Returns the version at which a stream began, `None` if nobody who answers can tell.
-pub(crate) async fn find(shared: &Rc<SharedState>, stream: &SoughtStream) -> Option<VersionKey> {
+/// Returns the version at which a stream began, or why nobody who answers can tell.
+pub(crate) async fn find(
+    shared: &Rc<SharedState>,
+    stream: &SoughtStream,
+) -> Result<VersionKey, &'static str> {
     notice_pause(shared);
-    let arrived_at = Instant::now();
-    if let Some(version) = shared.streams.borrow().version(arrived_at, stream.key) {
-        return Some(version);
-    }
-    let query = ask(shared, stream, &QUERY_TIMEOUTS).await;
-    // What others have told a node that has just woken arrives with the first calls.
-    let told = || shared.streams.borrow().version(arrived_at, stream.key);
-    if let Some(version) = query.recorded.get().or_else(told) {
-        return Some(version);
-    }
-    let own_complete = shared.dispatcher.borrow().complete_time(arrived_at);
-    if !query
-        .proof
-        .borrow()
-        .would_cover(stream.age_max, own_complete)
-    {
-        return None;
+    let recorded = || {
+        let streams = shared.streams.borrow();
+        streams.version(Instant::now(), stream.key)
+    };
+    if let Some(version) = recorded() {
+        return Ok(version);
     }
-    // Only the store can tell what others were told while this node was cut off.
-    if !store::confirm(shared, arrived_at).await {
-        return None;
+    let mut reason = "nobody answers";
+    for pause in [Some(CONFIRM_PAUSE), None] {
+        let asked_at = Instant::now();
+        let query = ask(shared, stream, &QUERY_TIMEOUTS).await;
+        // What others have told a node that has just woken arrives with the first calls.
+        if let Some(version) = query.recorded.get().or_else(recorded) {
+            return Ok(version);
+        }
+        match prove(shared, stream, asked_at, &query.proof).await {
+            Ok(version) => return Ok(version),
+            Err(unproven) => reason = unproven,
+        }
+        // Nodes that are asked have the store confirm their values.
+        let Some(pause) = pause.filter(|_| query.is_answered.get()) else {
+            break;
+        };
+        sleep(pause).await;
     }
-    let mut proof = query.proof.borrow_mut();
-    proof.add(&own_evidence(shared, stream, arrived_at)?, Duration::ZERO);
-    let is_covered = proof.covers(stream.age_max);
-    proof.only_version().filter(|_| is_covered)
+    Err(reason)
 }
 
 /// Returns the only version that this node and others have seen servers of a service with.
@@ -123,7 +126,7 @@
     let is_confirmed =
         query.is_answered.get() || is_alone || store::confirm(shared, arrived_at).await;
     let mut proof = query.proof.borrow_mut();
-    proof.add(&own_evidence(shared, stream, arrived_at)?, Duration::ZERO);
+    add_own(shared, stream, arrived_at, &mut proof)?;
     proof.only_version().filter(|_| is_confirmed)
 }
 
@@ -160,60 +163,6 @@
     Rc::clone(query)
 }
 
-/// Returns what this node has seen of a stream's service until `at`.
-pub(super) fn own_evidence(
-    shared: &SharedState,
-    stream: &SoughtStream,
-    at: Instant,
-) -> Option<VersionEvidence> {
-    let dispatcher = shared.dispatcher.borrow();
-    let versions = dispatcher.seen_versions(at, stream.service.as_ref()?, stream.age_max);
-    let values_age = shared.staleness.borrow().age(at);
-    let complete = if shared.entry_bound.borrow().may_lack_needed() {
-        Duration::ZERO
-    } else {
-        dispatcher.complete_time(at)
-    };
-    Some(VersionEvidence::new(versions, complete, values_age))
-}
-
-/// Returns what this node knows of a stream's version, for nodes of earlier builds.
-///
-/// They take [`StreamOrigin::SoleVersion`] for a proof by itself.
-pub(super) fn origin(shared: &SharedState, stream: &SoughtStream) -> StreamOrigin {
-    let now = Instant::now();
-    if let Some(version) = shared.streams.borrow().version(now, stream.key) {
-        return StreamOrigin::Recorded(version);
-    }
-    let is_confirmed = !shared.staleness.borrow().is_beyond(now, CONFIRMED_AGE_MAX);
-    let Some(service) = stream
-        .service
-        .as_ref()
-        .filter(|_| is_confirmed && has_current_values(shared))
-        .filter(|_| !shared.entry_bound.borrow().may_lack_needed())
-    else {
-        return StreamOrigin::Unknown;
-    };
-    let dispatcher = shared.dispatcher.borrow();
-    let sole = dispatcher.sole_version(now, service, stream.age_max);
-    sole.map_or(StreamOrigin::Unknown, StreamOrigin::SoleVersion)
-}
-
-/// Returns whether no other node is known to have newer published values.
-fn has_current_values(shared: &SharedState) -> bool {
-    let now = Instant::now();
-    let is_behind = |kind| {
-        let revision = shared.values.borrow().mirror(kind).revision();
-        let mut peers = shared.peers.borrow_mut();
-        peers.newer_source(now, kind, revision).is_some()
-    };
-    !ValueKind::ALL.into_iter().any(is_behind) && !shared.store.is_failing.get()
-}
-
-fn to_ms(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
 impl StreamQueries {
     fn start(&self) -> PendingQuery<'_> {
         let id = self.next_id.get().wrapping_add(1);
@@ -241,6 +190,7 @@
         from: SocketAddr,
         origin: StreamOrigin,
         evidence: &[VersionEvidence],
+        statements: &[ShareStatement],
     ) {
         let Some(query) = self.waiting.borrow().get(&id).cloned() else {
             return;
@@ -251,7 +201,7 @@
         if !query.unanswered.borrow_mut().remove(&from) {
             return;
         }
-        query.record(origin, evidence);
+        query.record(origin, evidence, statements.first());
         if query.recorded.get().is_some() || query.unanswered.borrow().is_empty() {
             query.ended.notify_one();
         }
@@ -259,7 +209,12 @@
 }
 
 impl Query {
-    fn record(&self, origin: StreamOrigin, evidence: &[VersionEvidence]) {
+    fn record(
+        &self,
+        origin: StreamOrigin,
+        evidence: &[VersionEvidence],
+        statement: Option<&ShareStatement>,
+    ) {
         self.is_answered.set(true);
         let mut proof = self.proof.borrow_mut();
         match origin {
@@ -269,7 +224,7 @@
             StreamOrigin::SoleVersion(version) => proof.add_version(version),
         }
         for evidence in evidence {
-            proof.add(evidence, self.started_at.elapsed());
+            proof.add(evidence, statement, self.started_at.elapsed());
         }
     }
 }
--- a/crates/gateway/src/sync/serve.rs
+++ b/crates/gateway/src/sync/serve.rs
@@ -186,6 +186,10 @@
     fn make(&mut self, path: &str, known: Bytes) -> Result<Option<(Bytes, bool)>, SyncError> {
         if let Some(node) = path.strip_prefix(STREAMS_PREFIX) {
             let bytes = encode_streams(self.shared, node)?;
+            // Encoded and compressed at the same time.
+            if self.reservation.grow(2 * bytes.len()).is_err() {
+                return Ok(None);
+            }
             return Ok(Some((self.compress(bytes), false)));
         }
         let (requested, since) = Requested::parse(path)?;
@@ -252,12 +256,11 @@
     }
 }
 
-/// Encodes the records of streams that a node should hold.
+/// Encodes the records of streams for the node of that address.
 fn encode_streams(shared: &SharedState, node: &str) -> Result<Vec<u8>, SyncError> {
-    let node: SocketAddrV4 = node
-        .parse()
-        .map_err(|_error| SyncError::Path(format!("{STREAMS_PREFIX}{node}")))?;
-    Ok(codec::encode_message(&streams::records_for(shared, node))?)
+    let parsed: Result<SocketAddrV4, _> = node.parse();
+    parsed.map_err(|_error| SyncError::Path(format!("{STREAMS_PREFIX}{node}")))?;
+    Ok(codec::encode_message(&streams::all_records(shared))?)
 }
 
 fn encode_values(
