--- a/crates/gateway/src/streams/query.rs
+++ b/crates/gateway/src/streams/query.rs
@@ -20,7 +20,7 @@
 use crate::shared::SharedState;
 use crate::store;
 
-/// Nodes that are asked for a stream; more than hold it, as views of live nodes differ.
+/// Nodes that are asked for a stream at first; more than hold it, as views of live nodes differ.
 const ASKED_NODES: usize = 8;
 
 /// Time for nodes that were asked to have the store confirm their values.
@@ -134,11 +134,12 @@
 async fn ask(shared: &SharedState, stream: &SoughtStream, times: &[Duration]) -> Rc<Query> {
     let pending = shared.stream_queries.start();
     let (id, query) = (pending.id, &pending.query);
-    for time in times {
+    for (round, time) in times.iter().enumerate() {
         let now = Instant::now();
         let (asked, sender) = {
             let peers = shared.peers.borrow();
-            let asked = peers.stream_sources(now, stream.key, ASKED_NODES);
+            // Those that did not answer may have been killed at the same time as many others.
+            let asked = peers.stream_sources(now, stream.key, ASKED_NODES << round);
             (asked, peers.local().address)
         };
         if asked.is_empty() {
