Count no gap for a list of entries that is no newer

One of two survivors could not prove what it had seen since the first start of the fleet.

Cause: at the start the store and a peer send all entries at the same time. The second list is whole, and counted as a gap in what the node had seen, though it changed nothing and was of the same revision.

Change: Delta::leaves_gap. A list leaves a gap if it is newer or changes something, and does not hold all steps.

Measured: a_list_that_is_no_newer_leaves_no_gap states the rule; the former condition counts a gap at its second assertion.

--- a/crates/core/src/flow/mirror.rs
+++ b/crates/core/src/flow/mirror.rs
@@ -49,6 +49,19 @@
     pub removals: Vec<Removal>,
 }
 
+impl Delta {
+    /// Returns whether a mirror of that revision may have missed changes before the delta.
+    ///
+    /// `has_all_steps` tells whether its source leaves out no change between the two, and
+    /// `has_changed` whether the delta has changed the mirror. Before the first read nothing
+    /// is missed; a list that is no newer and changes nothing shows that nothing was.
+    #[must_use]
+    pub fn leaves_gap(&self, revision: u64, has_all_steps: bool, has_changed: bool) -> bool {
+        let has_news = self.revision > revision || has_changed;
+        revision > 0 && has_news && (self.is_whole || !has_all_steps)
+    }
+}
+
 /// Replica of the published values.
 ///
 /// # Examples
--- a/crates/core/tests/flow/mirror.rs
+++ b/crates/core/tests/flow/mirror.rs
@@ -50,6 +50,34 @@
     assert_eq!(started.get("k1"), None);
 }
 
+/// Guards against a node that counts its view as incomplete since its start: at the start of a
+/// fleet a peer sends what the store has sent already.
+#[test]
+fn a_list_that_is_no_newer_leaves_no_gap() {
+    let whole = |revision, changes| Delta {
+        revision,
+        is_whole: true,
+        changes,
+        removals: Vec::new(),
+    };
+    let mut mirror = Mirror::default();
+    let first = whole(5, vec![change(1, 1), change(2, 2)]);
+    assert!(!first.leaves_gap(mirror.revision(), true, true));
+    mirror.apply(&first);
+    let again = mirror.clone().apply(&first);
+    assert!(!first.leaves_gap(mirror.revision(), false, !again.is_empty()));
+    assert!(whole(6, Vec::new()).leaves_gap(mirror.revision(), true, true));
+    // An entry that was left out before.
+    assert!(whole(5, vec![change(3, 3)]).leaves_gap(mirror.revision(), true, true));
+    let step = Delta {
+        revision: 6,
+        changes: vec![change(1, 6)],
+        ..Delta::default()
+    };
+    assert!(!step.leaves_gap(mirror.revision(), true, true));
+    assert!(step.leaves_gap(mirror.revision(), false, true));
+}
+
 /// Generates a history that writes or removes a key at each revision.
 fn history() -> impl Strategy<Value = Vec<(u8, bool)>> {
     prop::collection::vec((0_u8..6, prop::bool::weighted(0.7)), 1..60)
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -88,12 +88,14 @@
         let values_age = self.staleness.borrow().age(now);
         let is_recent = values_age.is_some_and(|age| age < AS_IT_HAPPENS_AGE_MAX)
             && self.freshness.is_following(now);
-        let has_followed = match source {
-            Source::Store => !delta.is_whole,
+        let has_all_steps = match source {
+            Source::Store => true,
             // A peer sends the newest values only, not those between.
-            Source::Peer(_) => !delta.is_whole && is_recent,
+            Source::Peer(_) => is_recent,
         };
-        if revision_before > 0 && kind != Some(ValueKind::Document) && !has_followed {
+        if kind != Some(ValueKind::Document)
+            && delta.leaves_gap(revision_before, has_all_steps, !changed.is_empty())
+        {
             self.dispatcher.borrow_mut().record_missed_changes(now);
         }
         let arrival = Arrival {
