--- a/crates/core/src/flow/share_span.rs
+++ b/crates/core/src/flow/share_span.rs
@@ -40,7 +40,7 @@
 ///         service: "models".into(),
 ///         version: version.into(),
 ///         address: "10.1.0.2:8000".parse().unwrap(),
-///         zone: "recife".into(),
+///         zone: "zone-a".into(),
 ///         slots: 8,
 ///         is_draining: false,
 ///         cold_ms: 0,
--- a/crates/core/tests/flow/entry_bound.rs
+++ b/crates/core/tests/flow/entry_bound.rs
@@ -13,14 +13,14 @@
 
 fn entry(index: u64) -> Change {
     Change {
-        key: Arc::from(format!("servers/{index:05}")),
+        key: Arc::from(format!("entry-{index:05}")),
         revision: index + 1,
         value: vec![0; ENTRY_BYTES_MAX].into(),
     }
 }
 
 fn index_of(key: &str) -> u64 {
-    let index = key.trim_start_matches("servers/").parse();
+    let index = key.trim_start_matches("entry-").parse();
     index.expect("keys end with the index")
 }
 
